--- /dev/null
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -0,0 +1,120 @@
+#ifndef CARDAMOMPOST_CP_LEDGER_MESSAGE_HPP_INCLUDED
+#define CARDAMOMPOST_CP_LEDGER_MESSAGE_HPP_INCLUDED
+
+#include <cardamompost/core/cp_ids.hpp>
+#include <cardamompost/routing/cp_backend_list.hpp>
+
+#include <vector>
+
+namespace cardamompost
+{
+
+//! Asks the ledger's leader for the term to start with, and to be taken in as a member.
+struct JoinRequest {
+    VmName vm;
+    //! The member's address, which is its name in the ledger's group.
+    std::string peer;
+};
+
+struct JoinReply {
+    //! The leader has confirmed with its quorum that it leads; only then does the term count.
+    bool isConfirmed = false;
+    VmName leader;
+    Term term = 0;
+};
+
+//! Reserves the most that a turn may cost, and asks for the history that it continues.
+struct TurnBegin {
+    //! The request's id, new for each attempt of a caller.
+    std::string turn;
+    std::string program;
+    //! Empty for the first turn of a history.
+    std::string previous;
+    std::int64_t tokensAtMost = 0;
+    //! Tokens that all turns of the program may generate; negative for a program without a budget.
+    std::int64_t budget = -1;
+    std::uint32_t retentionMs = 0;
+};
+
+//! What became of a turn's begin.
+enum class TurnBeginStatus : std::uint8_t {
+    //! This member does not lead, or can't tell; ask the leader.
+    NotLeader,
+    //! The reservation is on its way to a quorum: send the turn, but hand nothing out before Granted.
+    Tentative,
+    Granted,
+    //! The budget does not hold the turn.
+    Spent,
+    //! No such turn to continue, as a quorum knows.
+    NoSuchTurn,
+};
+
+struct TurnBeginReply {
+    TurnBeginStatus status = TurnBeginStatus::NotLeader;
+    VmName leader;
+    //! Inputs and outputs of the turns that are continued, oldest first; only with Tentative.
+    std::string history;
+};
+
+//! How a turn ended at the entry.
+enum class TurnEnding : std::uint8_t {
+    //! The caller gets the whole answer once this is durable.
+    Whole,
+    //! It did not run and never will; its reservation is given back.
+    NotRun,
+    //! It broke off; what was handed out is spent.
+    Broken,
+};
+
+struct TurnFinish {
+    std::string turn;
+    std::string program;
+    std::string previous;
+    TurnEnding ending = TurnEnding::Broken;
+    //! Tokens handed to the caller.
+    std::int64_t tokens = 0;
+    std::uint32_t retentionMs = 0;
+    //! Later turns may continue this one.
+    bool isKept = false;
+    std::string input;
+    std::string output;
+};
+
+struct TurnFinishReply {
+    bool isDurable = false;
+    VmName leader;
+};
+
+//! Asks the leader for what has changed since the versions known.
+struct NewsRequest {
+    std::uint64_t documentVersion = 0;
+    BackendListVersion list;
+    //! How long the leader may wait for a change before it answers.
+    std::uint32_t waitMs = 0;
+};
+
+struct NewsReply {
+    bool isLeader = false;
+    VmName leader;
+    //! Addresses of the ledger's members.
+    std::vector<VmName> members;
+    std::uint64_t documentVersion = 0;
+    //! Empty when nothing newer is known.
+    std::string document;
+    bool hasList = false;
+    BackendList list;
+    //! Time since the list was read, in milliseconds.
+    std::uint32_t listAgeMs = 0;
+};
+
+//! Tells a directory that an entry takes requests; counts for a few seconds.
+struct Presence {
+    VmName vm;
+    std::string address;
+    std::string failureDomain;
+    bool isReady = false;
+};
+
+} // namespace cardamompost
+
+#endif // CARDAMOMPOST_CP_LEDGER_MESSAGE_HPP_INCLUDED
--- /dev/null
+++ b/include/cardamompost/ledger/cp_member_planner.hpp
@@ -0,0 +1,34 @@
+#ifndef CARDAMOMPOST_CP_MEMBER_PLANNER_HPP_INCLUDED
+#define CARDAMOMPOST_CP_MEMBER_PLANNER_HPP_INCLUDED
+
+#include <cardamompost/consensus/cp_membership.hpp>
+
+#include <map>
+
+namespace cardamompost
+{
+
+//! What the leader knows of a VM that is, or could be, a member of its group.
+struct MemberCandidate {
+    //! It was heard from lately.
+    bool isLive = false;
+    //! An operator wants it emptied.
+    bool isRetiring = false;
+    //! As a learner it holds all that is committed.
+    bool isCaughtUp = false;
+};
+
+//! By address, which is the name in the group.
+using MemberCandidates = std::map<VmName, MemberCandidate>;
+
+//! The next single step towards a group of live voters that are not to be emptied; nothing when there is none to take.
+//!
+//! A voter is replaced only by a learner that has caught up, and is removed only after its successor votes, so no step
+//! leaves an entry on fewer disks than a quorum of the desired size.
+//! \param desiredVoters  as many as the losses to be borne ask for: twice their number and one
+[[nodiscard]] std::optional<Membership> planMembership(const Membership &current, const MemberCandidates &candidates,
+                                                       std::size_t desiredVoters);
+
+} // namespace cardamompost
+
+#endif // CARDAMOMPOST_CP_MEMBER_PLANNER_HPP_INCLUDED
--- a/include/cardamompost/net/cp_frame.hpp
+++ b/include/cardamompost/net/cp_frame.hpp
@@ -5,6 +5,7 @@
 #include <cardamompost/control/cp_control_message.hpp>
 #include <cardamompost/core/cp_error.hpp>
 #include <cardamompost/journal/cp_journal_message.hpp>
+#include <cardamompost/ledger/cp_ledger_message.hpp>
 #include <cardamompost/net/cp_api_message.hpp>
 
 #include <variant>
@@ -36,10 +37,12 @@
     Error error;
 };
 
-using FrameBody = std::variant<std::monostate, RaftMessage, SealRequest, SealReply, JournalAppend, JournalAppendReply,
-                               JournalRead, JournalReadReply, JournalForget, LeaseRequest, LeaseReply, ProposeRequest,
-                               ProposeReply, PullRequest, PullReply, StatusRequest, StatusReply, ProbeRequest,
-                               ProbeReply, LimitRequest, LimitReply, ApiRequest, ApiChunk, FailureReply>;
+using FrameBody
+    = std::variant<std::monostate, RaftMessage, SealRequest, SealReply, JournalAppend, JournalAppendReply, JournalRead,
+                   JournalReadReply, JournalForget, LeaseRequest, LeaseReply, ProposeRequest, ProposeReply, PullRequest,
+                   PullReply, StatusRequest, StatusReply, ProbeRequest, ProbeReply, LimitRequest, LimitReply,
+                   ApiRequest, ApiChunk, FailureReply, JoinRequest, JoinReply, TurnBegin, TurnBeginReply, TurnFinish,
+                   TurnFinishReply, NewsRequest, NewsReply, Presence>;
 
 //! One message on a connection between two of the system's processes.
 struct Frame {
--- a/include/cardamompost/observe/cp_event_log.hpp
+++ b/include/cardamompost/observe/cp_event_log.hpp
@@ -26,7 +26,7 @@
 class EventLog
 {
 public:
-    //! \param file   empty for standard error
+    //! \param file   empty for standard error, "-" for standard output
     //! \param level  "debug", "info", "warning" or "error"; anything else means "info"
     EventLog(std::string vm, const std::string &file, const std::string &level);
     ~EventLog();
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -196,6 +196,87 @@
   retryAfterMs @4 :UInt32;
 }
 
+# Messages of the turn ledger: its members, the entries that use it, and what they tell each other.
+
+struct JoinRequest {
+  vm @0 :Text;
+  peer @1 :Text;
+}
+
+struct JoinReply {
+  isConfirmed @0 :Bool;
+  leader @1 :Text;
+  term @2 :UInt64;
+}
+
+struct TurnBegin {
+  turn @0 :Text;
+  program @1 :Text;
+  previous @2 :Text;
+  tokensAtMost @3 :Int64;
+  budget @4 :Int64;
+  retentionMs @5 :UInt32;
+}
+
+struct TurnBeginReply {
+  status @0 :UInt8;
+  leader @1 :Text;
+  history @2 :Data;
+}
+
+struct TurnFinish {
+  turn @0 :Text;
+  program @1 :Text;
+  previous @2 :Text;
+  ending @3 :UInt8;
+  tokens @4 :Int64;
+  retentionMs @5 :UInt32;
+  isKept @6 :Bool;
+  input @7 :Data;
+  output @8 :Data;
+}
+
+struct TurnFinishReply {
+  isDurable @0 :Bool;
+  leader @1 :Text;
+}
+
+struct BackendServer {
+  id @0 :Text;
+  service @1 :Text;
+  address @2 :Text;
+  failureDomain @3 :Text;
+  slots @4 :UInt32;
+  isLeaving @5 :Bool;
+}
+
+struct NewsRequest {
+  documentVersion @0 :UInt64;
+  listTerm @1 :UInt64;
+  listSequence @2 :UInt64;
+  waitMs @3 :UInt32;
+}
+
+struct NewsReply {
+  isLeader @0 :Bool;
+  leader @1 :Text;
+  members @2 :List(Text);
+  documentVersion @3 :UInt64;
+  document @4 :Data;
+  listTerm @5 :UInt64;
+  listSequence @6 :UInt64;
+  hasList @7 :Bool;
+  servers @8 :List(BackendServer);
+  listAgeMs @9 :UInt32;
+}
+
+struct Presence {
+  vm @0 :Text;
+  address @1 :Text;
+  failureDomain @2 :Text;
+  isReady @3 :Bool;
+}
+
 # One frame on a connection between two processes.
 struct Frame {
   id @0 :UInt64;
@@ -226,6 +307,15 @@
     probeReply @24 :ProbeReply;
     limit @25 :LimitRequest;
     limitReply @26 :LimitReply;
+    join @27 :JoinRequest;
+    joinReply @28 :JoinReply;
+    turnBegin @29 :TurnBegin;
+    turnBeginReply @30 :TurnBeginReply;
+    turnFinish @31 :TurnFinish;
+    turnFinishReply @32 :TurnFinishReply;
+    news @33 :NewsRequest;
+    newsReply @34 :NewsReply;
+    presence @35 :Presence;
   }
 }
 
@@ -346,3 +436,52 @@
     errorMessage @2 :Text;
   }
 }
+
+# Commands of the turn ledger and its snapshot.
+
+struct RouteDocumentPut {
+  version @0 :UInt64;
+  bytes @1 :Data;
+}
+
+struct LedgerVm {
+  vm @0 :Text;
+  peer @1 :Text;
+  isRetiring @2 :Bool;
+}
+
+struct LedgerCommand {
+  nowMs @0 :Int64;
+  union {
+    document @1 :RouteDocumentPut;
+    reserve @2 :TurnBegin;
+    finish @3 :TurnFinish;
+    vm @4 :LedgerVm;
+  }
+}
+
+struct LedgerSnapshot {
+  nowMs @0 :Int64;
+  documentVersion @1 :UInt64;
+  document @2 :Data;
+  vms @3 :List(LedgerVm);
+  programs @4 :List(ProgramAccount);
+  turns @5 :List(KeptTurn);
+  struct ProgramAccount {
+    program @0 :Text;
+    spent @1 :Int64;
+    expiresMs @2 :Int64;
+    reservations @3 :List(Reservation);
+  }
+  struct Reservation {
+    turn @0 :Text;
+    tokens @1 :Int64;
+  }
+  struct KeptTurn {
+    turn @0 :Text;
+    previous @1 :Text;
+    expiresMs @2 :Int64;
+    input @3 :Data;
+    output @4 :Data;
+  }
+}
--- /dev/null
+++ b/src/cardamompost/ledger/cp_ledger_state.cpp
@@ -0,0 +1,173 @@
+#include <cardamompost/ledger/cp_ledger_state.hpp>
+
+#include <algorithm>
+
+namespace cardamompost
+{
+
+namespace
+{
+
+// Guards against a turn that a caller may still continue while this system's clock runs ahead: what is kept outlives
+// its retention by this much, in milliseconds.
+constexpr std::int64_t expiryMarginMs = 15'000;
+constexpr std::int64_t sweepIntervalMs = 2000;
+// Longest history that is followed; far above any real one, and an end for a damaged one.
+constexpr std::size_t maxHistoryTurns = 10'000;
+
+} // namespace
+
+TurnBeginStatus LedgerState::apply(const LedgerCommand &command)
+{
+    advanceTime(command.nowMs);
+    if (const auto *put = std::get_if<RouteDocumentPut>(&command.action)) {
+        applyDocument(*put);
+    } else if (const auto *begin = std::get_if<TurnBegin>(&command.action)) {
+        return applyBegin(*begin);
+    } else if (const auto *finish = std::get_if<TurnFinish>(&command.action)) {
+        applyFinish(*finish);
+    } else {
+        applyVm(std::get<LedgerVm>(command.action));
+    }
+    return TurnBeginStatus::Granted;
+}
+
+void LedgerState::advanceTime(std::int64_t nowMs)
+{
+    // A new leader's clock may be behind that of the last one; time never goes back here.
+    const std::int64_t before = nowMs_;
+    nowMs_ = std::max(nowMs_, nowMs);
+    // The sweeps' times follow from the commands alone, so that members that began with a snapshot sweep with the rest.
+    if (nowMs_ / sweepIntervalMs != before / sweepIntervalMs) {
+        expire();
+    }
+}
+
+void LedgerState::expire()
+{
+    std::erase_if(programs_, [&](const auto &item) { return item.second.expiresMs < nowMs_; });
+    std::erase_if(turns_, [&](const auto &item) {
+        const bool isOver = item.second.expiresMs < nowMs_;
+        turnBytes_ -= isOver ? item.second.input.size() + item.second.output.size() : 0;
+        return isOver;
+    });
+}
+
+void LedgerState::applyDocument(const RouteDocumentPut &put)
+{
+    // Equal versions with other content, and versions that come late, change nothing: what is in force never reverts.
+    if (put.version > document_.version) {
+        document_ = put;
+    }
+}
+
+bool LedgerState::isReserved(const std::string &program, const std::string &turn) const
+{
+    const auto found = programs_.find(program);
+    return found != programs_.end() && found->second.reservations.contains(turn);
+}
+
+TurnBeginStatus LedgerState::check(const TurnBegin &begin, std::int64_t pendingTokens) const
+{
+    if (!begin.previous.empty() && !turns_.contains(begin.previous)) {
+        return TurnBeginStatus::NoSuchTurn;
+    }
+    // An entry that lost the answer asks again; the same attempt is reserved once.
+    if (begin.budget < 0 || isReserved(begin.program, begin.turn)) {
+        return TurnBeginStatus::Granted;
+    }
+    std::int64_t taken = pendingTokens;
+    if (const auto found = programs_.find(begin.program); found != programs_.end()) {
+        taken += found->second.spent;
+        for (const auto &[turn, tokens] : found->second.reservations) {
+            taken += tokens;
+        }
+    }
+    return taken + begin.tokensAtMost <= begin.budget ? TurnBeginStatus::Granted : TurnBeginStatus::Spent;
+}
+
+TurnBeginStatus LedgerState::applyBegin(const TurnBegin &begin)
+{
+    const TurnBeginStatus status = check(begin, 0);
+    if (begin.program.empty()) {
+        return status;
+    }
+    Program &program = programs_[begin.program];
+    touchProgram(program, begin.retentionMs);
+    if (status == TurnBeginStatus::Granted) {
+        program.reservations.emplace(begin.turn, begin.tokensAtMost);
+    }
+    return status;
+}
+
+void LedgerState::applyFinish(const TurnFinish &finish)
+{
+    if (!finish.program.empty()) {
+        Program &program = programs_[finish.program];
+        touchProgram(program, finish.retentionMs);
+        // A finish that is sent again finds no reservation and settles nothing twice.
+        if (program.reservations.erase(finish.turn) != 0) {
+            program.spent += finish.ending == TurnEnding::NotRun ? 0 : finish.tokens;
+        }
+    }
+    if (finish.ending == TurnEnding::Whole && finish.isKept) {
+        keepTurn(finish);
+    }
+}
+
+void LedgerState::keepTurn(const TurnFinish &finish)
+{
+    const std::int64_t expiresMs = nowMs_ + finish.retentionMs + expiryMarginMs;
+    const auto [turn, isNew] = turns_.try_emplace(finish.turn);
+    if (isNew) {
+        turn->second = {finish.previous, expiresMs, finish.input, finish.output};
+        turnBytes_ += finish.input.size() + finish.output.size();
+    }
+    extendHistory(finish.turn, expiresMs);
+}
+
+void LedgerState::extendHistory(const std::string &last, std::int64_t expiresMs)
+{
+    auto turn = turns_.find(last);
+    for (std::size_t steps = 0; turn != turns_.end() && steps < maxHistoryTurns; ++steps) {
+        turn->second.expiresMs = std::max(turn->second.expiresMs, expiresMs);
+        turn = turn->second.previous.empty() ? turns_.end() : turns_.find(turn->second.previous);
+    }
+}
+
+void LedgerState::touchProgram(Program &program, std::uint32_t retentionMs)
+{
+    program.expiresMs = std::max(program.expiresMs, nowMs_ + retentionMs + expiryMarginMs);
+}
+
+void LedgerState::applyVm(const LedgerVm &vm)
+{
+    vms_[vm.vm] = vm;
+}
+
+std::string LedgerState::history(const std::string &turn) const
+{
+    std::vector<const Turn *> turns;
+    std::size_t bytes = 0;
+    auto found = turns_.find(turn);
+    while (found != turns_.end() && turns.size() < maxHistoryTurns) {
+        turns.push_back(&found->second);
+        bytes += found->second.input.size() + found->second.output.size();
+        found = found->second.previous.empty() ? turns_.end() : turns_.find(found->second.previous);
+    }
+    std::string text;
+    text.reserve(bytes);
+    for (auto item = turns.rbegin(); item != turns.rend(); ++item) {
+        text += (*item)->input;
+        text += (*item)->output;
+    }
+    return text;
+}
+
+std::int64_t LedgerState::spent(const std::string &program) const
+{
+    const auto found = programs_.find(program);
+    return found == programs_.end() ? 0 : found->second.spent;
+}
+
+} // namespace cardamompost
--- a/src/cardamompost/net/cp_frame_decoder.cpp
+++ b/src/cardamompost/net/cp_frame_decoder.cpp
@@ -1,4 +1,5 @@
 #include "cp_frame_body.hpp"
+#include "cp_ledger_schema.hpp"
 
 namespace cardamompost
 {
@@ -127,6 +128,42 @@
     }
 }
 
+FrameBody decodeLedgerBody(Body::Reader in)
+{
+    switch (in.which()) {
+    case Body::JOIN:
+        return JoinRequest {fromText(in.getJoin().getVm()), fromText(in.getJoin().getPeer())};
+    case Body::JOIN_REPLY: {
+        const auto reply = in.getJoinReply();
+        return JoinReply {reply.getIsConfirmed(), fromText(reply.getLeader()), reply.getTerm()};
+    }
+    case Body::TURN_BEGIN:
+        return decodeTurnBegin(in.getTurnBegin());
+    case Body::TURN_BEGIN_REPLY: {
+        const auto reply = in.getTurnBeginReply();
+        return TurnBeginReply {decodeEnum(reply.getStatus(), TurnBeginStatus::NoSuchTurn), fromText(reply.getLeader()),
+                               fromData(reply.getHistory())};
+    }
+    case Body::TURN_FINISH:
+        return decodeTurnFinish(in.getTurnFinish());
+    case Body::TURN_FINISH_REPLY:
+        return TurnFinishReply {in.getTurnFinishReply().getIsDurable(), fromText(in.getTurnFinishReply().getLeader())};
+    case Body::NEWS: {
+        const auto news = in.getNews();
+        return NewsRequest {news.getDocumentVersion(), {news.getListTerm(), news.getListSequence()}, news.getWaitMs()};
+    }
+    case Body::NEWS_REPLY:
+        return decodeNewsReply(in.getNewsReply());
+    case Body::PRESENCE: {
+        const auto presence = in.getPresence();
+        return Presence {fromText(presence.getVm()), fromText(presence.getAddress()),
+                         fromText(presence.getFailureDomain()), presence.getIsReady()};
+    }
+    default:
+        return std::monostate {};
+    }
+}
+
 FrameBody decodeControlBody(Body::Reader in)
 {
     switch (in.which()) {
@@ -166,7 +203,7 @@
     case Body::STATUS_REPLY:
         return decodeStatus(in.getStatusReply());
     default:
-        return decodeJournalBody(in);
+        return in.which() >= Body::JOIN ? decodeLedgerBody(in) : decodeJournalBody(in);
     }
 }
 
--- a/src/cardamompost/net/cp_frame_encoder.cpp
+++ b/src/cardamompost/net/cp_frame_encoder.cpp
@@ -1,4 +1,5 @@
 #include "cp_frame_body.hpp"
+#include "cp_ledger_schema.hpp"
 
 namespace cardamompost
 {
@@ -245,6 +246,69 @@
         message.setIsLast(in.isLast);
     }
 
+    void operator()(const JoinRequest &in)
+    {
+        auto message = out.initJoin();
+        message.setVm(toText(in.vm));
+        message.setPeer(toText(in.peer));
+    }
+
+    void operator()(const JoinReply &in)
+    {
+        auto message = out.initJoinReply();
+        message.setIsConfirmed(in.isConfirmed);
+        message.setLeader(toText(in.leader));
+        message.setTerm(in.term);
+    }
+
+    void operator()(const TurnBegin &in)
+    {
+        encodeTurnBegin(in, out.initTurnBegin());
+    }
+
+    void operator()(const TurnBeginReply &in)
+    {
+        auto message = out.initTurnBeginReply();
+        message.setStatus(static_cast<std::uint8_t>(in.status));
+        message.setLeader(toText(in.leader));
+        message.setHistory(toData(in.history));
+    }
+
+    void operator()(const TurnFinish &in)
+    {
+        encodeTurnFinish(in, out.initTurnFinish());
+    }
+
+    void operator()(const TurnFinishReply &in)
+    {
+        auto message = out.initTurnFinishReply();
+        message.setIsDurable(in.isDurable);
+        message.setLeader(toText(in.leader));
+    }
+
+    void operator()(const NewsRequest &in)
+    {
+        auto message = out.initNews();
+        message.setDocumentVersion(in.documentVersion);
+        message.setListTerm(in.list.term);
+        message.setListSequence(in.list.sequence);
+        message.setWaitMs(in.waitMs);
+    }
+
+    void operator()(const NewsReply &in)
+    {
+        encodeNewsReply(in, out.initNewsReply());
+    }
+
+    void operator()(const Presence &in)
+    {
+        auto message = out.initPresence();
+        message.setVm(toText(in.vm));
+        message.setAddress(toText(in.address));
+        message.setFailureDomain(toText(in.failureDomain));
+        message.setIsReady(in.isReady);
+    }
+
     void operator()(const FailureReply &reply)
     {
         const Error &in = reply.error;
--- /dev/null
+++ b/src/cardamompost/net/cp_ledger_schema.cpp
@@ -0,0 +1,99 @@
+#include "cp_ledger_schema.hpp"
+
+namespace cardamompost
+{
+
+void encodeTurnBegin(const TurnBegin &in, schema::TurnBegin::Builder out)
+{
+    out.setTurn(toText(in.turn));
+    out.setProgram(toText(in.program));
+    out.setPrevious(toText(in.previous));
+    out.setTokensAtMost(in.tokensAtMost);
+    out.setBudget(in.budget);
+    out.setRetentionMs(in.retentionMs);
+}
+
+TurnBegin decodeTurnBegin(schema::TurnBegin::Reader in)
+{
+    return {fromText(in.getTurn()), fromText(in.getProgram()), fromText(in.getPrevious()), in.getTokensAtMost(),
+            in.getBudget(),         in.getRetentionMs()};
+}
+
+void encodeTurnFinish(const TurnFinish &in, schema::TurnFinish::Builder out)
+{
+    out.setTurn(toText(in.turn));
+    out.setProgram(toText(in.program));
+    out.setPrevious(toText(in.previous));
+    out.setEnding(static_cast<std::uint8_t>(in.ending));
+    out.setTokens(in.tokens);
+    out.setRetentionMs(in.retentionMs);
+    out.setIsKept(in.isKept);
+    out.setInput(toData(in.input));
+    out.setOutput(toData(in.output));
+}
+
+TurnFinish decodeTurnFinish(schema::TurnFinish::Reader in)
+{
+    // An ending that this build does not know spends what was handed out.
+    const auto ending = in.getEnding() <= static_cast<std::uint8_t>(TurnEnding::Broken)
+        ? static_cast<TurnEnding>(in.getEnding())
+        : TurnEnding::Broken;
+    return {fromText(in.getTurn()),
+            fromText(in.getProgram()),
+            fromText(in.getPrevious()),
+            ending,
+            in.getTokens(),
+            in.getRetentionMs(),
+            in.getIsKept(),
+            fromData(in.getInput()),
+            fromData(in.getOutput())};
+}
+
+void encodeNewsReply(const NewsReply &in, schema::NewsReply::Builder out)
+{
+    out.setIsLeader(in.isLeader);
+    out.setLeader(toText(in.leader));
+    auto members = out.initMembers(static_cast<unsigned>(in.members.size()));
+    for (unsigned i = 0; i < members.size(); ++i) {
+        members.set(i, toText(in.members[i]));
+    }
+    out.setDocumentVersion(in.documentVersion);
+    out.setDocument(toData(in.document));
+    out.setHasList(in.hasList);
+    out.setListTerm(in.list.version.term);
+    out.setListSequence(in.list.version.sequence);
+    out.setListAgeMs(in.listAgeMs);
+    auto servers = out.initServers(static_cast<unsigned>(in.list.servers.size()));
+    for (unsigned i = 0; i < servers.size(); ++i) {
+        const BackendServer &server = in.list.servers[i];
+        servers[i].setId(toText(server.id));
+        servers[i].setService(toText(server.service));
+        servers[i].setAddress(toText(server.address.toString()));
+        servers[i].setFailureDomain(toText(server.failureDomain));
+        servers[i].setSlots(server.slots);
+        servers[i].setIsLeaving(server.isLeaving);
+    }
+}
+
+NewsReply decodeNewsReply(schema::NewsReply::Reader in)
+{
+    NewsReply reply;
+    reply.isLeader = in.getIsLeader();
+    reply.leader = fromText(in.getLeader());
+    for (const auto member : in.getMembers()) {
+        reply.members.push_back(fromText(member));
+    }
+    reply.documentVersion = in.getDocumentVersion();
+    reply.document = fromData(in.getDocument());
+    reply.hasList = in.getHasList();
+    reply.list.version = {in.getListTerm(), in.getListSequence()};
+    reply.listAgeMs = in.getListAgeMs();
+    for (const auto server : in.getServers()) {
+        const Address address = parseAddress(fromText(server.getAddress())).value_or(Address {});
+        reply.list.servers.push_back({fromText(server.getId()), fromText(server.getService()), address,
+                                      fromText(server.getFailureDomain()), server.getSlots(), server.getIsLeaving()});
+    }
+    return reply;
+}
+
+} // namespace cardamompost
--- /dev/null
+++ b/src/cardamompost/net/cp_ledger_schema.hpp
@@ -0,0 +1,22 @@
+#ifndef CARDAMOMPOST_CP_LEDGER_SCHEMA_HPP_INCLUDED
+#define CARDAMOMPOST_CP_LEDGER_SCHEMA_HPP_INCLUDED
+
+#include "cp_schema_codec.hpp"
+
+#include <cardamompost/ledger/cp_ledger_message.hpp>
+
+namespace cardamompost
+{
+
+void encodeTurnBegin(const TurnBegin &in, schema::TurnBegin::Builder out);
+[[nodiscard]] TurnBegin decodeTurnBegin(schema::TurnBegin::Reader in);
+
+void encodeTurnFinish(const TurnFinish &in, schema::TurnFinish::Builder out);
+[[nodiscard]] TurnFinish decodeTurnFinish(schema::TurnFinish::Reader in);
+
+void encodeNewsReply(const NewsReply &in, schema::NewsReply::Builder out);
+[[nodiscard]] NewsReply decodeNewsReply(schema::NewsReply::Reader in);
+
+} // namespace cardamompost
+
+#endif // CARDAMOMPOST_CP_LEDGER_SCHEMA_HPP_INCLUDED
--- a/src/cardamompost/observe/cp_event_log.cpp
+++ b/src/cardamompost/observe/cp_event_log.cpp
@@ -22,6 +22,9 @@
     Named {LogLevel::Error, "error"},
 };
 
+// The name that stands for standard output where a file is named.
+constexpr std::string_view standardOutput = "-";
+
 spdlog::level::level_enum toSpdlog(LogLevel level)
 {
     switch (level) {
@@ -53,6 +56,8 @@
     spdlog::sink_ptr sink;
     if (file.empty()) {
         sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    } else if (file == standardOutput) {
+        sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
     } else {
         sink = std::make_shared<spdlog::sinks::basic_file_sink_mt>(file);
     }
--- /dev/null
+++ b/src/cardamompost/routing/cp_route_table.cpp
@@ -0,0 +1,71 @@
+#include <cardamompost/core/cp_invariant.hpp>
+#include <cardamompost/routing/cp_route_table.hpp>
+
+#include <algorithm>
+
+namespace cardamompost
+{
+
+namespace
+{
+
+std::string bareHost(std::string_view host)
+{
+    std::string bare(host.substr(0, host.find(':')));
+    std::transform(bare.begin(), bare.end(), bare.begin(),
+                   [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
+    return bare;
+}
+
+} // namespace
+
+RouteTable::RouteTable(RouteDocument document)
+    : document_(std::move(document))
+{
+    for (const Route &route : document_.routes) {
+        byHost_[bareHost(route.host)].push_back(&route);
+    }
+    for (auto &[host, routes] : byHost_) {
+        std::sort(routes.begin(), routes.end(),
+                  [](const Route *left, const Route *right) { return left->prefix.size() > right->prefix.size(); });
+    }
+    for (const BackendService &service : document_.services) {
+        services_.emplace(service.name, &service);
+    }
+}
+
+const Route *RouteTable::find(std::string_view host, std::string_view path) const
+{
+    const auto found = byHost_.find(bareHost(host));
+    if (found == byHost_.end()) {
+        return nullptr;
+    }
+    const auto begins = [&](const Route *route) { return path.starts_with(route->prefix); };
+    const auto route = std::find_if(found->second.begin(), found->second.end(), begins);
+    return route == found->second.end() ? nullptr : *route;
+}
+
+const BackendService *RouteTable::service(std::string_view name) const
+{
+    const auto found = services_.find(name);
+    return found == services_.end() ? nullptr : found->second;
+}
+
+const std::string &RouteTable::pickService(const Route &route, std::uint64_t point)
+{
+    std::uint64_t sum = 0;
+    for (const RouteShare &share : route.shares) {
+        sum += share.weight;
+    }
+    checkInvariant(sum > 0, "a checked route has a share with a weight");
+    std::uint64_t rest = point % sum;
+    for (const RouteShare &share : route.shares) {
+        if (rest < share.weight) {
+            return share.service;
+        }
+        rest -= share.weight;
+    }
+    return route.shares.back().service;
+}
+
+} // namespace cardamompost
--- /dev/null
+++ b/src/gateway/cp_backend_pool.cpp
@@ -0,0 +1,214 @@
+#include "cp_backend_pool.hpp"
+
+#include <cardamompost/core/cp_ids.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace cardamompost
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+namespace
+{
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+// A report of a server's load is worth half after this.
+constexpr double reportHalfLifeMs = 300;
+// What a server in another failure domain costs more, in shares of its slots.
+constexpr double otherDomainCost = 0.2;
+// A sticky request leaves its server once that is loaded to this share of its slots.
+constexpr double stickyLoadLimit = 0.8;
+constexpr std::size_t sampledServers = 3;
+constexpr std::size_t maxKeptPerServer = 16;
+// Closed by us well before a server does: a request that crosses the server's close may or may not have run.
+constexpr Milliseconds keepAtMost {20'000};
+constexpr int userTimeoutMs = 2500;
+
+bool looksAlive(BackendConnection &connection)
+{
+    // A kept connection has nothing to read; an end or a byte there belongs to nobody's request.
+    char byte = 0;
+    const auto got = ::recv(connection.stream.socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+double BackendState::load(TimePoint now) const
+{
+    const double ageMs = std::chrono::duration<double, std::milli>(now - reportedAt_).count();
+    return inFlight_ + othersAtReport_ * std::exp2(-ageMs / reportHalfLifeMs);
+}
+
+void BackendState::report(unsigned running, unsigned waiting, TimePoint now)
+{
+    othersAtReport_ = std::max(0.0, static_cast<double>(running) + waiting - inFlight_);
+    reportedAt_ = now;
+}
+
+BackendPool::BackendPool(std::string failureDomain, MetricRegistry &metrics)
+    : failureDomain_(std::move(failureDomain))
+    , random_(randomIdentity())
+    , connects_(metrics.counter("cardamompost_backend_connects_total"))
+    , reused_(metrics.counter("cardamompost_backend_reused_total"))
+{
+}
+
+bool BackendPool::setList(const BackendList &list)
+{
+    if (list.version <= version_) {
+        return false;
+    }
+    version_ = list.version;
+    std::map<std::string, std::shared_ptr<BackendState>> byId;
+    byService_.clear();
+    for (const BackendServer &server : list.servers) {
+        const auto known = byId_.find(server.id);
+        auto state = known != byId_.end() ? known->second : std::make_shared<BackendState>(server);
+        state->server_ = server;
+        if (server.isLeaving) {
+            state->idle_.clear();
+        } else {
+            byService_[server.service].push_back(state);
+        }
+        byId.emplace(server.id, std::move(state));
+    }
+    for (const auto &[id, state] : byId_) {
+        if (!byId.contains(id)) {
+            state->server_.isLeaving = true;
+            state->idle_.clear();
+        }
+    }
+    byId_ = std::move(byId);
+    return true;
+}
+
+std::shared_ptr<BackendState> BackendPool::pick(const PickRequest &request, TimePoint now)
+{
+    const auto found = byService_.find(std::string(request.service));
+    if (found == byService_.end()) {
+        return nullptr;
+    }
+    std::vector<std::shared_ptr<BackendState>> usable;
+    std::vector<std::shared_ptr<BackendState>> avoided;
+    for (const auto &backend : found->second) {
+        if (!request.tried.contains(backend->server_.id)) {
+            (backend->isAvoided(now) ? avoided : usable).push_back(backend);
+        }
+    }
+    // With all servers in doubt, one of them is still better than none.
+    if (usable.empty()) {
+        usable.swap(avoided);
+    }
+    if (usable.empty()) {
+        return nullptr;
+    }
+    return request.stickyPoint != 0 ? pickSticky(usable, request.stickyPoint, now) : pickLeastLoaded(usable, now);
+}
+
+std::shared_ptr<BackendState> BackendPool::pickSticky(const std::vector<std::shared_ptr<BackendState>> &usable,
+                                                      std::uint64_t point, TimePoint now) const
+{
+    // Rendezvous hashing: every entry finds the same order of servers for a point without telling any other, and a
+    // server that comes or goes moves only its own share of the points.
+    std::vector<std::pair<std::uint64_t, std::shared_ptr<BackendState>>> order;
+    for (const auto &backend : usable) {
+        order.emplace_back(stableHash(backend->server_.id, point), backend);
+    }
+    std::sort(order.begin(), order.end(), [](const auto &left, const auto &right) { return left.first > right.first; });
+    const auto share = [&](const auto &item) { return item.second->load(now) / item.second->server().slots; };
+    for (const auto &item : order) {
+        if (share(item) < stickyLoadLimit) {
+            return item.second;
+        }
+    }
+    return std::min_element(order.begin(), order.end(),
+                            [&](const auto &left, const auto &right) { return share(left) < share(right); })
+        ->second;
+}
+
+std::shared_ptr<BackendState> BackendPool::pickLeastLoaded(const std::vector<std::shared_ptr<BackendState>> &usable,
+                                                           TimePoint now)
+{
+    // Guards against a herd: all entries see the same server as the idlest for as long as its report is old, so each
+    // compares a few that it draws by lot.
+    const auto cost = [&](const BackendState &backend) {
+        const double domain = backend.server().failureDomain == failureDomain_ ? 0 : otherDomainCost;
+        return backend.load(now) / backend.server().slots + domain;
+    };
+    std::shared_ptr<BackendState> best;
+    for (std::size_t i = 0; i < sampledServers; ++i) {
+        const auto &candidate = usable[random_() % usable.size()];
+        if (!best || cost(*candidate) < cost(*best)) {
+            best = candidate;
+        }
+    }
+    return best;
+}
+
+std::shared_ptr<BackendConnection> BackendPool::takeKept(BackendState &backend, TimePoint now)
+{
+    while (!backend.idle_.empty()) {
+        std::shared_ptr<BackendConnection> connection = std::move(backend.idle_.back());
+        backend.idle_.pop_back();
+        if (now < connection->keptUntil && looksAlive(*connection)) {
+            reused_.add();
+            connection->isFresh = false;
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+asio::awaitable<Result<std::shared_ptr<BackendConnection>>> BackendPool::connect(std::shared_ptr<BackendState> backend,
+                                                                                 Milliseconds timeout)
+{
+    connects_.add();
+    const auto executor = co_await asio::this_coro::executor;
+    beast::tcp_stream stream(executor);
+    stream.expires_after(timeout);
+    const Address &address = backend->server().address;
+    boost::system::error_code invalid;
+    const auto host = asio::ip::make_address(address.host, invalid);
+    if (invalid) {
+        co_return makeError(ErrorKind::BackendFailed, "the list has no IP number for the server");
+    }
+    const asio::ip::tcp::endpoint endpoint(host, address.port);
+    const auto [error] = co_await stream.async_connect(endpoint, asTuple);
+    if (error) {
+        co_return makeError(ErrorKind::BackendFailed, address.toString() + ": " + error.message());
+    }
+    boost::system::error_code ignored;
+    stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    const int value = userTimeoutMs;
+    ::setsockopt(stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof(value));
+    stream.expires_never();
+    co_return std::make_shared<BackendConnection>(std::move(stream));
+}
+
+void BackendPool::keep(BackendState &backend, std::shared_ptr<BackendConnection> connection, TimePoint now)
+{
+    if (backend.server_.isLeaving || backend.idle_.size() >= maxKeptPerServer) {
+        return;
+    }
+    connection->keptUntil = std::min(connection->keptUntil, now + keepAtMost);
+    connection->stream.expires_never();
+    backend.idle_.push_back(std::move(connection));
+}
+
+void BackendPool::closeIdle(TimePoint now)
+{
+    for (const auto &[id, backend] : byId_) {
+        std::erase_if(backend->idle_, [&](const auto &connection) { return now >= connection->keptUntil; });
+    }
+}
+
+} // namespace cardamompost
--- /dev/null
+++ b/src/gateway/cp_entry_server.hpp
@@ -0,0 +1,63 @@
+#ifndef CARDAMOMPOST_CP_ENTRY_SERVER_HPP_INCLUDED
+#define CARDAMOMPOST_CP_ENTRY_SERVER_HPP_INCLUDED
+
+#include "cp_forwarder.hpp"
+#include "cp_gateway_settings.hpp"
+
+#include <cardamompost/net/cp_http_server.hpp>
+
+namespace cardamompost
+{
+
+//! An entry: takes callers' connections, and tells the platform and the directory whether it is ready.
+class EntryServer
+{
+public:
+    struct Parts {
+        boost::asio::io_context &io;
+        const GatewaySettings &settings;
+        const IDialect &dialect;
+        PeerClients &peers;
+        EventLog &log;
+        MetricRegistry &metrics;
+    };
+
+    explicit EntryServer(Parts parts);
+
+    //! Errors: InvalidConfiguration when an address can't be used.
+    Result<void> start();
+    //! Leaves the directory and goes on serving whoever still comes.
+    void drain();
+    //! True once no request is under way.
+    [[nodiscard]] bool isIdle() const
+    {
+        return forwarder_.underWay() == 0;
+    }
+    void setSeeds(std::vector<VmName> seeds)
+    {
+        ledger_.setSeeds(std::move(seeds));
+    }
+
+private:
+    [[nodiscard]] bool isReady() const;
+    void takeNews(const NewsReply &news);
+    void keepTelling();
+    void tellIfChanged();
+    boost::asio::awaitable<void> accept();
+    boost::asio::awaitable<void> serve(std::shared_ptr<CallerConnection> caller);
+    boost::asio::awaitable<void> onReady(HttpRequest &request, IHttpResponder &responder);
+
+    Parts parts_;
+    LedgerClient ledger_;
+    BackendPool pool_;
+    Forwarder forwarder_;
+    HttpServer ready_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer timer_;
+    bool isDraining_ = false;
+    bool wasReady_ = false;
+};
+
+} // namespace cardamompost
+
+#endif // CARDAMOMPOST_CP_ENTRY_SERVER_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/cp_forwarded_request.hpp
@@ -0,0 +1,88 @@
+#ifndef CARDAMOMPOST_CP_FORWARDED_REQUEST_HPP_INCLUDED
+#define CARDAMOMPOST_CP_FORWARDED_REQUEST_HPP_INCLUDED
+
+#include "cp_backend_pool.hpp"
+#include "cp_event_tally.hpp"
+#include "cp_ledger_client.hpp"
+#include "cp_request_head.hpp"
+
+#include <cardamompost/routing/cp_route_table.hpp>
+
+namespace cardamompost
+{
+
+//! What came of sending a request to one backend server.
+enum class ExchangeEnd {
+    //! The caller has its whole answer.
+    Answered,
+    //! The server said that it did not run it, or was never reached.
+    NotRun,
+    //! It was sent and not answered; it may have run.
+    Unanswered,
+    //! The answer had begun and broke off.
+    BrokeOff,
+    //! What was reserved for the turn was not confirmed.
+    NotGranted,
+    //! The end of the turn could not be made durable.
+    NotDurable,
+    CallerGone,
+    TimedOut,
+};
+
+inline constexpr std::array exchangeEndNames {
+    Named {ExchangeEnd::Answered, "answered"},      Named {ExchangeEnd::NotRun, "not-run"},
+    Named {ExchangeEnd::Unanswered, "unanswered"},  Named {ExchangeEnd::BrokeOff, "broke-off"},
+    Named {ExchangeEnd::NotGranted, "not-granted"}, Named {ExchangeEnd::NotDurable, "not-durable"},
+    Named {ExchangeEnd::CallerGone, "caller-gone"}, Named {ExchangeEnd::TimedOut, "timed-out"},
+};
+
+//! A caller's request on its way, from its arrival to its final answer.
+struct ForwardedRequest {
+    CallerRequest message;
+    std::shared_ptr<CallerConnection> caller;
+    std::shared_ptr<const RouteTable> table;
+    const Route *route = nullptr;
+    const BackendService *service = nullptr;
+    RequestFacts facts;
+    TimePoint arrived {};
+    //! When the caller or the route has waited long enough.
+    TimePoint deadline {};
+
+    //! Set for a turn, which the ledger has to allow.
+    std::shared_ptr<PendingBegin> begin;
+    EventTally tally;
+    //! Bytes of an event that is not whole yet, which a resumable stream holds back.
+    std::string partialEvent;
+    //! True once the head of an answer has been written.
+    bool hasStarted = false;
+    bool isWhole = false;
+
+    //! Servers that had the request, and how often it may have run.
+    std::set<std::string> tried;
+    unsigned sends = 0;
+    unsigned runs = 0;
+    std::shared_ptr<BackendConnection> current;
+    std::string lastBackend;
+    unsigned status = 0;
+    std::string_view cause;
+    std::string detail;
+
+    [[nodiscard]] bool isTurn() const
+    {
+        return route->kind == RouteKind::Streaming && (route->keepsHistory || facts.budget >= 0);
+    }
+    //! True when the same request may run more than once.
+    [[nodiscard]] bool mayRepeat() const
+    {
+        return route->kind == RouteKind::Safe || (route->kind == RouteKind::Streaming && route->isResumable);
+    }
+    [[nodiscard]] std::int64_t tokensHandedOut()
+    {
+        return static_cast<std::int64_t>(tally.events()) * service->engine.tokensPerEvent;
+    }
+    [[nodiscard]] TurnFinish finish(TurnEnding ending);
+};
+
+} // namespace cardamompost
+
+#endif // CARDAMOMPOST_CP_FORWARDED_REQUEST_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/cp_forwarder.cpp
@@ -0,0 +1,298 @@
+#include "cp_forwarder.hpp"
+
+#include "cp_backend_exchange.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace cardamompost
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr unsigned statusSpent = 402;
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusBadGateway = 502;
+constexpr unsigned statusUnavailable = 503;
+constexpr unsigned statusTimeout = 504;
+constexpr Milliseconds connectTimeout {400};
+constexpr Milliseconds avoidFor {1000};
+// Longest wait for the ledger before a turn is refused; an election of a new leader fits in.
+constexpr Milliseconds beginPatience {1600};
+constexpr Milliseconds settleTimeout {6000};
+constexpr Milliseconds comeBackSoon {250};
+constexpr Milliseconds comeBackLater {500};
+// Servers that may say that they did not run a request before its caller is told so.
+constexpr unsigned maxSends = 4;
+constexpr unsigned maxConnectFailures = 6;
+constexpr std::uint32_t defaultRetentionMs = 60'000;
+
+TimePoint timeNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+TurnFinish ForwardedRequest::finish(TurnEnding ending)
+{
+    TurnFinish finish;
+    finish.turn = facts.id;
+    finish.program = facts.program;
+    finish.previous = facts.previousTurn;
+    finish.ending = ending;
+    finish.tokens = tokensHandedOut();
+    finish.retentionMs
+        = route->retention.count() > 0 ? static_cast<std::uint32_t>(route->retention.count()) : defaultRetentionMs;
+    finish.isKept = route->keepsHistory && ending == TurnEnding::Whole;
+    if (finish.isKept) {
+        finish.input = message.body();
+        finish.output = tally.output();
+    }
+    return finish;
+}
+
+Forwarder::Forwarder(Parts parts)
+    : parts_(parts)
+{
+}
+
+asio::awaitable<void> Forwarder::forward(CallerRequest message, std::shared_ptr<CallerConnection> caller)
+{
+    ForwardedRequest request;
+    request.arrived = timeNow();
+    request.message = std::move(message);
+    request.caller = std::move(caller);
+    request.table = table_;
+    ++underWay_;
+    request.caller->watch([&request] {
+        if (request.current) {
+            request.current->stream.cancel();
+        }
+    });
+    co_await run(request);
+    request.caller->watch({});
+    --underWay_;
+    logEnd(request);
+}
+
+bool Forwarder::findRoute(ForwardedRequest &request)
+{
+    const auto target = request.message.target();
+    const std::string_view path = std::string_view(target.data(), target.size());
+    const auto host = request.message[boost::beast::http::field::host];
+    request.route = request.table->find({host.data(), host.size()}, path.substr(0, path.find('?')));
+    if (request.route == nullptr) {
+        return false;
+    }
+    request.facts = readFacts(request.message, parts_.dialect.headers());
+    const std::string &spread = request.facts.program.empty() ? request.facts.id : request.facts.program;
+    request.service = request.table->service(RouteTable::pickService(*request.route, stableHash(spread)));
+    const Milliseconds patience = request.facts.patience.value_or(request.route->timeout);
+    request.deadline = request.arrived + std::min(patience, request.route->timeout);
+    return true;
+}
+
+asio::awaitable<void> Forwarder::run(ForwardedRequest &request)
+{
+    OwnAnswer refusal;
+    if (!request.table) {
+        refusal = {statusUnavailable, "no configuration is known yet", comeBackLater};
+    } else if (!findRoute(request)) {
+        refusal = {statusNotFound, "no route for this host and path", Milliseconds(0)};
+    }
+    if (!refusal.reason.empty()) {
+        request.status = refusal.status;
+        request.cause = refusal.reason;
+        co_await request.caller->answer(refusal);
+        co_return;
+    }
+    const bool mayGoOn = co_await beginTurn(request);
+    if (mayGoOn) {
+        co_await tryBackends(request);
+        settle(request);
+    }
+}
+
+asio::awaitable<bool> Forwarder::beginTurn(ForwardedRequest &request)
+{
+    if (!request.isTurn()) {
+        co_return true;
+    }
+    TurnBegin begin;
+    begin.turn = request.facts.id;
+    begin.program = request.facts.program;
+    begin.previous = request.route->keepsHistory ? request.facts.previousTurn : std::string();
+    begin.tokensAtMost = request.facts.tokensOutAtMost;
+    begin.budget = request.facts.budget;
+    begin.retentionMs = request.finish(TurnEnding::NotRun).retentionMs;
+    request.begin = parts_.ledger.begin(std::move(begin), std::min(request.deadline, request.arrived + beginPatience));
+    co_await request.begin->untilTentative();
+    if (request.begin->isTentative()) {
+        co_return true;
+    }
+    OwnAnswer refusal {statusUnavailable, "the ledger can't be reached", comeBackSoon};
+    if (request.begin->status() == TurnBeginStatus::Spent) {
+        refusal = {statusSpent, "the program's budget does not hold the turn", Milliseconds(0)};
+    } else if (request.begin->status() == TurnBeginStatus::NoSuchTurn) {
+        refusal = {statusNotFound, "no such turn to continue", Milliseconds(0)};
+    }
+    request.status = refusal.status;
+    request.cause = refusal.reason;
+    co_await request.caller->answer(refusal);
+    // A reservation may have been made behind an answer that was lost.
+    if (refusal.status == statusUnavailable) {
+        settle(request);
+    }
+    co_return false;
+}
+
+asio::awaitable<std::shared_ptr<BackendConnection>> Forwarder::connect(ForwardedRequest &request,
+                                                                       std::shared_ptr<BackendState> backend)
+{
+    const TimePoint now = timeNow();
+    if (auto kept = parts_.pool.takeKept(*backend, now)) {
+        co_return kept;
+    }
+    const auto left = std::chrono::duration_cast<Milliseconds>(request.deadline - now);
+    Result<std::shared_ptr<BackendConnection>> opened
+        = co_await parts_.pool.connect(backend, std::min(connectTimeout, left));
+    if (!opened) {
+        backend->avoid(timeNow() + avoidFor);
+        parts_.log.info("backend.unreachable",
+                        {{"backend", backend->server().id},
+                         {"address", backend->server().address.toString()},
+                         {"error", opened.error().message},
+                         {"list_term", parts_.pool.version().term},
+                         {"list_sequence", parts_.pool.version().sequence}});
+        co_return nullptr;
+    }
+    co_return opened.value();
+}
+
+asio::awaitable<void> Forwarder::tryBackends(ForwardedRequest &request)
+{
+    const bool isSticky = request.route->isSticky && request.service->isEngine;
+    const std::string &unit = request.facts.program.empty() ? request.facts.session : request.facts.program;
+    unsigned connectFailures = 0;
+    bool mayGoOn = true;
+    while (mayGoOn) {
+        if (request.caller->isGone()) {
+            request.cause = "the caller left";
+            co_return;
+        }
+        PickRequest wanted {request.service->name, isSticky && !unit.empty() ? stableHash(unit) | 1U : 0,
+                            request.tried};
+        const std::shared_ptr<BackendState> backend
+            = timeNow() < request.deadline ? parts_.pool.pick(wanted, timeNow()) : nullptr;
+        if (!backend) {
+            request.sends = maxSends;
+            mayGoOn = co_await goesOn(request, ExchangeEnd::NotRun, {});
+            continue;
+        }
+        const std::string id = backend->server().id;
+        request.current = co_await connect(request, backend);
+        if (!request.current) {
+            request.tried.insert(id);
+            if (++connectFailures >= maxConnectFailures) {
+                request.sends = maxSends;
+            }
+            mayGoOn = co_await goesOn(request, ExchangeEnd::NotRun, id);
+            continue;
+        }
+        request.lastBackend = id;
+        BackendExchange exchange({parts_.io, parts_.dialect.headers(), parts_.pool, parts_.ledger}, request, backend,
+                                 request.current);
+        const ExchangeEnd end = co_await exchange.run();
+        request.current.reset();
+        ++request.sends;
+        mayGoOn = co_await goesOn(request, end, id);
+    }
+}
+
+asio::awaitable<bool> Forwarder::goesOn(ForwardedRequest &request, ExchangeEnd end, const std::string &backend)
+{
+    request.cause = nameOf(exchangeEndNames, end);
+    request.tried.insert(backend);
+    request.runs += end == ExchangeEnd::NotRun ? 0 : 1;
+    const bool hasTime = timeNow() < request.deadline;
+    OwnAnswer final {statusBadGateway, "the backend server gave no answer", Milliseconds(0)};
+    switch (end) {
+    case ExchangeEnd::Answered:
+    case ExchangeEnd::CallerGone:
+        co_return false;
+    case ExchangeEnd::NotRun:
+        if (request.sends < maxSends && hasTime) {
+            co_return true;
+        }
+        if (request.runs == 0) {
+            final = {statusUnavailable, "no backend server could run it", comeBackSoon};
+        }
+        break;
+    case ExchangeEnd::Unanswered:
+    case ExchangeEnd::BrokeOff:
+        if (request.mayRepeat() && request.runs < request.route->maxAttempts && hasTime) {
+            co_return true;
+        }
+        break;
+    case ExchangeEnd::TimedOut:
+        final = {statusTimeout, "the time for the request is over", Milliseconds(0)};
+        break;
+    case ExchangeEnd::NotGranted:
+    case ExchangeEnd::NotDurable:
+        final.reason = "the ledger did not confirm the turn";
+        break;
+    }
+    if (request.hasStarted) {
+        request.caller->abort();
+        co_return false;
+    }
+    request.status = final.status;
+    co_await request.caller->answer(final);
+    co_return false;
+}
+
+void Forwarder::settle(ForwardedRequest &request)
+{
+    // The whole turn of a kept history is settled already, before its answer ended.
+    if (!request.begin || (request.isWhole && request.route->keepsHistory)) {
+        return;
+    }
+    const bool hasRun = request.runs > 0 || request.hasStarted || request.isWhole;
+    TurnEnding ending = hasRun ? TurnEnding::Broken : TurnEnding::NotRun;
+    if (request.isWhole) {
+        ending = TurnEnding::Whole;
+    }
+    auto work = [](LedgerClient &ledger, TurnFinish finish) -> asio::awaitable<void> {
+        co_await ledger.finish(std::move(finish), timeNow() + settleTimeout);
+    };
+    asio::co_spawn(parts_.io, work(parts_.ledger, request.finish(ending)), asio::detached);
+}
+
+void Forwarder::logEnd(const ForwardedRequest &request)
+{
+    const auto ms = std::chrono::duration_cast<Milliseconds>(timeNow() - request.arrived).count();
+    boost::json::object line {{"id", request.facts.id},
+                              {"status", request.status},
+                              {"cause", request.cause},
+                              {"ms", ms},
+                              {"document", request.table ? request.table->version() : 0}};
+    if (request.route != nullptr) {
+        line["route"] = request.route->name;
+        line["program"] = request.facts.program;
+        line["backend"] = request.lastBackend;
+        line["sends"] = request.sends;
+        line["runs"] = request.runs;
+        line["list"] = fmt::format("{}.{}", parts_.pool.version().term, parts_.pool.version().sequence);
+        line["news_age_ms"] = parts_.ledger.newsAge().count();
+    }
+    if (!request.detail.empty()) {
+        line["detail"] = request.detail;
+    }
+    parts_.log.info("request.end", std::move(line));
+}
+
+} // namespace cardamompost
--- /dev/null
+++ b/src/gateway/cp_forwarder.hpp
@@ -0,0 +1,64 @@
+#ifndef CARDAMOMPOST_CP_FORWARDER_HPP_INCLUDED
+#define CARDAMOMPOST_CP_FORWARDER_HPP_INCLUDED
+
+#include "cp_backend_pool.hpp"
+#include "cp_forwarded_request.hpp"
+#include "cp_ledger_client.hpp"
+
+namespace cardamompost
+{
+
+//! Sends callers' requests to backend servers and their answers back, once the ledger allows it.
+//!
+//! What may be repeated follows from the route's kind alone. A final answer is given as soon as it is known, and says
+//! truthfully whether the request may have run.
+class Forwarder
+{
+public:
+    struct Parts {
+        boost::asio::io_context &io;
+        const IDialect &dialect;
+        BackendPool &pool;
+        LedgerClient &ledger;
+        EventLog &log;
+        MetricRegistry &metrics;
+    };
+
+    explicit Forwarder(Parts parts);
+
+    //! Puts a document in force for the requests that follow.
+    void setTable(std::shared_ptr<const RouteTable> table)
+    {
+        table_ = std::move(table);
+    }
+    [[nodiscard]] const std::shared_ptr<const RouteTable> &table() const
+    {
+        return table_;
+    }
+
+    //! Answers one request.
+    boost::asio::awaitable<void> forward(CallerRequest message, std::shared_ptr<CallerConnection> caller);
+    [[nodiscard]] std::size_t underWay() const
+    {
+        return underWay_;
+    }
+
+private:
+    boost::asio::awaitable<void> run(ForwardedRequest &request);
+    [[nodiscard]] bool findRoute(ForwardedRequest &request);
+    boost::asio::awaitable<bool> beginTurn(ForwardedRequest &request);
+    boost::asio::awaitable<void> tryBackends(ForwardedRequest &request);
+    boost::asio::awaitable<std::shared_ptr<BackendConnection>> connect(ForwardedRequest &request,
+                                                                       std::shared_ptr<BackendState> backend);
+    boost::asio::awaitable<bool> goesOn(ForwardedRequest &request, ExchangeEnd end, const std::string &backend);
+    void settle(ForwardedRequest &request);
+    void logEnd(const ForwardedRequest &request);
+
+    Parts parts_;
+    std::shared_ptr<const RouteTable> table_;
+    std::size_t underWay_ = 0;
+};
+
+} // namespace cardamompost
+
+#endif // CARDAMOMPOST_CP_FORWARDER_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/cp_gateway.cpp
@@ -0,0 +1,178 @@
+#include "cp_gateway.hpp"
+
+#include <cardamompost/net/cp_await.hpp>
+#include <cardamompost/storage/cp_posix_files.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <csignal>
+
+namespace cardamompost
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr Milliseconds drainPoll {50};
+// A leaving entry serves at least so long: callers keep an answer of the directory for a while.
+constexpr Milliseconds serveAtLeast {4200};
+// What is left of the grace period when the process ends, whatever is still under way.
+constexpr Milliseconds graceMargin {600};
+constexpr Milliseconds handOverTime {300};
+
+} // namespace
+
+Gateway::Gateway(GatewaySettings settings, std::unique_ptr<const IDialect> dialect, Reload reload)
+    : settings_(std::move(settings))
+    , dialect_(std::move(dialect))
+    , reload_(std::move(reload))
+    , io_(1)
+    , signals_(io_, SIGTERM, SIGINT, SIGHUP)
+    , log_(settings_.vm, "-", settings_.logLevel)
+    , peers_(io_.get_executor(), traffic_)
+{
+}
+
+Gateway::~Gateway() = default;
+
+Result<void> Gateway::start()
+{
+    log_.info("process.start",
+              {{"role", nameOf(gatewayRoleNames, settings_.role)},
+               {"first_start", settings_.isFirstStart},
+               {"seeds", settings_.seeds.size()}});
+    waitForSignal();
+    return settings_.role == GatewayRole::Entry ? startEntry() : startLedger();
+}
+
+Result<void> Gateway::startEntry()
+{
+    entry_ = std::make_unique<EntryServer>(EntryServer::Parts {io_, settings_, *dialect_, peers_, log_, metrics_});
+    return entry_->start();
+}
+
+Result<void> Gateway::startLedger()
+{
+    BOOST_OUTCOME_TRY(auto files, PosixFiles::openFolder(settings_.dataFolder, true));
+    disk_ = std::make_unique<DiskThread>(std::move(files), log_, metrics_);
+    BOOST_OUTCOME_TRYV(disk_->open());
+    ledger_ = std::make_unique<LedgerService>(LedgerService::Parts {io_, settings_, *disk_, peers_, log_, metrics_});
+    api_ = std::make_unique<LedgerApi>(
+        LedgerApi::Parts {io_, settings_, *dialect_, *ledger_, presence_, log_, metrics_});
+    listReader_ = std::make_unique<ListReader>(ListReader::Parts {io_, settings_, *dialect_, *ledger_, log_, metrics_});
+    peerServer_
+        = std::make_unique<PeerServer>(io_.get_executor(), nullptr, traffic_,
+                                       [this](FrameBody body, Milliseconds, std::shared_ptr<PeerReplier> replier) {
+                                           onPeer(std::move(body), replier);
+                                       });
+    BOOST_OUTCOME_TRYV(peerServer_->listen(settings_.peer));
+    BOOST_OUTCOME_TRYV(api_->listen());
+    BOOST_OUTCOME_TRYV(ledger_->start());
+    listReader_->start();
+    return boost::outcome_v2::success();
+}
+
+void Gateway::onPeer(FrameBody body, const std::shared_ptr<PeerReplier> &replier)
+{
+    if (auto *raft = std::get_if<RaftMessage>(&body)) {
+        ledger_->onRaft(std::move(*raft));
+        return;
+    }
+    if (const auto *presence = std::get_if<Presence>(&body)) {
+        if (presence_.note(*presence, std::chrono::steady_clock::now())) {
+            log_.info("entry.presence", {{"entry", presence->vm}, {"ready", presence->isReady}});
+        }
+        return;
+    }
+    if (!replier) {
+        return;
+    }
+    if (const auto *join = std::get_if<JoinRequest>(&body)) {
+        ledger_->onJoin(*join, replier);
+    } else if (auto *begin = std::get_if<TurnBegin>(&body)) {
+        ledger_->onBegin(std::move(*begin), replier);
+    } else if (auto *finish = std::get_if<TurnFinish>(&body)) {
+        ledger_->onFinish(std::move(*finish), replier);
+    } else if (const auto *news = std::get_if<NewsRequest>(&body)) {
+        ledger_->onNews(*news, replier);
+    } else {
+        replier->reply(FailureReply {makeError(ErrorKind::InvalidRequest, "not a request to a ledger VM")});
+    }
+}
+
+void Gateway::waitForSignal()
+{
+    signals_.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (!error) {
+            onSignal(signal);
+            waitForSignal();
+        }
+    });
+}
+
+void Gateway::onSignal(int signal)
+{
+    if (signal == SIGHUP) {
+        reloadSettings();
+    } else if (!isDraining_) {
+        isDraining_ = true;
+        drain();
+    }
+}
+
+void Gateway::reloadSettings()
+{
+    const std::optional<GatewaySettings> fresh = reload_();
+    log_.info("process.reload", {{"readable", fresh.has_value()}});
+    if (!fresh) {
+        return;
+    }
+    // Addresses and role are the process's own for its life; only where others are to be found may change.
+    settings_.seeds = fresh->seeds;
+    if (entry_) {
+        entry_->setSeeds(settings_.seedPeers());
+    }
+}
+
+void Gateway::drain()
+{
+    log_.info("process.stopping", {{"role", nameOf(gatewayRoleNames, settings_.role)}});
+    asio::co_spawn(io_, entry_ ? drainEntry() : drainLedger(), asio::detached);
+}
+
+asio::awaitable<void> Gateway::drainEntry()
+{
+    const auto begun = std::chrono::steady_clock::now();
+    entry_->drain();
+    bool isOver = false;
+    while (!isOver) {
+        co_await sleepFor(drainPoll);
+        const auto since = std::chrono::steady_clock::now() - begun;
+        isOver = (since >= serveAtLeast && entry_->isIdle()) || since >= settings_.grace - graceMargin;
+    }
+    log_.info("process.stopped", {{"idle", entry_->isIdle()}});
+    io_.stop();
+}
+
+asio::awaitable<void> Gateway::drainLedger()
+{
+    ledger_->handOver();
+    co_await sleepFor(handOverTime);
+    api_->stop();
+    listReader_->stop();
+    ledger_->stop();
+    log_.info("process.stopped", {{"idle", true}});
+    co_await sleepFor(drainPoll);
+    io_.stop();
+}
+
+int Gateway::run()
+{
+    io_.run();
+    return 0;
+}
+
+} // namespace cardamompost
--- /dev/null
+++ b/src/gateway/cp_gateway.hpp
@@ -0,0 +1,62 @@
+#ifndef CARDAMOMPOST_CP_GATEWAY_HPP_INCLUDED
+#define CARDAMOMPOST_CP_GATEWAY_HPP_INCLUDED
+
+#include "cp_entry_server.hpp"
+#include "cp_ledger_api.hpp"
+#include "cp_list_reader.hpp"
+
+#include <boost/asio/signal_set.hpp>
+
+namespace cardamompost
+{
+
+//! One process of the gateway, from its start to its end.
+class Gateway
+{
+public:
+    //! \param reload  reads the settings anew, as after SIGHUP; nothing when they can't be read
+    using Reload = std::function<std::optional<GatewaySettings>()>;
+
+    Gateway(GatewaySettings settings, std::unique_ptr<const IDialect> dialect, Reload reload);
+    ~Gateway();
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+
+    //! Errors: InvalidConfiguration for an address, StorageFailed, StorageCorrupt.
+    Result<void> start();
+    //! Runs until the process has been asked to end and has ended its work. \returns the exit code
+    int run();
+
+private:
+    Result<void> startEntry();
+    Result<void> startLedger();
+    void waitForSignal();
+    void onSignal(int signal);
+    void reloadSettings();
+    void drain();
+    boost::asio::awaitable<void> drainEntry();
+    boost::asio::awaitable<void> drainLedger();
+    void onPeer(FrameBody body, const std::shared_ptr<PeerReplier> &replier);
+
+    GatewaySettings settings_;
+    std::unique_ptr<const IDialect> dialect_;
+    Reload reload_;
+    boost::asio::io_context io_;
+    boost::asio::signal_set signals_;
+    EventLog log_;
+    MetricRegistry metrics_;
+    PeerTraffic traffic_;
+    PeerClients peers_;
+    std::unique_ptr<PeerServer> peerServer_;
+    PresenceTable presence_;
+    std::unique_ptr<DiskThread> disk_;
+    std::unique_ptr<LedgerService> ledger_;
+    std::unique_ptr<LedgerApi> api_;
+    std::unique_ptr<ListReader> listReader_;
+    std::unique_ptr<EntryServer> entry_;
+    bool isDraining_ = false;
+};
+
+} // namespace cardamompost
+
+#endif // CARDAMOMPOST_CP_GATEWAY_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/cp_gateway_settings.cpp
@@ -0,0 +1,99 @@
+#include "cp_gateway_settings.hpp"
+
+#include <fmt/format.h>
+
+namespace cardamompost
+{
+
+namespace
+{
+
+constexpr std::int64_t maxLosses = 4;
+constexpr std::int64_t defaultGraceMs = 8000;
+constexpr std::int64_t defaultLifetimeMs = 2000;
+constexpr std::int64_t defaultListIntervalMs = 800;
+constexpr std::int64_t maxTimeMs = 600'000;
+
+void readRole(SectionReader &reader, GatewaySettings &settings)
+{
+    const std::string role = reader.requiredText("role");
+    const std::optional<GatewayRole> known = valueOf(gatewayRoleNames, role);
+    if (!known) {
+        reader.fault("role", fmt::format("'{}' is neither 'entry' nor 'ledger'", role));
+    }
+    settings.role = known.value_or(GatewayRole::Entry);
+    if (settings.role == GatewayRole::Entry) {
+        settings.front = reader.address("front");
+        settings.ready = reader.address("ready");
+        return;
+    }
+    settings.control = reader.address("control");
+    settings.directory = reader.address("directory");
+    settings.backendList = reader.address("backend_list");
+    settings.dataFolder = reader.requiredText("data_folder");
+}
+
+void readGateway(const IniSection &section, GatewaySettingsResult &result)
+{
+    SectionReader reader(section, result.faults);
+    GatewaySettings &settings = result.settings;
+    const auto time = [&](std::string_view key, std::int64_t fallback) {
+        return Milliseconds(reader.integer(key, fallback, 1, maxTimeMs));
+    };
+    settings.vm = reader.requiredText("vm");
+    settings.failureDomain = reader.requiredText("failure_domain");
+    settings.peer = reader.address("peer");
+    readRole(reader, settings);
+    settings.isFirstStart = reader.boolean("first_start", false);
+    settings.lossesToBear = static_cast<unsigned>(reader.integer("losses_to_bear", 1, 0, maxLosses));
+    settings.grace = time("grace_ms", defaultGraceMs);
+    settings.directoryLifetime = time("directory_lifetime_ms", defaultLifetimeMs);
+    settings.listInterval = time("list_interval_ms", defaultListIntervalMs);
+    settings.logLevel = reader.text("log_level", "info");
+    // The other role's addresses may stand there, so that one template serves both.
+    for (const std::string_view key : {"front", "ready", "control", "directory", "backend_list", "data_folder"}) {
+        static_cast<void>(reader.text(key));
+    }
+    reader.finish();
+}
+
+} // namespace
+
+std::vector<VmName> GatewaySettings::seedPeers() const
+{
+    std::vector<VmName> peers;
+    for (const Address &seed : seeds) {
+        peers.push_back(Address {seed.host, peer.port}.toString());
+    }
+    return peers;
+}
+
+GatewaySettingsResult parseGatewaySettings(std::string_view text)
+{
+    GatewaySettingsResult result;
+    const IniDocument document = IniDocument::parse(text);
+    result.faults = document.faults();
+    bool hasGateway = false;
+    for (const IniSection &section : document.sections()) {
+        if (section.kind == "gateway") {
+            hasGateway = true;
+            readGateway(section, result);
+        } else if (section.kind == "seed") {
+            SectionReader reader(section, result.faults);
+            result.settings.seeds.push_back(reader.address("address"));
+            reader.finish();
+        } else {
+            result.faults.push_back(
+                {section.line, section.header(), {}, fmt::format("'{}' is not a kind of section", section.kind)});
+        }
+    }
+    if (!hasGateway) {
+        result.faults.push_back({0, "gateway", {}, "the section is missing"});
+    }
+    if (result.settings.seeds.empty()) {
+        result.faults.push_back({0, "seed", {}, "at least one [seed NAME] section is required"});
+    }
+    return result;
+}
+
+} // namespace cardamompost
--- /dev/null
+++ b/src/gateway/cp_gateway_settings.hpp
@@ -0,0 +1,68 @@
+#ifndef CARDAMOMPOST_CP_GATEWAY_SETTINGS_HPP_INCLUDED
+#define CARDAMOMPOST_CP_GATEWAY_SETTINGS_HPP_INCLUDED
+
+#include <cardamompost/config/cp_section_reader.hpp>
+#include <cardamompost/core/cp_ids.hpp>
+#include <cardamompost/core/cp_name_table.hpp>
+#include <cardamompost/core/cp_time.hpp>
+
+namespace cardamompost
+{
+
+//! What a process of the gateway does.
+enum class GatewayRole {
+    //! Takes callers' requests and sends them to backend servers.
+    Entry,
+    //! Holds the ledger, answers operators and the directory.
+    Ledger,
+};
+
+inline constexpr std::array gatewayRoleNames {
+    Named {GatewayRole::Entry, "entry"},
+    Named {GatewayRole::Ledger, "ledger"},
+};
+
+//! What a process of the gateway learns before it meets any other.
+struct GatewaySettings {
+    VmName vm;
+    std::string failureDomain;
+    GatewayRole role = GatewayRole::Entry;
+    //! Where the system's other processes connect; the port is the same on all VMs.
+    Address peer;
+    //! Entry: where callers connect, and where the platform asks whether it is ready.
+    Address front;
+    Address ready;
+    //! Ledger: where operators connect, and where callers ask for entries.
+    Address control;
+    Address directory;
+    //! Where the list of backend servers is read.
+    Address backendList;
+    Milliseconds listInterval {0};
+    std::string dataFolder;
+    //! True only when the whole system starts for the first time.
+    bool isFirstStart = false;
+    //! Ledger VMs that may be lost at once.
+    unsigned lossesToBear = 1;
+    //! From SIGTERM until the process is killed.
+    Milliseconds grace {0};
+    //! How long callers may keep an answer of the directory.
+    Milliseconds directoryLifetime {0};
+    std::string logLevel;
+    //! Ledger VMs to ask first; only their hosts count, the port is the one of 'peer'.
+    std::vector<Address> seeds;
+
+    //! Seeds' names in the ledger's group.
+    [[nodiscard]] std::vector<VmName> seedPeers() const;
+};
+
+struct GatewaySettingsResult {
+    GatewaySettings settings;
+    std::vector<ConfigFault> faults;
+};
+
+//! Settings, or all faults of the text at once.
+[[nodiscard]] GatewaySettingsResult parseGatewaySettings(std::string_view text);
+
+} // namespace cardamompost
+
+#endif // CARDAMOMPOST_CP_GATEWAY_SETTINGS_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/cp_ledger_api.cpp
@@ -0,0 +1,201 @@
+#include "cp_ledger_api.hpp"
+
+#include <cardamompost/net/cp_await.hpp>
+
+#include <fmt/format.h>
+
+namespace cardamompost
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+using OrderResult = LedgerService::OrderResult;
+
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusRedirect = 307;
+constexpr unsigned statusInvalid = 400;
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusWrongMethod = 405;
+constexpr unsigned statusConflict = 409;
+constexpr unsigned statusUnavailable = 503;
+constexpr std::size_t maxAddresses = 64;
+constexpr std::uint64_t maxDocumentBytes = 32U << 20U;
+
+HttpResponse jsonAnswer(unsigned status, std::string body)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers["Content-Type"] = "application/json";
+    response.body = std::move(body);
+    return response;
+}
+
+HttpResponse failure(unsigned status, std::string_view message)
+{
+    return jsonAnswer(status, fmt::format("{{\"error\":\"{}\"}}", message));
+}
+
+HttpResponse unavailable()
+{
+    HttpResponse response = failure(statusUnavailable, "no member can be sure now");
+    response.headers["Retry-After"] = "0.3";
+    return response;
+}
+
+HttpLimits controlLimits()
+{
+    HttpLimits limits;
+    limits.bodyBytes = maxDocumentBytes;
+    return limits;
+}
+
+HttpServer::ErrorHandler errorHandler()
+{
+    return [](const Error &error) { return failure(answerFor(error.kind).status, error.message); };
+}
+
+} // namespace
+
+LedgerApi::LedgerApi(Parts parts)
+    : parts_(parts)
+    , control_(
+          parts.io.get_executor(), controlLimits(),
+          [this](HttpRequest &request, IHttpResponder &responder) { return onControl(request, responder); },
+          errorHandler())
+    , directory_(
+          parts.io.get_executor(), HttpLimits {},
+          [this](HttpRequest &request, IHttpResponder &responder) { return onDirectory(request, responder); },
+          errorHandler())
+{
+}
+
+Result<void> LedgerApi::listen()
+{
+    BOOST_OUTCOME_TRYV(control_.listen(parts_.settings.control));
+    return directory_.listen(parts_.settings.directory);
+}
+
+void LedgerApi::stop()
+{
+    control_.stopAccepting();
+    directory_.stopAccepting();
+}
+
+asio::awaitable<void> LedgerApi::onDirectory(HttpRequest &request, IHttpResponder &responder)
+{
+    HttpResponse response = failure(statusNotFound, "no such path");
+    if (request.path == parts_.dialect.paths().directory) {
+        const auto zone = request.query.find("zone");
+        const std::string domain = zone == request.query.end() ? std::string() : zone->second;
+        const std::vector<std::string> addresses
+            = parts_.presence.ready(domain, std::chrono::steady_clock::now(), maxAddresses);
+        if (addresses.empty()) {
+            response = unavailable();
+        } else {
+            response
+                = jsonAnswer(statusOk, parts_.dialect.writeDirectory(addresses, parts_.settings.directoryLifetime));
+        }
+    }
+    co_await responder.respond(std::move(response));
+}
+
+asio::awaitable<void> LedgerApi::onControl(HttpRequest &request, IHttpResponder &responder)
+{
+    const PathNames &paths = parts_.dialect.paths();
+    HttpResponse response = failure(statusNotFound, "no such path");
+    if (request.path == paths.document && request.method == "PUT") {
+        response = co_await putDocument(request);
+    } else if (request.path == paths.document && request.method == "GET") {
+        response = co_await getDocument(request);
+    } else if (request.path == paths.document) {
+        response = failure(statusWrongMethod, "PUT and GET only");
+    } else if (request.path.starts_with(paths.retire)) {
+        response = co_await retire(request);
+    }
+    co_await responder.respond(std::move(response));
+}
+
+asio::awaitable<HttpResponse> LedgerApi::putDocument(HttpRequest &request)
+{
+    // What is invalid is refused by every member, whatever its version, and before anybody is asked.
+    Result<RouteDocument> document = parts_.dialect.readDocument(request.body);
+    const Result<void> checked = document ? checkRouteDocument(document.value()) : Result<void>(document.error());
+    if (!checked) {
+        parts_.log.info("document.refused", {{"error", checked.error().message}});
+        co_return failure(statusInvalid, checked.error().message);
+    }
+    const std::uint64_t version = document.value().version;
+    auto put = [this, version, body = std::move(request.body)](std::function<void(OrderResult)> done) mutable {
+        parts_.service.putDocument(version, std::move(body), std::move(done));
+    };
+    const OrderResult result = co_await awaitCallback<OrderResult>(std::move(put));
+    parts_.log.info("document.put",
+                    {{"version", version},
+                     {"result", static_cast<int>(result)},
+                     {"in_force", parts_.service.state().documentVersion()}});
+    co_return answer(result, request, "{}");
+}
+
+asio::awaitable<HttpResponse> LedgerApi::getDocument(const HttpRequest &request)
+{
+    auto confirm = [this](std::function<void(OrderResult)> done) { parts_.service.confirm(std::move(done)); };
+    const OrderResult result = co_await awaitCallback<OrderResult>(std::move(confirm));
+    if (result == OrderResult::Done && parts_.service.state().document().empty()) {
+        co_return unavailable();
+    }
+    co_return answer(result, request, parts_.service.state().document());
+}
+
+asio::awaitable<HttpResponse> LedgerApi::retire(const HttpRequest &request)
+{
+    const VmName vm = request.path.substr(parts_.dialect.paths().retire.size());
+    const bool isOrder = request.method == "POST";
+    if (!isOrder && request.method != "GET") {
+        co_return failure(statusWrongMethod, "POST and GET only");
+    }
+    auto ask = [this, vm, isOrder](std::function<void(OrderResult)> done) {
+        if (isOrder) {
+            parts_.service.retire(vm, std::move(done));
+        } else {
+            parts_.service.retirement(vm, std::move(done));
+        }
+    };
+    const OrderResult result = co_await awaitCallback<OrderResult>(std::move(ask));
+    const bool isCompleted = !isOrder && result == OrderResult::Done;
+    co_return answer(result, request, parts_.dialect.writeRetirement(isCompleted));
+}
+
+HttpResponse LedgerApi::answer(OrderResult result, const HttpRequest &request, std::string body) const
+{
+    switch (result) {
+    case OrderResult::Done:
+    case OrderResult::Running:
+        return jsonAnswer(statusOk, std::move(body));
+    case OrderResult::NotFound:
+        return failure(statusNotFound, "no such VM");
+    case OrderResult::TooFewLeft:
+        return failure(statusConflict, "too few VMs would be left");
+    case OrderResult::NotLeader:
+        return redirect(request);
+    case OrderResult::Unknown:
+        break;
+    }
+    return unavailable();
+}
+
+HttpResponse LedgerApi::redirect(const HttpRequest &request) const
+{
+    const std::optional<Address> leader = parseAddress(parts_.service.leader());
+    if (!leader || *leader == parts_.settings.peer) {
+        return unavailable();
+    }
+    HttpResponse response = failure(statusRedirect, "another member leads");
+    const Address control {leader->host, parts_.settings.control.port};
+    response.headers["Location"] = fmt::format("http://{}{}", control.toString(), request.path);
+    return response;
+}
+
+} // namespace cardamompost
--- /dev/null
+++ b/src/gateway/cp_ledger_api.hpp
@@ -0,0 +1,50 @@
+#ifndef CARDAMOMPOST_CP_LEDGER_API_HPP_INCLUDED
+#define CARDAMOMPOST_CP_LEDGER_API_HPP_INCLUDED
+
+#include "cp_ledger_service.hpp"
+#include "cp_presence_table.hpp"
+
+#include <cardamompost/edge/cp_idialect.hpp>
+#include <cardamompost/net/cp_http_server.hpp>
+
+namespace cardamompost
+{
+
+//! What a ledger VM answers over HTTP: operators' orders, and callers who ask for entries.
+class LedgerApi
+{
+public:
+    struct Parts {
+        boost::asio::io_context &io;
+        const GatewaySettings &settings;
+        const IDialect &dialect;
+        LedgerService &service;
+        PresenceTable &presence;
+        EventLog &log;
+        MetricRegistry &metrics;
+    };
+
+    explicit LedgerApi(Parts parts);
+
+    //! Errors: InvalidConfiguration when an address can't be used.
+    Result<void> listen();
+    void stop();
+
+private:
+    boost::asio::awaitable<void> onControl(HttpRequest &request, IHttpResponder &responder);
+    boost::asio::awaitable<void> onDirectory(HttpRequest &request, IHttpResponder &responder);
+    boost::asio::awaitable<HttpResponse> putDocument(HttpRequest &request);
+    boost::asio::awaitable<HttpResponse> getDocument(const HttpRequest &request);
+    boost::asio::awaitable<HttpResponse> retire(const HttpRequest &request);
+    [[nodiscard]] HttpResponse answer(LedgerService::OrderResult result, const HttpRequest &request,
+                                      std::string body) const;
+    [[nodiscard]] HttpResponse redirect(const HttpRequest &request) const;
+
+    Parts parts_;
+    HttpServer control_;
+    HttpServer directory_;
+};
+
+} // namespace cardamompost
+
+#endif // CARDAMOMPOST_CP_LEDGER_API_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/cp_ledger_client.hpp
@@ -0,0 +1,137 @@
+#ifndef CARDAMOMPOST_CP_LEDGER_CLIENT_HPP_INCLUDED
+#define CARDAMOMPOST_CP_LEDGER_CLIENT_HPP_INCLUDED
+
+#include "cp_gateway_settings.hpp"
+#include "cp_peer_clients.hpp"
+
+#include <cardamompost/observe/cp_event_log.hpp>
+#include <cardamompost/observe/cp_metrics.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <set>
+
+namespace cardamompost
+{
+
+//! A turn's begin at the ledger, from the first try to what a quorum has decided.
+class PendingBegin
+{
+public:
+    explicit PendingBegin(boost::asio::io_context &io)
+        : changed_(io, boost::asio::steady_timer::time_point::max())
+    {
+    }
+
+    //! The turn may be sent; nothing may be handed out before isGranted().
+    [[nodiscard]] bool isTentative() const
+    {
+        return isTentative_;
+    }
+    [[nodiscard]] bool isFinal() const
+    {
+        return isFinal_;
+    }
+    [[nodiscard]] bool isGranted() const
+    {
+        return isFinal_ && status_ == TurnBeginStatus::Granted;
+    }
+    //! Only once isFinal(); NotLeader when no quorum answered in time.
+    [[nodiscard]] TurnBeginStatus status() const
+    {
+        return status_;
+    }
+    //! Inputs and outputs of the turns that are continued; once isTentative().
+    [[nodiscard]] const std::string &history() const
+    {
+        return history_;
+    }
+    boost::asio::awaitable<void> untilTentative();
+    boost::asio::awaitable<void> untilFinal();
+
+private:
+    friend class LedgerClient;
+    void signal();
+
+    boost::asio::steady_timer changed_;
+    bool isTentative_ = false;
+    bool isFinal_ = false;
+    TurnBeginStatus status_ = TurnBeginStatus::NotLeader;
+    std::string history_;
+};
+
+//! An entry's way to the ledger: finds the leader, tries again elsewhere, and takes the news.
+class LedgerClient
+{
+public:
+    struct Parts {
+        boost::asio::io_context &io;
+        const GatewaySettings &settings;
+        PeerClients &peers;
+        EventLog &log;
+        MetricRegistry &metrics;
+    };
+    using NewsHandler = std::function<void(const NewsReply &news)>;
+
+    explicit LedgerClient(Parts parts);
+
+    //! Begins to take news; the handler gets every reply of a leader.
+    void start(NewsHandler onNews);
+    void stop();
+
+    //! \param until  when the caller has no use for a grant any more
+    std::shared_ptr<PendingBegin> begin(TurnBegin begin, TimePoint until);
+    //! True once the end is durable; false when no quorum has confirmed it in time.
+    boost::asio::awaitable<bool> finish(TurnFinish finish, TimePoint until);
+    //! Says to all members whether this entry takes requests.
+    void tellPresence(bool isReady);
+
+    //! What the next NewsRequest says is known already.
+    void setKnown(std::uint64_t documentVersion, BackendListVersion list)
+    {
+        known_.documentVersion = documentVersion;
+        known_.list = list;
+    }
+    //! Time since a leader last answered.
+    [[nodiscard]] Milliseconds newsAge() const;
+    void setSeeds(std::vector<VmName> seeds)
+    {
+        seeds_ = std::move(seeds);
+    }
+
+private:
+    struct BeginTry {
+        TurnBegin begin;
+        TimePoint until;
+        std::shared_ptr<PendingBegin> pending;
+    };
+
+    void sendBegin(const std::shared_ptr<BeginTry> &attempt);
+    void onBeginReply(const std::shared_ptr<BeginTry> &attempt, const VmName &target, Result<FrameBody> reply,
+                      bool isLast);
+    void resendLater(const std::shared_ptr<BeginTry> &attempt);
+    boost::asio::awaitable<void> readNews();
+    void takeNews(const NewsReply &news);
+    [[nodiscard]] VmName target();
+    void onHint(const VmName &asked, const VmName &leader);
+    void onLost(const VmName &asked, const Error &error);
+    [[nodiscard]] std::set<VmName> everyone() const;
+
+    Parts parts_;
+    std::vector<VmName> seeds_;
+    std::vector<VmName> members_;
+    VmName leader_;
+    std::size_t nextAsked_ = 0;
+    NewsRequest known_;
+    NewsHandler onNews_;
+    TimePoint lastNews_ {};
+    bool isStopped_ = false;
+    bool hasLeader_ = false;
+    Counter &beginRetries_;
+    Counter &finishRetries_;
+};
+
+} // namespace cardamompost
+
+#endif // CARDAMOMPOST_CP_LEDGER_CLIENT_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/cp_ledger_service.cpp
@@ -0,0 +1,482 @@
+#include "cp_ledger_service.hpp"
+
+#include <boost/asio/post.hpp>
+
+namespace cardamompost
+{
+
+namespace
+{
+
+constexpr Milliseconds joinInterval {500};
+constexpr Milliseconds joinTimeout {900};
+constexpr Milliseconds planInterval {200};
+// A member that was silent for so long may be replaced, if there is another VM to take its place.
+constexpr Milliseconds lostAfter {1500};
+// A VM outside the group counts as live when it has asked to join within this time.
+constexpr Milliseconds joinFreshFor {2500};
+// A new leader has not heard from anybody yet; it judges nobody before this.
+constexpr Milliseconds settlingTime {2000};
+constexpr Milliseconds electionTimeout {400};
+constexpr Milliseconds heartbeatInterval {120};
+constexpr LogIndex foundingIndex = 1;
+constexpr Term foundingTerm = 1;
+
+TimePoint timeNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::int64_t timeOfDayMs()
+{
+    return toMs(std::chrono::system_clock::now().time_since_epoch());
+}
+
+} // namespace
+
+LedgerService::LedgerService(Parts parts)
+    : parts_(parts)
+    , self_(parts.settings.peer.toString())
+    , driver_({parts.io, parts.disk, parts.peers, parts.log, parts.metrics}, *this)
+    , joinTimer_(parts.io)
+{
+}
+
+Result<void> LedgerService::start()
+{
+    LogStore &store = parts_.disk.store();
+    const std::vector<VmName> seeds = parts_.settings.seedPeers();
+    const bool isFounder = std::find(seeds.begin(), seeds.end(), self_) != seeds.end();
+    if (store.isEmpty() && parts_.settings.isFirstStart && isFounder) {
+        // Every founder starts from the same first snapshot, whichever starts first, so that there is one system only:
+        // any quorum of the seeds elects, and no two disjoint ones exist.
+        RaftSnapshot first {foundingIndex, foundingTerm, {{seeds.begin(), seeds.end()}, {}}, LedgerState {}.encode()};
+        LogBatch batch;
+        batch.putHardState(controlGroup, {foundingTerm, {}});
+        batch.putSnapshot(controlGroup, first);
+        BOOST_OUTCOME_TRYV(store.write(batch));
+        parts_.log.info("ledger.founded", {{"self", self_}, {"members", seeds.size()}});
+    }
+    BOOST_OUTCOME_TRY(RaftStoredState stored, store.loadRaft(controlGroup));
+    parts_.disk.start();
+    if (!store.isEmpty() && stored.hard.term != 0) {
+        BOOST_OUTCOME_TRYV(startMember(std::move(stored)));
+    } else {
+        parts_.log.warn("ledger.blank", {{"self", self_}});
+    }
+    keepJoining();
+    return boost::outcome_v2::success();
+}
+
+Result<void> LedgerService::startMember(RaftStoredState stored)
+{
+    RaftOptions options;
+    options.self = self_;
+    options.electionTimeout = electionTimeout;
+    options.heartbeatInterval = heartbeatInterval;
+    options.seed = randomIdentity();
+    parts_.log.info(
+        "ledger.started",
+        {{"term", stored.hard.term}, {"entries", stored.entries.size()}, {"snapshot", stored.snapshot.index}});
+    return driver_.start(std::move(options), std::move(stored), {});
+}
+
+void LedgerService::stop()
+{
+    joinTimer_.cancel();
+    answerWaiters(true);
+    driver_.stop();
+}
+
+std::vector<VmName> LedgerService::knownPeers() const
+{
+    std::vector<VmName> peers = parts_.settings.seedPeers();
+    if (driver_.isStarted()) {
+        const Membership &members = driver_.node().membership();
+        peers.insert(peers.end(), members.voters.begin(), members.voters.end());
+    }
+    std::erase(peers, self_);
+    return peers;
+}
+
+void LedgerService::keepJoining()
+{
+    askToJoin();
+    joinTimer_.expires_after(joinInterval);
+    joinTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            keepJoining();
+        }
+    });
+}
+
+void LedgerService::askToJoin()
+{
+    // The leader learns each VM's name and address from this, members' too, and that those outside are live.
+    if (leads()) {
+        const JoinRequest own {parts_.settings.vm, self_};
+        onJoin(own, nullptr);
+        return;
+    }
+    const VmName known = driver_.leader().empty() ? leaderHint_ : driver_.leader();
+    const std::vector<VmName> peers = knownPeers();
+    VmName target = known;
+    if (known.empty() && !peers.empty()) {
+        target = peers[nextAsked_++ % peers.size()];
+    }
+    const auto client = target.empty() || target == self_ ? nullptr : parts_.peers.client(target);
+    if (!client) {
+        leaderHint_.clear();
+        return;
+    }
+    client->request(JoinRequest {parts_.settings.vm, self_}, joinTimeout, [this](Result<FrameBody> reply, bool) {
+        const JoinReply *joined = reply ? std::get_if<JoinReply>(&reply.value()) : nullptr;
+        // Handlers come on the client's strand, which the one thread of this process runs.
+        onJoined(joined != nullptr ? *joined : JoinReply {});
+    });
+}
+
+void LedgerService::onJoined(const JoinReply &reply)
+{
+    leaderHint_ = reply.leader;
+    if (driver_.isStarted() || !reply.isConfirmed) {
+        return;
+    }
+    // Guards against a VM that comes back without its disk and follows a deposed leader as if it had never promised
+    // anything: a leader that a quorum without this VM has just confirmed has a term that is not below any that
+    // this VM ever voted in, since every quorum of such a term shares a member with the confirming one.
+    RaftStoredState blank;
+    blank.hard = {reply.term, std::string(unknownVote)};
+    parts_.log.info("ledger.joining", {{"leader", reply.leader}, {"term", reply.term}});
+    static_cast<void>(startMember(std::move(blank)));
+}
+
+void LedgerService::onJoin(const JoinRequest &request, const Replier &replier)
+{
+    if (!leads()) {
+        if (replier) {
+            replier->reply(JoinReply {false, driver_.leader(), 0});
+        }
+        return;
+    }
+    lastJoin_[request.peer] = timeNow();
+    const auto known = state_.vms().find(request.vm);
+    if (known == state_.vms().end() || known->second.peer != request.peer) {
+        propose({timeOfDayMs(), LedgerVm {request.vm, request.peer, false}}, [](bool) {});
+    }
+    if (!replier) {
+        return;
+    }
+    driver_.confirmRead([this, replier](bool isConfirmed) {
+        replier->reply(JoinReply {isConfirmed, driver_.leader(), driver_.node().term()});
+    });
+}
+
+void LedgerService::propose(LedgerCommand command, ConsensusDriver::Committed done)
+{
+    driver_.propose(encodeLedgerCommand(command), std::move(done));
+}
+
+void LedgerService::apply(const LogEntry &entry)
+{
+    const Result<LedgerCommand> command = decodeLedgerCommand(entry.payload);
+    if (!command) {
+        parts_.log.write(LogLevel::Error, "ledger.unreadable_entry", {{"index", entry.index}});
+        return;
+    }
+    const std::uint64_t before = state_.documentVersion();
+    lastApplied_ = state_.apply(command.value());
+    if (state_.documentVersion() != before) {
+        parts_.log.info("document.in_force", {{"version", state_.documentVersion()}, {"before", before}});
+        answerWaiters(false);
+    }
+}
+
+Result<void> LedgerService::restore(const RaftSnapshot &snapshot)
+{
+    BOOST_OUTCOME_TRY(state_, LedgerState::decode(snapshot.state));
+    parts_.log.info("ledger.restored", {{"index", snapshot.index}, {"turns", state_.turnCount()}});
+    return boost::outcome_v2::success();
+}
+
+void LedgerService::onBegin(TurnBegin begin, const Replier &replier)
+{
+    if (!leads()) {
+        replier->reply(TurnBeginReply {TurnBeginStatus::NotLeader, driver_.leader(), {}});
+        return;
+    }
+    const auto pending = pendingTokens_.find(begin.program);
+    const std::int64_t taken = pending == pendingTokens_.end() ? 0 : pending->second;
+    const TurnBeginStatus status = state_.check(begin, taken);
+    if (status != TurnBeginStatus::Granted) {
+        confirmRefusal(begin, status, replier);
+        return;
+    }
+    TurnBeginReply tentative {TurnBeginStatus::Tentative, self_, {}};
+    if (!begin.previous.empty()) {
+        tentative.history = state_.history(begin.previous);
+    }
+    replier->reply(std::move(tentative), false);
+    commitBegin(begin, replier);
+}
+
+void LedgerService::confirmRefusal(const TurnBegin &begin, TurnBeginStatus status, const Replier &replier)
+{
+    // Guards against a deposed leader that tells a caller there is no such turn, or no budget left: the one that leads
+    // now may know better. Only what a quorum confirms is told as final.
+    driver_.confirmRead([this, begin, status, replier](bool isConfirmed) {
+        const bool isStill = isConfirmed && state_.check(begin, 0) == status;
+        parts_.log.info("turn.refused",
+                        {{"turn", begin.turn},
+                         {"program", begin.program},
+                         {"previous", begin.previous},
+                         {"status", static_cast<int>(status)},
+                         {"confirmed", isConfirmed},
+                         {"budget", begin.budget},
+                         {"spent", state_.spent(begin.program)},
+                         {"asked", begin.tokensAtMost},
+                         {"term", driver_.node().term()}});
+        // With reservations that are only proposed yet, the budget may still hold the turn a moment later.
+        const TurnBeginStatus final
+            = isStill || (isConfirmed && status == TurnBeginStatus::Spent) ? status : TurnBeginStatus::NotLeader;
+        replier->reply(TurnBeginReply {final, driver_.leader(), {}});
+    });
+}
+
+void LedgerService::commitBegin(const TurnBegin &begin, const Replier &replier)
+{
+    pendingTokens_[begin.program] += begin.tokensAtMost;
+    propose({timeOfDayMs(), begin}, [this, begin, replier](bool isCommitted) {
+        const auto pending = pendingTokens_.find(begin.program);
+        pending->second -= begin.tokensAtMost;
+        if (pending->second == 0) {
+            pendingTokens_.erase(pending);
+        }
+        const TurnBeginStatus status = isCommitted ? lastApplied_ : TurnBeginStatus::NotLeader;
+        replier->reply(TurnBeginReply {status, driver_.leader(), {}});
+    });
+}
+
+void LedgerService::onFinish(TurnFinish finish, const Replier &replier)
+{
+    if (!leads()) {
+        replier->reply(TurnFinishReply {false, driver_.leader()});
+        return;
+    }
+    propose({timeOfDayMs(), std::move(finish)}, [this, replier](bool isCommitted) {
+        replier->reply(TurnFinishReply {isCommitted, driver_.leader()});
+    });
+}
+
+bool LedgerService::hasNews(const NewsRequest &request) const
+{
+    return request.documentVersion < state_.documentVersion()
+        || (backends_.version.term != 0 && request.list < backends_.version);
+}
+
+void LedgerService::onNews(const NewsRequest &request, const Replier &replier)
+{
+    if (!leads() || request.waitMs == 0 || hasNews(request)) {
+        replyNews(request, replier);
+        return;
+    }
+    waiters_.push_back({request, replier, timeNow() + Milliseconds(request.waitMs)});
+}
+
+void LedgerService::replyNews(const NewsRequest &request, const Replier &replier)
+{
+    NewsReply reply;
+    reply.isLeader = leads();
+    reply.leader = driver_.leader();
+    if (driver_.isStarted()) {
+        const Membership &members = driver_.node().membership();
+        reply.members.assign(members.voters.begin(), members.voters.end());
+    }
+    if (reply.isLeader) {
+        reply.documentVersion = state_.documentVersion();
+        if (request.documentVersion < state_.documentVersion()) {
+            reply.document = state_.document();
+        }
+        reply.hasList = backends_.version.term != 0 && request.list < backends_.version;
+        reply.list.version = backends_.version;
+        if (reply.hasList) {
+            reply.list = backends_;
+        }
+        reply.listAgeMs = static_cast<std::uint32_t>(toMs(timeNow() - listReadAt_));
+    }
+    replier->reply(std::move(reply));
+}
+
+void LedgerService::answerWaiters(bool all)
+{
+    const TimePoint now = timeNow();
+    const bool isLeader = leads();
+    std::vector<NewsWaiter> kept;
+    for (NewsWaiter &waiter : std::exchange(waiters_, {})) {
+        if (all || !isLeader || now >= waiter.deadline || hasNews(waiter.request)) {
+            replyNews(waiter.request, waiter.replier);
+        } else {
+            kept.push_back(std::move(waiter));
+        }
+    }
+    waiters_.insert(waiters_.end(), std::make_move_iterator(kept.begin()), std::make_move_iterator(kept.end()));
+}
+
+void LedgerService::setBackends(std::vector<BackendServer> servers)
+{
+    listReadAt_ = timeNow();
+    const std::uint64_t term = driver_.node().term();
+    if (backends_.version.term == term && backends_.servers == servers) {
+        return;
+    }
+    const std::uint64_t sequence = backends_.version.term == term ? backends_.version.sequence + 1 : 1;
+    backends_ = {{term, sequence}, std::move(servers)};
+    std::size_t leaving = 0;
+    for (const BackendServer &server : backends_.servers) {
+        leaving += server.isLeaving ? 1 : 0;
+    }
+    parts_.log.info(
+        "backends.changed",
+        {{"term", term}, {"sequence", sequence}, {"servers", backends_.servers.size()}, {"leaving", leaving}});
+    answerWaiters(false);
+}
+
+void LedgerService::putDocument(std::uint64_t version, std::string bytes, OrderDone done)
+{
+    if (!leads()) {
+        done(OrderResult::NotLeader);
+        return;
+    }
+    if (version <= state_.documentVersion()) {
+        // It changes nothing, which the one who sends it again may only hear from a leader that is confirmed.
+        confirm(std::move(done));
+        return;
+    }
+    propose({timeOfDayMs(), RouteDocumentPut {version, std::move(bytes)}}, [done = std::move(done)](bool isCommitted) {
+        done(isCommitted ? OrderResult::Done : OrderResult::Unknown);
+    });
+}
+
+void LedgerService::confirm(OrderDone done)
+{
+    if (!leads()) {
+        done(OrderResult::NotLeader);
+        return;
+    }
+    driver_.confirmRead(
+        [done = std::move(done)](bool isConfirmed) { done(isConfirmed ? OrderResult::Done : OrderResult::Unknown); });
+}
+
+void LedgerService::retire(const VmName &vm, OrderDone done)
+{
+    confirm([this, vm, done = std::move(done)](OrderResult confirmed) {
+        const auto found = state_.vms().find(vm);
+        if (confirmed != OrderResult::Done || found == state_.vms().end()) {
+            done(confirmed == OrderResult::Done ? OrderResult::NotFound : confirmed);
+            return;
+        }
+        if (found->second.isRetiring) {
+            done(OrderResult::Done);
+            return;
+        }
+        std::size_t left = 0;
+        for (const auto &[peer, candidate] : candidates()) {
+            left += candidate.isLive && !candidate.isRetiring && peer != found->second.peer ? 1 : 0;
+        }
+        if (left < desiredVoters()) {
+            parts_.log.warn("retire.refused", {{"target", vm}, {"left", left}, {"needed", desiredVoters()}});
+            done(OrderResult::TooFewLeft);
+            return;
+        }
+        propose({timeOfDayMs(), LedgerVm {vm, found->second.peer, true}}, [this, vm, done](bool isCommitted) {
+            parts_.log.info("retire.accepted", {{"target", vm}, {"committed", isCommitted}});
+            done(isCommitted ? OrderResult::Done : OrderResult::Unknown);
+        });
+    });
+}
+
+void LedgerService::retirement(const VmName &vm, OrderDone done)
+{
+    confirm([this, vm, done = std::move(done)](OrderResult confirmed) {
+        const auto found = state_.vms().find(vm);
+        if (confirmed != OrderResult::Done || found == state_.vms().end()) {
+            done(confirmed == OrderResult::Done ? OrderResult::NotFound : confirmed);
+            return;
+        }
+        const Membership &members = driver_.node().membership();
+        const VmName &peer = found->second.peer;
+        const bool isOut = !members.voters.contains(peer) && !members.learners.contains(peer)
+            && members.voters.size() >= desiredVoters();
+        done(found->second.isRetiring && isOut ? OrderResult::Done : OrderResult::Running);
+    });
+}
+
+MemberCandidates LedgerService::candidates() const
+{
+    MemberCandidates result;
+    const RaftNode &node = driver_.node();
+    const auto isFresh = [&](const VmName &peer) {
+        const auto found = lastJoin_.find(peer);
+        return found != lastJoin_.end() && timeNow() - found->second < joinFreshFor;
+    };
+    for (const auto &[vm, record] : state_.vms()) {
+        MemberCandidate &candidate = result[record.peer];
+        candidate.isLive = isFresh(record.peer);
+        candidate.isRetiring = record.isRetiring;
+    }
+    const Membership &members = node.membership();
+    for (const auto *group : {&members.voters, &members.learners}) {
+        for (const VmName &peer : *group) {
+            MemberCandidate &candidate = result[peer];
+            candidate.isLive = peer == self_ || driver_.silenceOf(peer) < lostAfter;
+            candidate.isCaughtUp = node.matchOf(peer) >= node.commitIndex();
+        }
+    }
+    return result;
+}
+
+void LedgerService::planMembers()
+{
+    const TimePoint now = timeNow();
+    if (!leads() || now < nextPlan_ || now - leadingSince_ < settlingTime) {
+        return;
+    }
+    nextPlan_ = now + planInterval;
+    const Membership &current = driver_.node().membership();
+    const std::optional<Membership> next = planMembership(current, candidates(), desiredVoters());
+    if (!next) {
+        return;
+    }
+    const std::string before = current.encode();
+    const Result<void> proposed = driver_.proposeMembership(*next);
+    parts_.log.info("members.change", {{"from", before}, {"to", next->encode()}, {"proposed", proposed.has_value()}});
+}
+
+void LedgerService::onChange()
+{
+    const bool isLeader = leads();
+    if (isLeader && !wasLeader_) {
+        leadingSince_ = timeNow();
+        backends_ = {};
+    }
+    if (isLeader != wasLeader_ || driver_.leader() != loggedLeader_) {
+        wasLeader_ = isLeader;
+        logRole();
+    }
+    if (!waiters_.empty()) {
+        answerWaiters(false);
+    }
+    planMembers();
+}
+
+void LedgerService::logRole()
+{
+    loggedLeader_ = driver_.leader();
+    parts_.log.info("ledger.leader",
+                    {{"leader", loggedLeader_},
+                     {"self_leads", wasLeader_},
+                     {"term", driver_.node().term()},
+                     {"commit", driver_.node().commitIndex()}});
+}
+
+} // namespace cardamompost
--- /dev/null
+++ b/src/gateway/cp_ledger_service.hpp
@@ -0,0 +1,136 @@
+#ifndef CARDAMOMPOST_CP_LEDGER_SERVICE_HPP_INCLUDED
+#define CARDAMOMPOST_CP_LEDGER_SERVICE_HPP_INCLUDED
+
+#include "cp_consensus_driver.hpp"
+#include "cp_gateway_settings.hpp"
+
+#include <cardamompost/ledger/cp_ledger_state.hpp>
+#include <cardamompost/ledger/cp_member_planner.hpp>
+#include <cardamompost/net/cp_peer_server.hpp>
+
+namespace cardamompost
+{
+
+//! A ledger VM's answers to entries and to other ledger VMs, and on the leader the care for the group's members.
+//! Everything runs on the io_context's thread.
+class LedgerService : public IReplicatedState
+{
+public:
+    struct Parts {
+        boost::asio::io_context &io;
+        const GatewaySettings &settings;
+        DiskThread &disk;
+        PeerClients &peers;
+        EventLog &log;
+        MetricRegistry &metrics;
+    };
+    //! What an operator's order came to.
+    enum class OrderResult {
+        Done,
+        NotLeader,
+        Unknown,
+        NotFound,
+        TooFewLeft,
+        Running,
+    };
+    using OrderDone = std::function<void(OrderResult)>;
+    using Replier = std::shared_ptr<PeerReplier>;
+
+    explicit LedgerService(Parts parts);
+
+    //! Starts the member from its disk, as a founder, or by asking the others. Errors: StorageCorrupt.
+    Result<void> start();
+    void stop();
+
+    void onRaft(RaftMessage message)
+    {
+        driver_.onMessage(std::move(message));
+    }
+    void onJoin(const JoinRequest &request, const Replier &replier);
+    void onBegin(TurnBegin begin, const Replier &replier);
+    void onFinish(TurnFinish finish, const Replier &replier);
+    void onNews(const NewsRequest &request, const Replier &replier);
+
+    //! Called with a list that was read newly; on the leader only.
+    void setBackends(std::vector<BackendServer> servers);
+
+    //! Puts a checked document in force, unless the same or a higher version is.
+    void putDocument(std::uint64_t version, std::string bytes, OrderDone done);
+    //! Confirms that this member leads and holds all that is committed.
+    void confirm(OrderDone done);
+    void retire(const VmName &vm, OrderDone done);
+    void retirement(const VmName &vm, OrderDone done);
+
+    [[nodiscard]] const LedgerState &state() const
+    {
+        return state_;
+    }
+    [[nodiscard]] bool leads() const
+    {
+        return driver_.isSettledLeader();
+    }
+    [[nodiscard]] VmName leader() const
+    {
+        return driver_.leader();
+    }
+    void handOver()
+    {
+        driver_.handOver();
+    }
+
+    void apply(const LogEntry &entry) override;
+    Result<void> restore(const RaftSnapshot &snapshot) override;
+    [[nodiscard]] std::string encodeSnapshot() const override
+    {
+        return state_.encode();
+    }
+    void onChange() override;
+
+private:
+    struct NewsWaiter {
+        NewsRequest request;
+        Replier replier;
+        TimePoint deadline;
+    };
+
+    Result<void> startMember(RaftStoredState stored);
+    void keepJoining();
+    void askToJoin();
+    void onJoined(const JoinReply &reply);
+    void propose(LedgerCommand command, ConsensusDriver::Committed done);
+    void confirmRefusal(const TurnBegin &begin, TurnBeginStatus status, const Replier &replier);
+    void commitBegin(const TurnBegin &begin, const Replier &replier);
+    [[nodiscard]] bool hasNews(const NewsRequest &request) const;
+    void replyNews(const NewsRequest &request, const Replier &replier);
+    void answerWaiters(bool all);
+    void planMembers();
+    [[nodiscard]] MemberCandidates candidates() const;
+    [[nodiscard]] std::size_t desiredVoters() const
+    {
+        return 2 * parts_.settings.lossesToBear + 1;
+    }
+    void logRole();
+    [[nodiscard]] std::vector<VmName> knownPeers() const;
+
+    Parts parts_;
+    VmName self_;
+    LedgerState state_;
+    ConsensusDriver driver_;
+    boost::asio::steady_timer joinTimer_;
+    std::size_t nextAsked_ = 0;
+    VmName leaderHint_;
+    std::unordered_map<std::string, std::int64_t> pendingTokens_;
+    TurnBeginStatus lastApplied_ = TurnBeginStatus::Granted;
+    std::unordered_map<VmName, TimePoint> lastJoin_;
+    std::vector<NewsWaiter> waiters_;
+    BackendList backends_;
+    TimePoint listReadAt_ {};
+    TimePoint nextPlan_ {};
+    bool wasLeader_ = false;
+    TimePoint leadingSince_ {};
+    VmName loggedLeader_;
+};
+
+} // namespace cardamompost
+
+#endif // CARDAMOMPOST_CP_LEDGER_SERVICE_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/cp_list_reader.cpp
@@ -0,0 +1,99 @@
+#include "cp_list_reader.hpp"
+
+#include <cardamompost/net/cp_await.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace cardamompost
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr Milliseconds idlePoll {50};
+constexpr Milliseconds retryPause {250};
+constexpr Milliseconds callTimeout {700};
+constexpr unsigned statusOk = 200;
+constexpr int maxPages = 1000;
+
+} // namespace
+
+ListReader::ListReader(Parts parts)
+    : parts_(parts)
+    , calls_(parts.metrics.counter("cardamompost_list_calls_total"))
+    , failures_(parts.metrics.counter("cardamompost_list_failures_total"))
+{
+}
+
+void ListReader::start()
+{
+    asio::co_spawn(parts_.io, run(), asio::detached);
+}
+
+asio::awaitable<void> ListReader::run()
+{
+    while (!isStopped_) {
+        if (!parts_.service.leads()) {
+            co_await sleepFor(idlePoll);
+            continue;
+        }
+        const Result<std::vector<BackendServer>> read = co_await readAll();
+        note(read);
+        // Another may lead by now; what was read then belongs to nobody.
+        if (read && parts_.service.leads()) {
+            parts_.service.setBackends(read.value());
+        }
+        const Milliseconds pause = read ? parts_.settings.listInterval : retryPause;
+        co_await sleepFor(pause);
+    }
+}
+
+asio::awaitable<Result<std::vector<BackendServer>>> ListReader::readAll()
+{
+    std::vector<BackendServer> servers;
+    std::string page;
+    for (int count = 0; count < maxPages; ++count) {
+        HttpCall call;
+        call.address = parts_.settings.backendList;
+        call.target = parts_.dialect.backendsTarget(page);
+        call.timeout = callTimeout;
+        calls_.add();
+        const Result<HttpResponse> response = co_await client_.request(std::move(call));
+        if (!response) {
+            co_return response.error();
+        }
+        if (response.value().status != statusOk) {
+            co_return makeError(ErrorKind::BackendFailed, "status " + std::to_string(response.value().status));
+        }
+        Result<BackendPage> read = parts_.dialect.readBackends(response.value().body);
+        if (!read) {
+            co_return read.error();
+        }
+        for (BackendServer &server : read.value().servers) {
+            servers.push_back(std::move(server));
+        }
+        page = read.value().next;
+        if (page.empty()) {
+            break;
+        }
+    }
+    co_return servers;
+}
+
+void ListReader::note(const Result<std::vector<BackendServer>> &read)
+{
+    if (!read) {
+        failures_.add();
+    }
+    if (!read && !hadFailure_) {
+        parts_.log.warn("list.lost", {{"error", read.error().message}});
+    } else if (read && hadFailure_) {
+        parts_.log.info("list.regained", {{"servers", read.value().size()}});
+    }
+    hadFailure_ = !read.has_value();
+}
+
+} // namespace cardamompost
--- /dev/null
+++ b/src/gateway/cp_list_reader.hpp
@@ -0,0 +1,48 @@
+#ifndef CARDAMOMPOST_CP_LIST_READER_HPP_INCLUDED
+#define CARDAMOMPOST_CP_LIST_READER_HPP_INCLUDED
+
+#include "cp_ledger_service.hpp"
+
+#include <cardamompost/edge/cp_idialect.hpp>
+#include <cardamompost/net/cp_http_client.hpp>
+
+namespace cardamompost
+{
+
+//! Reads the platform's list of backend servers while this VM leads the ledger, and hands it to the ledger service.
+class ListReader
+{
+public:
+    struct Parts {
+        boost::asio::io_context &io;
+        const GatewaySettings &settings;
+        const IDialect &dialect;
+        LedgerService &service;
+        EventLog &log;
+        MetricRegistry &metrics;
+    };
+
+    explicit ListReader(Parts parts);
+
+    void start();
+    void stop()
+    {
+        isStopped_ = true;
+    }
+
+private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<Result<std::vector<BackendServer>>> readAll();
+    void note(const Result<std::vector<BackendServer>> &read);
+
+    Parts parts_;
+    HttpClient client_;
+    Counter &calls_;
+    Counter &failures_;
+    bool isStopped_ = false;
+    bool hadFailure_ = false;
+};
+
+} // namespace cardamompost
+
+#endif // CARDAMOMPOST_CP_LIST_READER_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/cp_peer_clients.hpp
@@ -0,0 +1,56 @@
+#ifndef CARDAMOMPOST_CP_PEER_CLIENTS_HPP_INCLUDED
+#define CARDAMOMPOST_CP_PEER_CLIENTS_HPP_INCLUDED
+
+#include <cardamompost/net/cp_peer_client.hpp>
+
+#include <unordered_map>
+
+namespace cardamompost
+{
+
+//! Clients to the gateway's other processes, by their address. Thread-safety: none; one thread uses it.
+class PeerClients
+{
+public:
+    PeerClients(boost::asio::any_io_executor executor, PeerTraffic &traffic)
+        : executor_(std::move(executor))
+        , traffic_(traffic)
+    {
+    }
+
+    //! Null for a name that is no address.
+    [[nodiscard]] std::shared_ptr<PeerClient> client(const VmName &peer)
+    {
+        auto &client = clients_[peer];
+        if (!client) {
+            if (const std::optional<Address> address = parseAddress(peer)) {
+                client = std::make_shared<PeerClient>(executor_, *address, nullptr, traffic_);
+            }
+        }
+        return client;
+    }
+    //! Closes the connection to a peer; the next message opens a new one.
+    void reconnect(const VmName &peer)
+    {
+        if (const auto found = clients_.find(peer); found != clients_.end() && found->second) {
+            found->second->close();
+        }
+    }
+    void closeAll()
+    {
+        for (const auto &[peer, client] : clients_) {
+            if (client) {
+                client->close();
+            }
+        }
+    }
+
+private:
+    boost::asio::any_io_executor executor_;
+    PeerTraffic &traffic_;
+    std::unordered_map<VmName, std::shared_ptr<PeerClient>> clients_;
+};
+
+} // namespace cardamompost
+
+#endif // CARDAMOMPOST_CP_PEER_CLIENTS_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/cp_request_head.hpp
@@ -0,0 +1,63 @@
+#ifndef CARDAMOMPOST_CP_REQUEST_HEAD_HPP_INCLUDED
+#define CARDAMOMPOST_CP_REQUEST_HEAD_HPP_INCLUDED
+
+#include "cp_caller_connection.hpp"
+
+#include <cardamompost/edge/cp_idialect.hpp>
+
+#include <boost/beast/http/fields.hpp>
+
+#include <optional>
+
+namespace cardamompost
+{
+
+//! What the system reads from a caller's headers.
+struct RequestFacts {
+    std::string id;
+    std::string program;
+    std::string session;
+    std::string previousTurn;
+    //! How long the caller waits; nothing when it does not say.
+    std::optional<Milliseconds> patience;
+    //! Negative for none.
+    std::int64_t budget = -1;
+    std::int64_t tokensIn = 0;
+    std::int64_t tokensOutAtMost = 0;
+    std::string lastEventId;
+};
+
+[[nodiscard]] RequestFacts readFacts(const CallerRequest &request, const HeaderNames &names);
+
+//! What the system adds for one backend server.
+struct SendFacts {
+    std::string_view expectedInstance;
+    Milliseconds timeLeft {0};
+    //! 0 to 9, where 0 goes first; negative for none.
+    int priority = -1;
+    //! Where a stream goes on; empty for a stream from its start.
+    std::string_view lastEventId;
+    std::size_t bodyBytes = 0;
+};
+
+//! The request line and headers for a backend server, with the empty line.
+[[nodiscard]] std::string makeBackendHead(const CallerRequest &request, const HeaderNames &names,
+                                          const SendFacts &facts);
+
+//! How an answer's body is framed towards the caller.
+struct BodyFraming {
+    //! Nothing means chunks.
+    std::optional<std::uint64_t> length;
+    bool keepsOpen = true;
+};
+
+//! The status line and headers for the caller, with the empty line.
+[[nodiscard]] std::string makeCallerHead(const boost::beast::http::response_header<> &header, const HeaderNames &names,
+                                         const BodyFraming &framing);
+
+//! A whole number; nothing for any other text.
+[[nodiscard]] std::optional<std::int64_t> readNumber(std::string_view text);
+
+} // namespace cardamompost
+
+#endif // CARDAMOMPOST_CP_REQUEST_HEAD_HPP_INCLUDED
