Sync what a killed process left behind, and probe without entries

'a batch is missing before offset 16', exit code 4 at every start. Cause: a process killed between write and sync is back at once and reads the batch as if it lasted; it goes on in the next segment, and a later loss of power takes the batch away from below synced ones. The store now syncs what it read before anything is built on it. 2. 'memory over the limit' some 0.7 s after a frozen member is back. Cause: the member rejects every heartbeat that had queued up, and each rejection, each heartbeat and each confirmed read brought up to 1 MB of entries once more. Probes carry no entries now; appends on their way are 4 MB at most instead of 32.

--- a/src/cardamompost/consensus/cp_raft_replication.cpp
+++ b/src/cardamompost/consensus/cp_raft_replication.cpp
@@ -87,7 +87,9 @@
     message.indexTerm = *previousTerm;
     message.commit = commit_;
     message.round = round_;
-    if (!isBlocked) {
+    // Guards the memory of both: a member that is back from a pause rejects, one by one, all heartbeats that had queued up
+    // for it. A probe asks only where its log ends; were entries sent along, each rejection would bring as many again.
+    if (!isBlocked && !progress.isProbing) {
         message.entries = log_.slice(progress.next, options_.maxAppendBytes);
     }
     if (message.entries.empty() && !isHeartbeat && progress.match >= commit_) {
--- a/src/cardamompost/storage/cp_log_store.cpp
+++ b/src/cardamompost/storage/cp_log_store.cpp
@@ -109,6 +109,12 @@
     for (const std::uint64_t number : numbers) {
         BOOST_OUTCOME_TRYV(replay(number, number == numbers.back()));
     }
+    // Guards against a process that died between a write and its sync: what it wrote is read here as if it lasted. It has
+    // to, before anything is built on it; otherwise a later loss of power leaves a hole below synced entries.
+    if (!segments_.empty()) {
+        BOOST_OUTCOME_TRYV(segments_.rbegin()->second.file->sync());
+        BOOST_OUTCOME_TRYV(files_->syncFolder());
+    }
     // Writing always goes on in a new segment: the old tail was synced by another process, and mixing its
     // pages with new ones would make a torn tail harder to tell from damage.
     return addSegment();
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -19,6 +19,9 @@
 constexpr Milliseconds settlingTime {2000};
 constexpr Milliseconds electionTimeout {400};
 constexpr Milliseconds heartbeatInterval {120};
+// What a member that catches up may have on its way bounds the leader's memory on small VMs.
+constexpr std::size_t maxAppendBytes = 256U << 10U;
+constexpr std::size_t maxAppendsInFlight = 16;
 constexpr LogIndex foundingIndex = 1;
 constexpr Term foundingTerm = 1;
 
@@ -74,6 +77,8 @@
     options.self = self_;
     options.electionTimeout = electionTimeout;
     options.heartbeatInterval = heartbeatInterval;
+    options.maxAppendBytes = maxAppendBytes;
+    options.maxInFlight = maxAppendsInFlight;
     options.seed = randomIdentity();
     parts_.log.info(
         "ledger.started",
--- a/tests/consensus/cp_raft_node.tests.cpp
+++ b/tests/consensus/cp_raft_node.tests.cpp
@@ -204,4 +204,70 @@
     BOOST_TEST(!isIn(next->applied, "never"));
 }
 
+// A ledger VM freezes for three seconds while others write a lot. When it is back, it rejects each heartbeat that had
+// queued up for it. The leader answered every rejection, and every confirmed read, with the same megabyte of entries
+// once more, and was killed for its memory.
+BOOST_AUTO_TEST_CASE(a_member_that_has_to_be_probed_is_sent_no_entries_until_its_end_is_known)
+{
+    RaftOptions options;
+    options.self = "vm-1";
+    TimePoint now {};
+    RaftNode node(options, {}, {{threeVms.begin(), threeVms.end()}, {}}, now);
+    // vm-2 agrees to all; vm-3 is silent.
+    const auto exchange = [&] {
+        while (node.hasReady()) {
+            const RaftReady ready = node.takeReady();
+            if (!ready.entries.empty()) {
+                node.persisted(ready.entries.back().index, ready.entries.back().term);
+            }
+            for (const RaftMessage &message : ready.messages) {
+                if (message.to != "vm-2") {
+                    continue;
+                }
+                RaftMessage reply;
+                reply.from = message.to;
+                reply.to = message.from;
+                reply.term = message.term;
+                reply.granted = true;
+                reply.index = message.index + message.entries.size();
+                switch (message.type) {
+                case RaftMessageType::PreVote:
+                    reply.type = RaftMessageType::PreVoteReply;
+                    break;
+                case RaftMessageType::Vote:
+                    reply.type = RaftMessageType::VoteReply;
+                    break;
+                default:
+                    reply.type = RaftMessageType::AppendReply;
+                    break;
+                }
+                node.step(now, reply);
+            }
+        }
+    };
+    now += Milliseconds(2000);
+    node.tick(now);
+    exchange();
+    BOOST_REQUIRE((node.role() == RaftRole::Leader));
+    for (int i = 0; i < 50; ++i) {
+        BOOST_REQUIRE(node.propose(std::string(10'000, 'x')).has_value());
+    }
+    exchange();
+    RaftMessage rejection;
+    rejection.type = RaftMessageType::AppendReply;
+    rejection.from = "vm-3";
+    rejection.to = "vm-1";
+    rejection.term = node.term();
+    std::size_t bytesToSilent = 0;
+    for (int i = 0; i < 30; ++i) {
+        node.step(now, rejection);
+        for (const RaftMessage &message : node.takeReady().messages) {
+            for (const LogEntry &item : message.entries) {
+                bytesToSilent += message.to == "vm-3" ? item.payload.size() : 0;
+            }
+        }
+    }
+    BOOST_TEST(bytesToSilent == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/storage/cp_log_store.tests.cpp
+++ b/tests/storage/cp_log_store.tests.cpp
@@ -204,4 +204,30 @@
     BOOST_TEST(state.entries[0].index == 4U);
 }
 
+// A ledger VM's process is killed between writing a batch and syncing it, and is back at once: the batch is still
+// there. It goes on, syncs much more, and some seconds later the machine loses its power. Only now the first batch is
+// gone, from below all that was synced after it, and the VM could not start any more.
+BOOST_AUTO_TEST_CASE(what_a_killed_process_left_unsynced_lasts_once_it_was_read)
+{
+    MemoryFiles files;
+    {
+        LogStore store = LogStore::open(files).value();
+        put(store, entry(1, 1, "synced"));
+        files.failSyncs = true;
+        LogBatch batch;
+        batch.putEntry(group, entry(2, 1, "written only"));
+        BOOST_REQUIRE(!store.write(batch).has_value());
+    }
+    files.failSyncs = false;
+    {
+        LogStore store = LogStore::open(files).value();
+        BOOST_REQUIRE(store.loadRaft(group).value().entries.size() == 2U);
+        put(store, entry(3, 1, "after"));
+    }
+    files.losePower();
+    Result<LogStore> store = LogStore::open(files);
+    BOOST_REQUIRE(store.has_value());
+    BOOST_TEST(store.value().loadRaft(group).value().entries.size() == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/cp_memory_files.hpp
+++ b/tests/support/cp_memory_files.hpp
@@ -110,6 +110,14 @@
         }
     }
 
+    //! All that was not synced is gone.
+    void losePower()
+    {
+        for (auto &[name, content] : contents) {
+            content->bytes.resize(content->synced);
+        }
+    }
+
     std::map<std::string, std::shared_ptr<Content>> contents;
     bool lieAboutSync = false;
     bool failSyncs = false;
