Find a new leader at once, and leave engines their order

Ruled out: a lost quorum (the log shows the leader elected), the exchanged seeds in the ledger's own group.

--- a/include/cardamompost/net/cp_peer_client.hpp
+++ b/include/cardamompost/net/cp_peer_client.hpp
@@ -43,10 +43,12 @@
     std::uint64_t request(FrameBody body, Milliseconds timeout, ReplyHandler handler);
     //! As request(), for a single reply.
     boost::asio::awaitable<Result<FrameBody>> call(FrameBody body, Milliseconds timeout);
-    //! Sends a message without a reply; it is dropped when there is no connection.
+    //! Sends a message without a reply; it is dropped when no connection can be made.
     void notify(FrameBody body);
     //! Tells the other process that nobody waits for a request any more; its handler is not called again.
     void cancel(std::uint64_t id);
+    //! Gives up the connection, as one that may be silent for good; the next message gets a new one.
+    void reopen();
     //! Closes the connection; requests under way fail.
     void close();
 
--- a/src/cardamompost/net/cp_peer_client.cpp
+++ b/src/cardamompost/net/cp_peer_client.cpp
@@ -22,6 +22,8 @@
 constexpr Milliseconds pingAfter {500};
 constexpr Milliseconds silentAfter {1500};
 constexpr Milliseconds connectTimeout {1000};
+// Messages without a reply that wait for a connection; more are dropped, as they are when there is none.
+constexpr std::size_t maxWaitingMessages = 64;
 
 std::uint64_t nextRequestId()
 {
@@ -65,11 +67,17 @@
 void PeerClient::notify(FrameBody body)
 {
     asio::post(strand_, [self = shared_from_this(), body = std::move(body)]() mutable {
+        Frame frame {0, FrameKind::OneWay, 0, std::move(body)};
         if (self->connection_) {
-            self->connection_->send({0, FrameKind::OneWay, 0, std::move(body)});
-        } else {
-            self->ensureConnection();
+            self->connection_->send(frame);
+            return;
+        }
+        // Guards the first message of an election: between followers there may be no connection yet, and one that is
+        // only opened by the lost message costs a whole further time-out.
+        if (self->waiting_.size() < maxWaitingMessages) {
+            self->waiting_.push_back(std::move(frame));
         }
+        self->ensureConnection();
     });
 }
 
@@ -82,6 +90,16 @@
     });
 }
 
+void PeerClient::reopen()
+{
+    asio::post(strand_, [self = shared_from_this()] {
+        if (const auto old = std::exchange(self->connection_, nullptr)) {
+            old->close();
+            self->failAll(makeError(ErrorKind::PeerLost, self->address_.toString() + ": the connection was given up"));
+        }
+    });
+}
+
 void PeerClient::close()
 {
     asio::post(strand_, [self = shared_from_this()] {
@@ -170,6 +188,9 @@
     const std::shared_ptr<FrameConnection> current = connection_;
     FrameConnection::FrameHandler handler = [this](Frame frame) { onFrame(std::move(frame)); };
     co_await current->read(std::move(handler));
+    if (connection_ != current) {
+        co_return;
+    }
     connection_.reset();
     failAll(makeError(ErrorKind::PeerLost, address_.toString() + ": the connection was lost"));
 }
--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -1,6 +1,6 @@
 #include "cp_backend_exchange.hpp"
 
-#include <cardamompost/core/cp_ids.hpp>
+#include <cardamompost/policy/cp_turn_priority.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -35,7 +35,6 @@
 constexpr Milliseconds durableTimeout {2500};
 constexpr unsigned statusMisdirected = 421;
 constexpr unsigned statusOk = 200;
-constexpr int maxPriority = 9;
 
 std::string_view view(beast::string_view text)
 {
@@ -134,7 +133,7 @@
     facts.expectedInstance = backend_->server().id;
     facts.timeLeft = timeLeft();
     if (request_.service->isEngine) {
-        facts.priority = std::min(maxPriority, static_cast<int>(request_.route->rank) * 2 + 2);
+        facts.priority = turnPriority({request_.route->rank, request_.facts.programTimeLeft});
     }
     const std::string lastId = request_.tally.lastId();
     if (request_.hasStarted) {
--- a/src/gateway/cp_backend_pool.hpp
+++ b/src/gateway/cp_backend_pool.hpp
@@ -10,10 +10,10 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <array>
 #include <map>
 #include <memory>
 #include <random>
-#include <array>
 #include <set>
 #include <unordered_map>
 
--- a/src/gateway/cp_consensus_driver.cpp
+++ b/src/gateway/cp_consensus_driver.cpp
@@ -70,24 +70,18 @@
     const TimePoint now = timeNow();
     node_->tick(now);
     expireProposals(now);
-    reopenSilentConnections(now);
     processReady();
     state_.onChange();
 }
 
-void ConsensusDriver::reopenSilentConnections(TimePoint now)
+void ConsensusDriver::reopenIfSilent(const VmName &member)
 {
     // Guards against connections that go silent for good while new ones work: messages between members have no replies
     // of their own, so nothing else would show it before the kernel's time-out.
-    const Membership &members = node_->membership();
-    for (const auto *group : {&members.voters, &members.learners}) {
-        for (const VmName &member : *group) {
-            const bool isDue = now - lastReopened_[member] > reopenAfter;
-            if (isDue && silenceOf(member) > reopenAfter) {
-                lastReopened_[member] = now;
-                parts_.peers.reconnect(member);
-            }
-        }
+    const TimePoint now = timeNow();
+    if (silenceOf(member) > reopenAfter && now - lastReopened_[member] > reopenAfter) {
+        lastReopened_[member] = now;
+        parts_.peers.reconnect(member);
     }
 }
 
@@ -164,6 +158,7 @@
 void ConsensusDriver::send(std::vector<RaftMessage> messages)
 {
     for (RaftMessage &message : messages) {
+        reopenIfSilent(message.to);
         if (const auto client = parts_.peers.client(message.to)) {
             client->notify(std::move(message));
         }
--- a/src/gateway/cp_consensus_driver.hpp
+++ b/src/gateway/cp_consensus_driver.hpp
@@ -91,7 +91,7 @@
     void scheduleTick();
     void tick();
     void expireProposals(TimePoint now);
-    void reopenSilentConnections(TimePoint now);
+    void reopenIfSilent(const VmName &member);
     void processReady();
     void store(const std::shared_ptr<RaftReady> &ready);
     void complete(RaftReady &ready);
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -15,11 +15,12 @@
 {
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
-constexpr Milliseconds tryTimeout {600};
+constexpr Milliseconds tryTimeout {400};
 constexpr Milliseconds retryPause {25};
 constexpr Milliseconds newsWait {500};
-constexpr Milliseconds newsTimeout {1000};
-constexpr Milliseconds newsRetryPause {40};
+constexpr Milliseconds newsTimeout {900};
+constexpr Milliseconds searchTimeout {300};
+constexpr Milliseconds searchInterval {100};
 
 TimePoint timeNow()
 {
@@ -50,6 +51,7 @@
 LedgerClient::LedgerClient(Parts parts)
     : parts_(parts)
     , seeds_(parts.settings.seedPeers())
+    , found_(parts.io)
     , beginRetries_(parts.metrics.counter("cardamompost_ledger_begin_retries_total"))
     , finishRetries_(parts.metrics.counter("cardamompost_ledger_finish_retries_total"))
 {
@@ -73,30 +75,60 @@
     return all;
 }
 
-VmName LedgerClient::target()
+void LedgerClient::loseLeader(const VmName &asked, const std::string &reason)
 {
-    if (!leader_.empty()) {
-        return leader_;
+    if (leader_ == asked) {
+        leader_.clear();
+    }
+    if (hasLeader_) {
+        hasLeader_ = false;
+        parts_.log.warn("ledger.lost", {{"peer", asked}, {"reason", reason}, {"news_age_ms", newsAge().count()}});
+    }
+    if (!isSearching_ && !isStopped_) {
+        isSearching_ = true;
+        asio::co_spawn(parts_.io, search(), asio::detached);
     }
-    const std::set<VmName> all = everyone();
-    return *std::next(all.begin(), static_cast<std::ptrdiff_t>(nextAsked_++ % all.size()));
 }
 
-void LedgerClient::onHint(const VmName &asked, const VmName &leader)
+asio::awaitable<void> LedgerClient::search()
 {
-    // A member that does not lead may name one that is gone; whoever was asked last is not asked again at once.
-    leader_ = leader == asked ? VmName {} : leader;
+    // Everybody is asked at once: one after the other, each that is down would cost its time-out, and all turns wait.
+    while (leader_.empty() && !isStopped_) {
+        for (const VmName &peer : everyone()) {
+            askWhoLeads(peer);
+        }
+        found_.expires_after(searchInterval);
+        co_await found_.async_wait(asTuple);
+    }
+    isSearching_ = false;
 }
 
-void LedgerClient::onLost(const VmName &asked, const Error &error)
+void LedgerClient::askWhoLeads(const VmName &peer)
 {
-    if (leader_ == asked) {
-        leader_.clear();
-    }
-    if (hasLeader_) {
-        hasLeader_ = false;
-        parts_.log.warn("ledger.lost", {{"peer", asked}, {"error", error.message}, {"news_age_ms", newsAge().count()}});
+    const auto client = parts_.peers.client(peer);
+    if (!client) {
+        return;
     }
+    NewsRequest request = known_;
+    request.waitMs = 0;
+    client->request(request, searchTimeout, [this, peer](Result<FrameBody> reply, bool) {
+        const NewsReply *news = reply ? std::get_if<NewsReply>(&reply.value()) : nullptr;
+        if (news == nullptr || !leader_.empty()) {
+            return;
+        }
+        if (news->isLeader) {
+            leader_ = peer;
+            takeNews(*news);
+            found_.cancel();
+            return;
+        }
+        // Guards an entry that starts while none of its seeds leads: they may have been exchanged, and the leader may
+        // be a VM that it has never heard of. Whoever answers names the members that it knows.
+        members_.insert(members_.end(), news->members.begin(), news->members.end());
+        if (!news->leader.empty()) {
+            members_.push_back(news->leader);
+        }
+    });
 }
 
 std::shared_ptr<PendingBegin> LedgerClient::begin(TurnBegin begin, TimePoint until)
@@ -111,7 +143,11 @@
 
 void LedgerClient::sendBegin(const std::shared_ptr<BeginTry> &attempt)
 {
-    const VmName peer = target();
+    if (leader_.empty()) {
+        resendLater(attempt);
+        return;
+    }
+    const VmName peer = leader_;
     const auto client = parts_.peers.client(peer);
     client->request(attempt->begin, tryTimeout, [this, attempt, peer](Result<FrameBody> reply, bool isLast) {
         onBeginReply(attempt, peer, std::move(reply), isLast);
@@ -124,7 +160,7 @@
     PendingBegin &pending = *attempt->pending;
     TurnBeginReply *answer = reply ? std::get_if<TurnBeginReply>(&reply.value()) : nullptr;
     if (answer == nullptr) {
-        onLost(peer, reply ? makeError(ErrorKind::Internal, "an unexpected reply") : reply.error());
+        loseLeader(peer, reply ? "an unexpected reply" : reply.error().message);
         resendLater(attempt);
         return;
     }
@@ -138,7 +174,7 @@
         return;
     }
     if (answer->status == TurnBeginStatus::NotLeader) {
-        onHint(peer, answer->leader);
+        loseLeader(peer, "it does not lead");
         resendLater(attempt);
         return;
     }
@@ -162,8 +198,12 @@
 asio::awaitable<bool> LedgerClient::finish(TurnFinish finish, TimePoint until)
 {
     while (timeNow() < until) {
-        const VmName peer = target();
-        const auto client = parts_.peers.client(peer);
+        const VmName peer = leader_;
+        const auto client = peer.empty() ? nullptr : parts_.peers.client(peer);
+        if (!client) {
+            co_await sleepFor(retryPause);
+            continue;
+        }
         FrameBody body = finish;
         const Result<FrameBody> reply = co_await client->call(std::move(body), tryTimeout);
         const TurnFinishReply *answer = reply ? std::get_if<TurnFinishReply>(&reply.value()) : nullptr;
@@ -171,11 +211,7 @@
             co_return true;
         }
         finishRetries_.add();
-        if (answer != nullptr) {
-            onHint(peer, answer->leader);
-        } else {
-            onLost(peer, reply ? makeError(ErrorKind::Internal, "an unexpected reply") : reply.error());
-        }
+        loseLeader(peer, reply ? "it did not make the end durable" : reply.error().message);
         co_await sleepFor(retryPause);
     }
     co_return false;
@@ -183,27 +219,23 @@
 
 asio::awaitable<void> LedgerClient::readNews()
 {
+    loseLeader({}, "the start");
     while (!isStopped_) {
-        const VmName peer = target();
-        const auto client = parts_.peers.client(peer);
+        const VmName peer = leader_;
+        const auto client = peer.empty() ? nullptr : parts_.peers.client(peer);
+        if (!client) {
+            co_await sleepFor(retryPause);
+            continue;
+        }
         known_.waitMs = static_cast<std::uint32_t>(newsWait.count());
         FrameBody body = known_;
         const Result<FrameBody> reply = co_await client->call(std::move(body), newsTimeout);
         const NewsReply *news = reply ? std::get_if<NewsReply>(&reply.value()) : nullptr;
         if (news != nullptr && news->isLeader) {
-            leader_ = peer;
             takeNews(*news);
-            continue;
-        }
-        if (news != nullptr) {
-            if (!news->members.empty()) {
-                members_ = news->members;
-            }
-            onHint(peer, news->leader);
-        } else {
-            onLost(peer, reply ? makeError(ErrorKind::Internal, "an unexpected reply") : reply.error());
+        } else if (leader_ == peer) {
+            loseLeader(peer, reply ? "it does not lead" : reply.error().message);
         }
-        co_await sleepFor(newsRetryPause);
     }
 }
 
@@ -214,7 +246,7 @@
     lastNews_ = timeNow();
     if (!hasLeader_) {
         hasLeader_ = true;
-        parts_.log.info("ledger.regained", {{"leader", leader_}, {"news_age_ms", age.count()}});
+        parts_.log.info("ledger.found", {{"leader", leader_}, {"news_age_ms", age.count()}});
     }
     onNews_(news);
 }
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -113,16 +113,19 @@
     void resendLater(const std::shared_ptr<BeginTry> &attempt);
     boost::asio::awaitable<void> readNews();
     void takeNews(const NewsReply &news);
-    [[nodiscard]] VmName target();
-    void onHint(const VmName &asked, const VmName &leader);
-    void onLost(const VmName &asked, const Error &error);
+    //! Asks all members at once, again and again, until one says that it leads.
+    boost::asio::awaitable<void> search();
+    void askWhoLeads(const VmName &peer);
+    void loseLeader(const VmName &asked, const std::string &reason);
     [[nodiscard]] std::set<VmName> everyone() const;
 
     Parts parts_;
     std::vector<VmName> seeds_;
     std::vector<VmName> members_;
+    //! Empty while it is searched for.
     VmName leader_;
-    std::size_t nextAsked_ = 0;
+    bool isSearching_ = false;
+    boost::asio::steady_timer found_;
     NewsRequest known_;
     NewsHandler onNews_;
     TimePoint lastNews_ {};
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -9,7 +9,9 @@
 {
 
 constexpr Milliseconds joinInterval {500};
-constexpr Milliseconds joinTimeout {900};
+// A VM without a copy asks more often: until it has one, the next loss may be one too many.
+constexpr Milliseconds blankJoinInterval {120};
+constexpr Milliseconds joinTimeout {400};
 constexpr Milliseconds planInterval {200};
 // A member that was silent for so long may be replaced, if there is another VM to take its place.
 constexpr Milliseconds lostAfter {1500};
@@ -17,8 +19,8 @@
 constexpr Milliseconds joinFreshFor {2500};
 // A new leader has not heard from anybody yet; it judges nobody before this.
 constexpr Milliseconds settlingTime {2000};
-constexpr Milliseconds electionTimeout {400};
-constexpr Milliseconds heartbeatInterval {120};
+constexpr Milliseconds electionTimeout {300};
+constexpr Milliseconds heartbeatInterval {100};
 // What a member that catches up may have on its way bounds the leader's memory on small VMs.
 constexpr std::size_t maxAppendBytes = 256U << 10U;
 constexpr std::size_t maxAppendsInFlight = 16;
@@ -107,7 +109,7 @@
 void LedgerService::keepJoining()
 {
     askToJoin();
-    joinTimer_.expires_after(joinInterval);
+    joinTimer_.expires_after(driver_.isStarted() ? joinInterval : blankJoinInterval);
     joinTimer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
             keepJoining();
--- a/src/gateway/cp_request_head.cpp
+++ b/src/gateway/cp_request_head.cpp
@@ -108,6 +108,9 @@
     if (const auto patience = readNumber(headerValue(request, names.deadline))) {
         facts.patience = Milliseconds(std::max<std::int64_t>(*patience, 0));
     }
+    if (const auto left = readNumber(headerValue(request, names.programTimeLeft))) {
+        facts.programTimeLeft = Milliseconds(*left);
+    }
     facts.budget = readNumber(headerValue(request, names.tokenBudget)).value_or(-1);
     const std::string_view usage = headerValue(request, names.tokenUsage);
     if (const std::size_t comma = usage.find(','); comma != std::string_view::npos) {
--- a/src/gateway/cp_request_head.hpp
+++ b/src/gateway/cp_request_head.hpp
@@ -20,6 +20,8 @@
     std::string previousTurn;
     //! How long the caller waits; nothing when it does not say.
     std::optional<Milliseconds> patience;
+    //! Until the program should be finished; below 0 when it is late.
+    std::optional<Milliseconds> programTimeLeft;
     //! Negative for none.
     std::int64_t budget = -1;
     std::int64_t tokensIn = 0;
