--- a/src/gateway/cp_gateway.hpp
+++ b/src/gateway/cp_gateway.hpp
@@ -26,6 +26,11 @@
     Result<void> start();
     //! Runs until the process has been asked to end and has ended its work. \returns the exit code
     int run();
+    //! Ends run() at once, as a kill would; from any thread.
+    void stop()
+    {
+        io_.stop();
+    }
 
 private:
     Result<void> startEntry();
--- a/src/gateway/cp_gateway_settings.cpp
+++ b/src/gateway/cp_gateway_settings.cpp
@@ -13,6 +13,7 @@
 constexpr std::int64_t defaultLifetimeMs = 2000;
 constexpr std::int64_t defaultListIntervalMs = 800;
 constexpr std::int64_t maxTimeMs = 600'000;
+constexpr std::int64_t maxPort = 65'535;
 
 void readRole(SectionReader &reader, GatewaySettings &settings)
 {
@@ -44,6 +45,7 @@
     settings.failureDomain = reader.requiredText("failure_domain");
     settings.peer = reader.address("peer");
     readRole(reader, settings);
+    settings.seedPort = static_cast<std::uint16_t>(reader.integer("seed_port", 0, 0, maxPort));
     settings.isFirstStart = reader.boolean("first_start", false);
     settings.lossesToBear = static_cast<unsigned>(reader.integer("losses_to_bear", 1, 0, maxLosses));
     settings.grace = time("grace_ms", defaultGraceMs);
@@ -63,7 +65,7 @@
 {
     std::vector<VmName> peers;
     for (const Address &seed : seeds) {
-        peers.push_back(Address {seed.host, peer.port}.toString());
+        peers.push_back(Address {seed.host, seedPort != 0 ? seedPort : seed.port}.toString());
     }
     return peers;
 }
--- a/src/gateway/cp_gateway_settings.hpp
+++ b/src/gateway/cp_gateway_settings.hpp
@@ -27,7 +27,7 @@
     VmName vm;
     std::string failureDomain;
     GatewayRole role = GatewayRole::Entry;
-    //! Where the system's other processes connect; the port is the same on all VMs.
+    //! Where the system's other processes connect.
     Address peer;
     //! Entry: where callers connect, and where the platform asks whether it is ready.
     Address front;
@@ -48,8 +48,10 @@
     //! How long callers may keep an answer of the directory.
     Milliseconds directoryLifetime {0};
     std::string logLevel;
-    //! Ledger VMs to ask first; only their hosts count, the port is the one of 'peer'.
+    //! Ledger VMs to ask first.
     std::vector<Address> seeds;
+    //! Stands in for the seeds' own ports where those are not the ones for peers; 0 for none.
+    std::uint16_t seedPort = 0;
 
     //! Seeds' names in the ledger's group.
     [[nodiscard]] std::vector<VmName> seedPeers() const;
--- /dev/null
+++ b/tests/ledger/cp_ledger_state.tests.cpp
@@ -0,0 +1,183 @@
+#include <cardamompost/ledger/cp_ledger_state.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cardamompost;
+
+namespace
+{
+
+constexpr std::int64_t startMs = 1'000'000;
+constexpr std::uint32_t retentionMs = 60'000;
+
+TurnBegin begin(std::string turn, std::int64_t most = 100, std::int64_t budget = 250, std::string previous = {})
+{
+    return {std::move(turn), "program", std::move(previous), most, budget, retentionMs};
+}
+
+TurnFinish finish(std::string turn, std::int64_t tokens, TurnEnding ending = TurnEnding::Whole,
+                  std::string previous = {})
+{
+    TurnFinish result;
+    result.turn = std::move(turn);
+    result.program = "program";
+    result.previous = std::move(previous);
+    result.ending = ending;
+    result.tokens = tokens;
+    result.retentionMs = retentionMs;
+    result.isKept = ending == TurnEnding::Whole;
+    result.input = "in-" + result.turn + ";";
+    result.output = "out-" + result.turn + "\n";
+    return result;
+}
+
+template<typename Action>
+TurnBeginStatus apply(LedgerState &state, Action action, std::int64_t nowMs = startMs)
+{
+    return state.apply({nowMs, std::move(action)});
+}
+
+bool isStatus(TurnBeginStatus left, TurnBeginStatus right)
+{
+    return left == right;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ledger_state)
+
+// Two sub-agents of one program begin turns at the same moment through two entries. Each turn alone fits into what is
+// left of the budget, both together don't: if only spent tokens counted, the caller would be billed for more than it
+// allowed.
+BOOST_AUTO_TEST_CASE(what_is_reserved_counts_until_the_turn_has_ended)
+{
+    LedgerState state;
+    BOOST_TEST(isStatus(apply(state, begin("a", 150)), TurnBeginStatus::Granted));
+    BOOST_TEST(isStatus(apply(state, begin("b", 150)), TurnBeginStatus::Spent));
+    apply(state, finish("a", 40));
+    BOOST_TEST(state.spent("program") == 40);
+    BOOST_TEST(isStatus(apply(state, begin("c", 150)), TurnBeginStatus::Granted));
+}
+
+BOOST_AUTO_TEST_CASE(reservations_that_are_proposed_only_count_too)
+{
+    const LedgerState state;
+    BOOST_TEST(isStatus(state.check(begin("a", 150), 150), TurnBeginStatus::Spent));
+    BOOST_TEST(isStatus(state.check(begin("a", 150), 100), TurnBeginStatus::Granted));
+}
+
+// An entry loses the answer to a begin with the leader that gave it, and asks the next leader. The same attempt must
+// not be reserved twice, or a program would run out of budget by asking.
+BOOST_AUTO_TEST_CASE(the_same_attempt_is_reserved_once)
+{
+    LedgerState state;
+    apply(state, begin("a", 200));
+    BOOST_TEST(isStatus(apply(state, begin("a", 200)), TurnBeginStatus::Granted));
+    apply(state, finish("a", 50));
+    BOOST_TEST(state.spent("program") == 50);
+}
+
+BOOST_AUTO_TEST_CASE(an_end_that_is_sent_again_settles_nothing_twice)
+{
+    LedgerState state;
+    apply(state, begin("a"));
+    apply(state, finish("a", 70));
+    apply(state, finish("a", 70));
+    BOOST_TEST(state.spent("program") == 70);
+    BOOST_TEST(state.turnCount() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_turn_that_did_not_run_gives_back_all_and_one_that_broke_off_keeps_what_was_handed_out)
+{
+    LedgerState state;
+    apply(state, begin("a", 200));
+    apply(state, finish("a", 0, TurnEnding::NotRun));
+    BOOST_TEST(state.spent("program") == 0);
+    apply(state, begin("b", 200));
+    apply(state, finish("b", 30, TurnEnding::Broken));
+    BOOST_TEST(state.spent("program") == 30);
+    BOOST_TEST(!state.hasTurn("b"));
+}
+
+BOOST_AUTO_TEST_CASE(a_history_is_every_turn_before_oldest_first)
+{
+    LedgerState state;
+    apply(state, finish("a", 1));
+    apply(state, finish("b", 1, TurnEnding::Whole, "a"));
+    apply(state, finish("other", 1, TurnEnding::Whole, "a"));
+    BOOST_TEST(state.history("b") == "in-a;out-a\nin-b;out-b\n");
+    BOOST_TEST(isStatus(apply(state, begin("c", 1, -1, "nobody")), TurnBeginStatus::NoSuchTurn));
+    BOOST_TEST(isStatus(apply(state, begin("c", 1, -1, "b")), TurnBeginStatus::Granted));
+}
+
+// An officer comes back to a plan review after the first turns are older than the retention, but the last one isn't:
+// the whole history must still be there.
+BOOST_AUTO_TEST_CASE(a_history_is_kept_as_long_as_its_last_turn)
+{
+    LedgerState state;
+    apply(state, finish("a", 1), startMs);
+    apply(state, finish("b", 1, TurnEnding::Whole, "a"), startMs + 50'000);
+    apply(state, finish("x", 1), startMs + 100'000);
+    BOOST_TEST(state.history("b") == "in-a;out-a\nin-b;out-b\n");
+    apply(state, finish("y", 1), startMs + 150'000);
+    BOOST_TEST(!state.hasTurn("a"));
+    BOOST_TEST(!state.hasTurn("b"));
+    BOOST_TEST(state.turnBytes() == (std::string("in-x;out-x\n") + "in-y;out-y\n").size());
+}
+
+// A loop that was stopped by its budget comes back half a minute later: what it spent must still count.
+BOOST_AUTO_TEST_CASE(what_a_program_spent_lives_as_long_as_its_turns)
+{
+    LedgerState state;
+    apply(state, begin("a", 250));
+    apply(state, finish("a", 250));
+    BOOST_TEST(isStatus(apply(state, begin("b", 10), startMs + 55'000), TurnBeginStatus::Spent));
+}
+
+BOOST_AUTO_TEST_CASE(the_highest_version_of_a_document_stays_in_force)
+{
+    LedgerState state;
+    apply(state, RouteDocumentPut {5, "five"});
+    apply(state, RouteDocumentPut {5, "other"});
+    apply(state, RouteDocumentPut {3, "three"});
+    BOOST_TEST(state.documentVersion() == 5U);
+    BOOST_TEST(state.document() == "five");
+    apply(state, RouteDocumentPut {9, "nine"});
+    BOOST_TEST(state.document() == "nine");
+}
+
+// A member that was wiped gets a snapshot and then the same commands as the others. If it swept at other times than
+// they do, it would answer differently once it leads.
+BOOST_AUTO_TEST_CASE(a_member_from_a_snapshot_goes_on_as_the_others)
+{
+    LedgerState one;
+    apply(one, begin("r", 30));
+    apply(one, finish("a", 1));
+    apply(one, RouteDocumentPut {5, "five"});
+    apply(one, LedgerVm {"vm-1", "127.0.0.1:7001", true});
+    LedgerState two = LedgerState::decode(one.encode()).value();
+    BOOST_TEST(two.isReserved("program", "r"));
+    BOOST_TEST(two.vms().at("vm-1").isRetiring);
+    for (std::int64_t step = 0; step < 200; ++step) {
+        const std::string turn = "t" + std::to_string(step);
+        apply(one, finish(turn, 1), startMs + step * 900);
+        apply(two, finish(turn, 1), startMs + step * 900);
+        BOOST_TEST(one.turnCount() == two.turnCount());
+        BOOST_TEST(one.turnBytes() == two.turnBytes());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(commands_survive_their_encoding_and_other_bytes_are_refused)
+{
+    const LedgerCommand command {startMs, finish("a", 12, TurnEnding::Broken, "p")};
+    const LedgerCommand read = decodeLedgerCommand(encodeLedgerCommand(command)).value();
+    BOOST_TEST(read.nowMs == startMs);
+    const auto &end = std::get<TurnFinish>(read.action);
+    BOOST_TEST(end.turn == "a");
+    BOOST_TEST(end.tokens == 12);
+    BOOST_TEST((end.ending == TurnEnding::Broken));
+    BOOST_TEST(!decodeLedgerCommand("nonsense").has_value());
+    BOOST_TEST(!LedgerState::decode("nonsense, but longer than a word").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
