Write logs without ever waiting, and count requests by class

Cause: a line written to a pipe that nobody reads would stop an entry with all its requests. Ruled out: a logging thread (one more wake-up a line on machines where threads take turns). Conclusion: logs can't stop service.

--- a/include/cardamompost/observe/cp_event_log.hpp
+++ b/include/cardamompost/observe/cp_event_log.hpp
@@ -26,13 +26,15 @@
 class EventLog
 {
 public:
-    //! \param file   empty for standard error, "-" for standard output
+    //! \param file   empty for standard error, "-" for standard output, which never makes a writer wait
     //! \param level  "debug", "info", "warning" or "error"; anything else means "info"
     EventLog(std::string vm, const std::string &file, const std::string &level);
     ~EventLog();
     EventLog(const EventLog &) = delete;
     EventLog &operator=(const EventLog &) = delete;
 
+    //! Writes out what waits for standard output; to be called a few times a second where "-" is the file.
+    void flush();
     void write(LogLevel level, std::string_view event, boost::json::object fields = {});
     void info(std::string_view event, boost::json::object fields = {})
     {
--- a/src/cardamompost/observe/cp_event_log.cpp
+++ b/src/cardamompost/observe/cp_event_log.cpp
@@ -1,13 +1,17 @@
 #include <cardamompost/core/cp_name_table.hpp>
 #include <cardamompost/observe/cp_event_log.hpp>
+#include <cardamompost/observe/cp_log_pipe.hpp>
 
 #include <boost/json/serialize.hpp>
 #include <fmt/chrono.h>
 #include <spdlog/logger.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 
 #include <chrono>
+#include <mutex>
+#include <unistd.h>
 
 namespace cardamompost
 {
@@ -25,6 +29,26 @@
 // The name that stands for standard output where a file is named.
 constexpr std::string_view standardOutput = "-";
 
+// About a second of lines of a busy entry.
+constexpr std::size_t pipeCapacity = 256U << 10U;
+
+//! Standard output, which somebody may have stopped to read.
+class PipeSink : public spdlog::sinks::base_sink<std::mutex>
+{
+protected:
+    void sink_it_(const spdlog::details::log_msg &message) override
+    {
+        pipe_.add({message.payload.data(), message.payload.size()});
+    }
+    void flush_() override
+    {
+        pipe_.flush();
+    }
+
+private:
+    LogPipe pipe_ {STDOUT_FILENO, pipeCapacity};
+};
+
 spdlog::level::level_enum toSpdlog(LogLevel level)
 {
     switch (level) {
@@ -57,17 +81,25 @@
     if (file.empty()) {
         sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
     } else if (file == standardOutput) {
-        sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+        sink = std::make_shared<PipeSink>();
     } else {
         sink = std::make_shared<spdlog::sinks::basic_file_sink_mt>(file);
     }
     logger_ = std::make_shared<spdlog::logger>("cardamompost", sink);
     logger_->set_pattern("%v");
     logger_->set_level(toSpdlog(valueOf(levelNames, level).value_or(LogLevel::Info)));
-    logger_->flush_on(spdlog::level::info);
+    logger_->flush_on(file == standardOutput ? spdlog::level::warn : spdlog::level::info);
+}
+
+EventLog::~EventLog()
+{
+    flush();
 }
 
-EventLog::~EventLog() = default;
+void EventLog::flush()
+{
+    logger_->flush();
+}
 
 void EventLog::write(LogLevel level, std::string_view event, boost::json::object fields)
 {
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -274,7 +274,13 @@
 
 void Forwarder::logEnd(const ForwardedRequest &request)
 {
-    const auto ms = std::chrono::duration_cast<Milliseconds>(timeNow() - request.arrived).count();
+    const auto time = timeNow() - request.arrived;
+    const auto ms = std::chrono::duration_cast<Milliseconds>(time).count();
+    const std::string work = request.route == nullptr ? std::string("none") : request.route->name;
+    parts_.metrics.counter("cardamompost_requests_total", {{"class", work}, {"status", std::to_string(request.status)}})
+        .add();
+    parts_.metrics.histogram("cardamompost_request_seconds", {{"class", work}})
+        .observe(std::chrono::duration<double>(time).count());
     boost::json::object line {{"id", request.facts.id},
                               {"status", request.status},
                               {"cause", request.cause},
--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -22,6 +22,7 @@
 // What is left of the grace period when the process ends, whatever is still under way.
 constexpr Milliseconds graceMargin {600};
 constexpr Milliseconds handOverTime {300};
+constexpr Milliseconds flushInterval {200};
 
 } // namespace
 
@@ -31,6 +32,7 @@
     , reload_(std::move(reload))
     , io_(1)
     , signals_(io_, SIGTERM, SIGINT, SIGHUP)
+    , flushTimer_(io_)
     , log_(settings_.vm, "-", settings_.logLevel)
     , peers_(io_.get_executor(), traffic_)
 {
@@ -45,6 +47,7 @@
                {"first_start", settings_.isFirstStart},
                {"seeds", settings_.seeds.size()}});
     waitForSignal();
+    keepFlushing();
     return settings_.role == GatewayRole::Entry ? startEntry() : startLedger();
 }
 
@@ -113,6 +116,17 @@
     });
 }
 
+void Gateway::keepFlushing()
+{
+    log_.flush();
+    flushTimer_.expires_after(flushInterval);
+    flushTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            keepFlushing();
+        }
+    });
+}
+
 void Gateway::onSignal(int signal)
 {
     if (signal == SIGHUP) {
--- a/src/gateway/cp_gateway.hpp
+++ b/src/gateway/cp_gateway.hpp
@@ -36,6 +36,7 @@
     Result<void> startEntry();
     Result<void> startLedger();
     void waitForSignal();
+    void keepFlushing();
     void onSignal(int signal);
     void reloadSettings();
     void drain();
@@ -48,6 +49,7 @@
     Reload reload_;
     boost::asio::io_context io_;
     boost::asio::signal_set signals_;
+    boost::asio::steady_timer flushTimer_;
     EventLog log_;
     MetricRegistry metrics_;
     PeerTraffic traffic_;
--- a/src/gateway/cp_ledger_api.cpp
+++ b/src/gateway/cp_ledger_api.cpp
@@ -99,6 +99,10 @@
                 = jsonAnswer(statusOk, parts_.dialect.writeDirectory(addresses, parts_.settings.directoryLifetime));
         }
     }
+    if (request.path == "/metrics") {
+        response = HttpResponse {statusOk, {}, parts_.metrics.text()};
+        response.headers["Content-Type"] = "text/plain; version=0.0.4";
+    }
     co_await responder.respond(std::move(response));
 }
 
