--- a/src/gateway/cp_entry_server.cpp
+++ b/src/gateway/cp_entry_server.cpp
@@ -21,7 +21,8 @@
 {
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
-constexpr Milliseconds tellInterval {700};
+// Often enough that one lost message does not put an entry out of the directory (PresenceTable::freshFor).
+constexpr Milliseconds tellInterval {300};
 constexpr Milliseconds acceptPause {20};
 constexpr std::size_t firstReadBytes = 8U << 10U;
 constexpr unsigned statusOk = 200;
--- a/src/gateway/cp_presence_table.hpp
+++ b/src/gateway/cp_presence_table.hpp
@@ -14,7 +14,7 @@
 {
 public:
     //! An entry that was silent for so long gets no new callers.
-    static constexpr Milliseconds freshFor {2200};
+    static constexpr Milliseconds freshFor {900};
 
     //! \returns true when the entry is new, or has changed what it says
     bool note(const Presence &presence, TimePoint now)
