--- a/include/cardamompost/consensus/cp_raft_node.hpp
+++ b/include/cardamompost/consensus/cp_raft_node.hpp
@@ -17,6 +17,10 @@
     VmName self;
     //! A follower starts an election after 1 to 2 times this without a leader.
     Milliseconds electionTimeout {400};
+    //! The same for the first time after a start; 0 for no difference. Shorter, a group whose members all start
+    //! together has its leader sooner; a member that starts alone disturbs nobody, since a pre-vote against a leader
+    //! fails.
+    Milliseconds firstElectionTimeout {0};
     Milliseconds heartbeatInterval {100};
     std::size_t maxAppendBytes = 1U << 20U;
     std::size_t snapshotPieceBytes = 256U << 10U;
--- a/src/cardamompost/consensus/cp_raft_node.cpp
+++ b/src/cardamompost/consensus/cp_raft_node.cpp
@@ -19,6 +19,10 @@
     , now_(now)
 {
     resetElectionDeadline();
+    if (options_.firstElectionTimeout.count() != 0) {
+        std::uniform_int_distribution<std::int64_t> spread(0, options_.firstElectionTimeout.count());
+        electionDeadline_ = now_ + options_.firstElectionTimeout + Milliseconds(spread(random_));
+    }
 }
 
 void RaftNode::tick(TimePoint now)
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -20,6 +20,7 @@
 // A new leader has not heard from anybody yet; it judges nobody before this.
 constexpr Milliseconds settlingTime {2000};
 constexpr Milliseconds electionTimeout {300};
+constexpr Milliseconds firstElectionTimeout {120};
 constexpr Milliseconds heartbeatInterval {100};
 // What a member that catches up may have on its way bounds the leader's memory on small VMs.
 constexpr std::size_t maxAppendBytes = 256U << 10U;
@@ -78,6 +79,7 @@
     RaftOptions options;
     options.self = self_;
     options.electionTimeout = electionTimeout;
+    options.firstElectionTimeout = firstElectionTimeout;
     options.heartbeatInterval = heartbeatInterval;
     options.maxAppendBytes = maxAppendBytes;
     options.maxInFlight = maxAppendsInFlight;
