--- a/tools/scripts/check_docs.sh
+++ b/tools/scripts/check_docs.sh
@@ -29,5 +29,21 @@
     }
 done <<<"$kinds"
 python3 tools/scripts/capacity_page.py docs/results/capacity.tsv docs/CAPACITY.md --check || status=1
+# Events of the gateway's logs: those of the code and those of the page are the same.
+events=$(grep -hoE '"[a-z]+\.[a-z_]+"' src/gateway/*.cpp src/daemon/cp_disk_thread.cpp src/cardamompost/observe/cp_log_pipe.cpp | tr -d '"' | sort -u)
+events=$(printf '%s\nlog.dropped' "$events" | grep -vE '^(std|fmt)\.' | sort -u)
+pages=$(grep -oE '`[a-z]+\.[a-z_]+`' docs/LOGS.md | tr -d '`' | sort -u)
+[ "$(echo "$events" | wc -l)" -ge 25 ] || { echo "the gateway's events could not be read"; status=1; }
+diff <(echo "$events") <(echo "$pages") >build/log_events.diff || {
+    echo "docs/LOGS.md and the gateway's code name different events:"
+    cat build/log_events.diff
+    status=1
+}
+# The users' platform is named in platform/, deploy/ and their tests only.
+names='Request-Id|Previous-Turn|Token-Budget|Token-Usage|Deadline-Milliseconds|Expected-Instance|Not-Executed|Server-Signature|Server-Load|Kv-From|Program-Time-Left|/cardamompost/(readiness|resolution|configuration|retire)|retains-context|path-prefix|instances\?'
+git grep -nE "$names" -- include src examples benchmarks tools ':!tools/scripts/check_docs.sh' && {
+    echo "a name of the users' platform stands outside of platform/"
+    status=1
+}
 [ $status = 0 ] && echo "pages agree with the code"
 exit $status
