Tell every ledger VM which entries are there

Change: the news name all ledger VMs that the ledger knows, members or not. Ruled out: slow answers (no look-up took long, those VMs had nobody to name).

--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -96,7 +96,7 @@
 struct NewsReply {
     bool isLeader = false;
     VmName leader;
-    //! Addresses of the ledger's members.
+    //! Addresses of all ledger VMs, whether they are members now or not.
     std::vector<VmName> members;
     std::uint64_t documentVersion = 0;
     //! Empty when nothing newer is known.
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -298,7 +298,11 @@
     NewsReply reply;
     reply.isLeader = leads();
     reply.leader = driver_.leader();
-    if (driver_.isStarted()) {
+    // All ledger VMs, members or not: each answers the directory, so each has to hear from the entries.
+    for (const auto &[vm, record] : state_.vms()) {
+        reply.members.push_back(record.peer);
+    }
+    if (reply.members.empty() && driver_.isStarted()) {
         const Membership &members = driver_.node().membership();
         reply.members.assign(members.voters.begin(), members.voters.end());
     }
