Soak the gateway with faults from outside, and prefer the leader with the higher term

Change: tools/gateway_soak.py runs three ledger VMs and two entries behind forwarders that delay, reset, silence and cut one way, with kills, freezes, wipes and disks that take no more, and checks the promises while it runs; news carry the leader's term.

--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -96,6 +96,8 @@
 struct NewsReply {
     bool isLeader = false;
     VmName leader;
+    //! Of the leader that answers; one with a lower term than another's was deposed by that.
+    Term term = 0;
     //! Addresses of all ledger VMs, whether they are members now or not.
     std::vector<VmName> members;
     std::uint64_t documentVersion = 0;
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -268,6 +268,7 @@
   hasList @7 :Bool;
   servers @8 :List(BackendServer);
   listAgeMs @9 :UInt32;
+  term @10 :UInt64;
 }
 
 struct Presence {
--- a/src/cardamompost/net/cp_ledger_schema.cpp
+++ b/src/cardamompost/net/cp_ledger_schema.cpp
@@ -53,6 +53,7 @@
 {
     out.setIsLeader(in.isLeader);
     out.setLeader(toText(in.leader));
+    out.setTerm(in.term);
     auto members = out.initMembers(static_cast<unsigned>(in.members.size()));
     for (unsigned i = 0; i < members.size(); ++i) {
         members.set(i, toText(in.members[i]));
@@ -80,6 +81,7 @@
     NewsReply reply;
     reply.isLeader = in.getIsLeader();
     reply.leader = fromText(in.getLeader());
+    reply.term = in.getTerm();
     for (const auto member : in.getMembers()) {
         reply.members.push_back(fromText(member));
     }
--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -71,7 +71,7 @@
                                        [this](FrameBody body, Milliseconds, std::shared_ptr<PeerReplier> replier) {
                                            onPeer(std::move(body), replier);
                                        });
-    BOOST_OUTCOME_TRYV(peerServer_->listen(settings_.peer));
+    BOOST_OUTCOME_TRYV(peerServer_->listen(settings_.peerListen));
     BOOST_OUTCOME_TRYV(api_->listen());
     BOOST_OUTCOME_TRYV(ledger_->start());
     listReader_->start();
--- a/src/gateway/cp_gateway_settings.cpp
+++ b/src/gateway/cp_gateway_settings.cpp
@@ -44,6 +44,7 @@
     settings.vm = reader.requiredText("vm");
     settings.failureDomain = reader.requiredText("failure_domain");
     settings.peer = reader.address("peer");
+    settings.peerListen = reader.text("peer_listen").empty() ? settings.peer : reader.address("peer_listen");
     readRole(reader, settings);
     settings.seedPort = static_cast<std::uint16_t>(reader.integer("seed_port", 0, 0, maxPort));
     settings.isFirstStart = reader.boolean("first_start", false);
--- a/src/gateway/cp_gateway_settings.hpp
+++ b/src/gateway/cp_gateway_settings.hpp
@@ -29,6 +29,8 @@
     GatewayRole role = GatewayRole::Entry;
     //! Where the system's other processes connect.
     Address peer;
+    //! Where it listens for them, if that is another address, as behind a forwarder.
+    Address peerListen;
     //! Entry: where callers connect, and where the platform asks whether it is ready.
     Address front;
     Address ready;
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -113,13 +113,18 @@
     request.waitMs = 0;
     client->request(request, searchTimeout, [this, peer](Result<FrameBody> reply, bool) {
         const NewsReply *news = reply ? std::get_if<NewsReply>(&reply.value()) : nullptr;
-        if (news == nullptr || !leader_.empty()) {
+        if (news == nullptr) {
             return;
         }
-        if (news->isLeader) {
+        // Guards against a deposed leader that answers first, as one does that is cut off from the other members only:
+        // the leader that replaced it has a higher term, and whichever of the two answers later, that one is kept.
+        const bool isNewer = leader_.empty() ? news->term >= leaderTerm_ : news->term > leaderTerm_;
+        if (news->isLeader && isNewer) {
             leader_ = peer;
             takeNews(*news);
             found_.cancel();
+        }
+        if (news->isLeader || !leader_.empty()) {
             return;
         }
         // Guards an entry that starts while none of its seeds leads: they may have been exchanged, and the leader may
@@ -231,7 +236,7 @@
         FrameBody body = known_;
         const Result<FrameBody> reply = co_await client->call(std::move(body), newsTimeout);
         const NewsReply *news = reply ? std::get_if<NewsReply>(&reply.value()) : nullptr;
-        if (news != nullptr && news->isLeader) {
+        if (news != nullptr && news->isLeader && news->term >= leaderTerm_) {
             takeNews(*news);
         } else if (leader_ == peer) {
             loseLeader(peer, reply ? "it does not lead" : reply.error().message);
@@ -242,6 +247,7 @@
 void LedgerClient::takeNews(const NewsReply &news)
 {
     members_ = news.members;
+    leaderTerm_ = news.term;
     const Milliseconds age = newsAge();
     lastNews_ = timeNow();
     if (!hasLeader_) {
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -124,6 +124,7 @@
     std::vector<VmName> members_;
     //! Empty while it is searched for.
     VmName leader_;
+    Term leaderTerm_ = 0;
     bool isSearching_ = false;
     boost::asio::steady_timer found_;
     NewsRequest known_;
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -314,6 +314,7 @@
         reply.members.assign(members.voters.begin(), members.voters.end());
     }
     if (reply.isLeader) {
+        reply.term = driver_.node().term();
         reply.documentVersion = state_.documentVersion();
         if (request.documentVersion < state_.documentVersion()) {
             reply.document = state_.document();
--- a/tests/platform/cp_platform_path.tests.cpp
+++ b/tests/platform/cp_platform_path.tests.cpp
@@ -72,6 +72,7 @@
         settings.vm = vm;
         settings.failureDomain = "apapa";
         settings.peer = local(freePort());
+        settings.peerListen = settings.peer;
         settings.listInterval = Milliseconds(200);
         settings.grace = Milliseconds(1000);
         settings.directoryLifetime = Milliseconds(2000);
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -32,3 +32,7 @@
 
 step "tests"
 ctest --test-dir build --output-on-failure -j 4
+
+step "fault soak of the gateway, one seed, and whether it notices a loss too many"
+python3 tools/gateway_soak.py --seconds 15 7
+! python3 tools/gateway_soak.py --seconds 10 --plant 7
--- /dev/null
+++ b/tools/gateway_soak.py
@@ -0,0 +1,374 @@
+#!/usr/bin/env python3
+"""Fault soak of the gateway: real processes on loopback, faults from outside, promises checked while it runs.
+
+usage: gateway_soak.py [--build FOLDER] [--seconds S] [--plant] SEED...
+--plant wipes two of three ledger VMs at once, which is one more than can be borne: the checks have to notice.
+
+Three ledger VMs and two entries run as processes. All that goes to a ledger VM passes a forwarder here, which can delay, reset,
+silence, or pass one way only. Processes are killed, stopped for a while, wiped, and denied to write. Programs run all the while
+against a stand-in that is engine, service and list. Checked: a turn arrives with its whole history; nothing that must not be
+repeated runs twice; what was refused as not run has not run; no program gets more than its budget and one turn; a turn that was
+answered whole is never unknown; the newest acknowledged document is read back; service is back once all faults are over.
+"""
+import argparse, asyncio, json, os, random, resource, shutil, signal, sys, tempfile, time
+
+STRIDE, MOST, BUDGET = 10, 50, 400
+DOCUMENT = {"routes": [
+    {"name": "plans", "host": "h.example", "path-prefix": "/plans/", "kind": "streaming", "timeout-ms": 4000, "service": "e",
+     "max-attempts": 1, "retains-context": True, "retention-s": 60.0, "sticky-sessions": True},
+    {"name": "tools", "host": "h.example", "path-prefix": "/tools/", "kind": "unsafe", "timeout-ms": 3000, "service": "e",
+     "max-attempts": 1}],
+    "services": [{"name": "e", "max-connections": 100, "engine": {"slots": 16, "key-value-tokens": 1000, "stride": STRIDE}}],
+    "limits": {"max-header-bytes": 16384, "max-body-bytes": 100000, "header-timeout-ms": 3000, "idle-timeout-ms": 15000}}
+
+
+async def read_head(reader):
+    lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    headers = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines[1:] if line)}
+    return lines[0], headers
+
+
+async def read_body(reader, headers):
+    if headers.get("transfer-encoding") == "chunked":
+        body = b""
+        while size := int(await reader.readline(), 16):
+            body += await reader.readexactly(size)
+            await reader.readexactly(2)
+        await reader.readexactly(2)
+        return body
+    return await reader.readexactly(int(headers.get("content-length", 0)))
+
+
+async def call(address, method, path, headers=None, body=b"", timeout=6.0):
+    """(status, body); status 0 when no whole answer came."""
+    async def exchange():
+        reader, writer = await asyncio.open_connection(*address)
+        try:
+            lines = [f"{method} {path} HTTP/1.1", "Connection: close", f"Content-Length: {len(body)}"]
+            lines += [f"{name}: {value}" for name, value in (headers or {"Host": "x"}).items()]
+            writer.write("\r\n".join(lines + ["", ""]).encode() + body)
+            status, answer = await read_head(reader)
+            return int(status.split()[1]), await read_body(reader, answer)
+        finally:
+            writer.close()
+    try:
+        return await asyncio.wait_for(exchange(), timeout)
+    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError, IndexError):
+        return 0, b""
+
+
+class Forwarder:
+    """Passes connections on to one ledger VM, as well or badly as it is told."""
+
+    def __init__(self, target):
+        self.target, self.delay, self.forth, self.back, self.writers = target, 0.0, True, True, set()
+
+    async def serve(self, reader, writer):
+        try:
+            up_reader, up_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, up_writer}
+        await asyncio.gather(self.pipe(reader, up_writer, "forth"), self.pipe(up_reader, writer, "back"))
+        self.writers -= {writer, up_writer}
+
+    async def pipe(self, reader, writer, way):
+        try:
+            while data := await reader.read(65536):
+                if self.delay:
+                    await asyncio.sleep(self.delay)
+                # What is silenced is lost for good on this connection, as when something between has forgotten it.
+                if getattr(self, way):
+                    writer.write(data)
+                    await writer.drain()
+        except OSError:
+            pass
+        writer.close()
+
+    def reset(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+
+class Backend:
+    """Engine, service and list in one; remembers what ran."""
+
+    def __init__(self, random_):
+        self.random, self.runs, self.bodies, self.address = random_, {}, {}, None
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                line, headers = await read_head(reader)
+                body = await read_body(reader, headers)
+                path = line.split()[1]
+                if path.startswith("/instances"):
+                    entry = {"id": "i-1", "service": "e", "address": "%s:%d" % self.address, "zone": "z", "slots": 16, "state": "ready"}
+                    self.answer(writer, json.dumps({"instances": [entry], "next": None}).encode(), {})
+                    continue
+                request = headers["request-id"]
+                self.runs[request] = self.runs.get(request, 0) + 1
+                self.bodies[request] = body
+                fate = self.random.random()
+                if fate < 0.03:
+                    writer.transport.abort()
+                    return
+                common = {"Request-Id": request, "Server-Signature": "s-" + request}
+                if path.startswith("/tools/"):
+                    self.answer(writer, b"done-" + request.encode(), common)
+                    continue
+                writer.write(b"HTTP/1.1 200 OK\r\n" + b"".join(b"%s: %s\r\n" % (n.encode(), v.encode()) for n, v in common.items())
+                             + b"Transfer-Encoding: chunked\r\n\r\n")
+                for number in range(3):
+                    event = b"id: %d\ndata: %d-%s\n\n" % (number, number, request.encode())
+                    writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                    await writer.drain()
+                    await asyncio.sleep(0.004)
+                    if fate > 0.98 and number == 1:
+                        writer.transport.abort()
+                        return
+                writer.write(b"0\r\n\r\n")
+        except (OSError, asyncio.IncompleteReadError, ValueError, KeyError):
+            writer.close()
+
+    @staticmethod
+    def answer(writer, body, headers):
+        text = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n{text}\r\n".encode() + body)
+
+
+class Process:
+    def __init__(self, soak, name, role, settings):
+        self.soak, self.name, self.role, self.settings, self.child, self.first = soak, name, role, settings, None, True
+        self.data = os.path.join(soak.folder, name)
+
+    async def start(self):
+        file = os.path.join(self.soak.folder, self.name + ".ini")
+        lines = [f"[gateway]\nvm = {self.name}\nfailure_domain = z\nrole = {self.role}"] + [f"{k} = {v}" for k, v in self.settings.items()]
+        if self.role == "ledger":
+            lines += [f"data_folder = {self.data}", f"first_start = {'true' if self.first else 'false'}"]
+        lines += [f"[seed {i}]\naddress = 127.0.0.1:{port}" for i, port in enumerate(self.soak.peer_ports)]
+        with open(file, "w") as out:
+            out.write("\n".join(lines) + "\n")
+        log = open(os.path.join(self.soak.folder, self.name + ".log"), "ab")
+        self.child = await asyncio.create_subprocess_exec(self.soak.executable, "--settings", file, stdout=log, stderr=log)
+        self.first = False
+
+    async def kill(self):
+        if self.child.returncode is None:
+            self.child.send_signal(signal.SIGKILL)
+        await self.child.wait()
+
+
+class Soak:
+    def __init__(self, build, seed, plant):
+        self.plant = plant
+        self.executable = os.path.abspath(os.path.join(build, "cardamompost-gateway"))
+        self.random, self.seed, self.broken, self.notes = random.Random(seed), seed, [], []
+        self.folder = tempfile.mkdtemp(prefix="gateway-soak-")
+        self.backend, self.forwarders, self.ledgers, self.entries = Backend(random.Random(seed + 1)), [], [], []
+        self.acked, self.counts, self.serial = 0, {}, 0
+
+    def fail(self, text):
+        self.broken.append(text)
+
+    async def listen(self, serve):
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        return server.sockets[0].getsockname()
+
+    async def start(self):
+        self.backend.address = await self.listen(self.backend.serve)
+        ports = [await self.free_port() for _ in range(3 * 3 + 2 * 3)]
+        for i in range(3):
+            self.forwarders.append(Forwarder(("127.0.0.1", ports[i])))
+        self.peer_ports = [(await self.listen(forwarder.serve))[1] for forwarder in self.forwarders]
+        self.controls = [("127.0.0.1", port) for port in ports[3:6]]
+        for i in range(3):
+            self.ledgers.append(Process(self, f"ledger-{i}", "ledger", {
+                "peer": f"127.0.0.1:{self.peer_ports[i]}", "peer_listen": f"127.0.0.1:{ports[i]}",
+                "control": f"127.0.0.1:{ports[3 + i]}", "directory": f"127.0.0.1:{ports[6 + i]}",
+                "backend_list": "%s:%d" % self.backend.address, "list_interval_ms": 300}))
+        self.fronts = [("127.0.0.1", port) for port in ports[9:11]]
+        for i in range(2):
+            self.entries.append(Process(self, f"entry-{i}", "entry", {
+                "peer": f"127.0.0.1:{ports[13 + i]}", "front": f"127.0.0.1:{ports[9 + i]}", "ready": f"127.0.0.1:{ports[11 + i]}"}))
+        for process in self.ledgers + self.entries:
+            await process.start()
+        await self.put_document(1, 20)
+
+    async def free_port(self):
+        server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        server.close()
+        await server.wait_closed()
+        return port
+
+    async def put_document(self, version, patience):
+        until = time.monotonic() + patience
+        while time.monotonic() < until:
+            for control in self.controls:
+                body = json.dumps({"version": version, **DOCUMENT}).encode()
+                status, _ = await call(control, "PUT", "/cardamompost/configuration", None, body, 1.5)
+                if status == 200:
+                    self.acked = max(self.acked, version)
+                    return True
+            await asyncio.sleep(0.1)
+        return False
+
+    async def read_documents(self):
+        for control in self.controls:
+            before = self.acked
+            status, body = await call(control, "GET", "/cardamompost/configuration", None, b"", 1.5)
+            if status == 200 and json.loads(body)["version"] < before:
+                self.fail(f"document {json.loads(body)['version']} read after {before} was acknowledged")
+
+    async def send(self, path, headers, body):
+        self.serial += 1
+        request = f"r{self.seed}x{self.serial}"
+        status, answer = await call(self.random.choice(self.fronts), "POST", path,
+                                    {"Host": "h.example", "Request-Id": request, "Deadline-Milliseconds": 4000, **headers}, body)
+        self.counts[status] = self.counts.get(status, 0) + 1
+        if self.backend.runs.get(request, 0) > 1:
+            self.fail(f"{request} ran {self.backend.runs[request]} times")
+        if status in (402, 404, 408, 421, 429, 503):
+            self.refused.append((request, status))
+        return request, status, answer
+
+    async def program(self, number):
+        previous, history, handed = None, b"", 0
+        for turn in range(12):
+            headers = {"Program": f"p{self.seed}-{number}", "Session": "s", "Token-Budget": BUDGET, "Token-Usage": f"100,{MOST}"}
+            if previous:
+                headers["Previous-Turn"] = previous
+            text = f"in-{number}-{turn};".encode()
+            request, status, answer = await self.send("/plans/x", headers, text)
+            handed += answer.count(b"\n\n") * STRIDE
+            got = self.backend.bodies.get(request)
+            if got is not None and got != history + text:
+                self.fail(f"{request} reached the engine with another history")
+            if status == 404:
+                self.fail(f"{request}: the whole turn {previous} is unknown")
+            if status == 402:
+                break
+            if status == 200:
+                data = b"".join(line[6:] + b"\n" for line in answer.split(b"\n") if line.startswith(b"data: "))
+                previous, history = request, history + text + data
+            await self.send("/tools/x", {}, b"work")
+            await asyncio.sleep(self.random.uniform(0.01, 0.1))
+        if handed > BUDGET + MOST:
+            self.fail(f"program {number} got {handed} tokens of {BUDGET}")
+
+    async def traffic(self, until):
+        number = 0
+        async def one(first):
+            nonlocal number
+            while time.monotonic() < until:
+                number += 1
+                await self.program(number)
+        await asyncio.gather(*(one(i) for i in range(6)))
+
+    async def operator(self, until):
+        version = 1
+        while time.monotonic() < until:
+            version += self.random.randint(1, 3)
+            await self.put_document(version, 1.0)
+            await self.read_documents()
+            await asyncio.sleep(0.4)
+
+    async def fault(self):
+        kind = self.random.choice(["kill", "kill", "freeze", "wipe", "full", "delay", "reset", "silence", "oneway", "entry"])
+        number = self.random.randrange(3)
+        ledger, forwarder = self.ledgers[number], self.forwarders[number]
+        self.notes.append(f"{kind} {number}")
+        if self.plant:
+            for lost in self.ledgers[:2]:
+                await lost.kill()
+                shutil.rmtree(lost.data)
+                await lost.start()
+        elif kind in ("kill", "wipe"):
+            await ledger.kill()
+            if kind == "wipe":
+                shutil.rmtree(ledger.data)
+            await asyncio.sleep(self.random.uniform(0.1, 1.5))
+            await ledger.start()
+        elif kind == "full":
+            resource.prlimit(ledger.child.pid, resource.RLIMIT_FSIZE, (1, 1))
+            await asyncio.sleep(1.0)
+            await ledger.kill()
+            await ledger.start()
+        elif kind in ("freeze", "entry"):
+            process = ledger if kind == "freeze" else self.entries[number % 2]
+            process.child.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(self.random.uniform(0.5, 2.5))
+            process.child.send_signal(signal.SIGCONT)
+        elif kind == "reset":
+            forwarder.reset()
+        else:
+            forwarder.delay = 0.08 if kind == "delay" else 0.0
+            forwarder.forth, forwarder.back = kind != "silence", kind not in ("silence", "oneway")
+            await asyncio.sleep(self.random.uniform(0.5, 2.5))
+            # Connections that were silenced stay so until their own ends notice; new ones work.
+            forwarder.delay, forwarder.forth, forwarder.back = 0.0, True, True
+            forwarder.reset()
+        # A second loss may come only once the first is made good, as the losses to bear say.
+        await asyncio.sleep(3.0)
+
+    async def run(self, seconds):
+        self.refused = []
+        await self.start()
+        until = time.monotonic() + seconds
+        work = asyncio.gather(self.traffic(until), self.operator(until))
+        while time.monotonic() + 6 < until:
+            await self.fault()
+        await work
+        served = False
+        for _ in range(40):
+            _, status, _ = await self.send("/plans/x", {"Program": "last", "Token-Usage": "1,10", "Token-Budget": 1000}, b"x")
+            served = served or status == 200
+        if not served:
+            self.fail("no turn is served after the faults are over")
+        if not await self.put_document(self.acked + 1, 10):
+            self.fail("no document is acknowledged after the faults are over")
+        await self.read_documents()
+        for request, status in self.refused:
+            if request in self.backend.runs:
+                self.fail(f"{request} was refused with {status} and ran")
+
+    async def finish(self):
+        for process in self.ledgers + self.entries:
+            if process.child:
+                if process.child.returncode is None:
+                    process.child.send_signal(signal.SIGCONT)
+                await process.kill()
+        if self.broken:
+            print(f"  logs are kept in {self.folder}")
+        else:
+            shutil.rmtree(self.folder)
+
+
+async def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--seconds", type=float, default=25)
+    parser.add_argument("--plant", action="store_true")
+    parser.add_argument("seeds", type=int, nargs="+")
+    arguments = parser.parse_args()
+    failed = 0
+    for seed in arguments.seeds:
+        soak = Soak(arguments.build, seed, arguments.plant)
+        try:
+            await soak.run(arguments.seconds)
+        finally:
+            await soak.finish()
+        failed += bool(soak.broken)
+        answers = ", ".join(f"{status}: {count}" for status, count in sorted(soak.counts.items()))
+        print(f"seed {seed}: {'BROKEN' if soak.broken else 'held'}; faults {' | '.join(soak.notes)}; answers {answers}", flush=True)
+        for text in soak.broken[:10]:
+            print("  " + text)
+    print(f"{len(arguments.seeds) - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
