--- a/include/cardamompost/consensus/cp_raft_node.hpp
+++ b/include/cardamompost/consensus/cp_raft_node.hpp
@@ -160,6 +160,9 @@
         std::uint64_t ackedRound = 0;
         LogIndex snapshotIndex = 0;
         std::uint64_t snapshotOffset = 0;
+        //! The last piece that was sent.
+        TimePoint snapshotSentAt {};
+        std::uint64_t snapshotSentOffset = 0;
     };
     struct PendingRead {
         std::uint64_t id;
--- a/src/cardamompost/consensus/cp_raft_replication.cpp
+++ b/src/cardamompost/consensus/cp_raft_replication.cpp
@@ -87,12 +87,13 @@
     message.indexTerm = *previousTerm;
     message.commit = commit_;
     message.round = round_;
-    // Guards the memory of both: a member that is back from a pause rejects, one by one, all heartbeats that had queued up
-    // for it. A probe asks only where its log ends; were entries sent along, each rejection would bring as many again.
+    // Guards the memory of both: a member that is back from a pause rejects, one by one, all heartbeats that had queued
+    // up for it. A probe asks only where its log ends; were entries sent along, each rejection would bring as many
+    // again.
     if (!isBlocked && !progress.isProbing) {
         message.entries = log_.slice(progress.next, options_.maxAppendBytes);
     }
-    if (message.entries.empty() && !isHeartbeat && progress.match >= commit_) {
+    if (message.entries.empty() && !isHeartbeat && !progress.isProbing && progress.match >= commit_) {
         return;
     }
     if (progress.isProbing) {
@@ -111,7 +112,18 @@
     if (progress.snapshotIndex != snapshot.index) {
         progress.snapshotIndex = snapshot.index;
         progress.snapshotOffset = 0;
+        progress.snapshotSentAt = {};
     }
+    // Guards the leader's memory and link: every proposal and every confirmed read comes by here, and each would bring
+    // the same piece once more while its answer is still on the way. A lost one comes again after two heartbeats.
+    const bool isPending = progress.snapshotSentAt != TimePoint {}
+        && progress.snapshotSentOffset == progress.snapshotOffset
+        && now_ - progress.snapshotSentAt < 2 * options_.heartbeatInterval;
+    if (isPending) {
+        return;
+    }
+    progress.snapshotSentAt = now_;
+    progress.snapshotSentOffset = progress.snapshotOffset;
     RaftMessage message = makeMessage(RaftMessageType::SnapshotPiece, to);
     message.round = round_;
     message.offset = progress.snapshotOffset;
