--- a/include/cardamompost/ledger/cp_ledger_state.hpp
+++ b/include/cardamompost/ledger/cp_ledger_state.hpp
@@ -66,6 +66,9 @@
     [[nodiscard]] static Result<LedgerState> decode(const std::string &bytes);
 
 private:
+    //! Writes and reads the parts of a snapshot.
+    friend class LedgerSnapshotCodec;
+
     struct Program {
         std::int64_t spent = 0;
         std::int64_t expiresMs = 0;
--- a/include/cardamompost/storage/cp_log_batch.hpp
+++ b/include/cardamompost/storage/cp_log_batch.hpp
@@ -58,6 +58,14 @@
     {
         records_.push_back(std::move(record));
     }
+    //! Takes over what another batch holds.
+    void append(LogBatch &&other)
+    {
+        for (Record &record : other.records_) {
+            records_.push_back(std::move(record));
+        }
+        other.records_.clear();
+    }
 
 private:
     std::vector<Record> records_;
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -467,7 +467,8 @@
   document @2 :Data;
   vms @3 :List(LedgerVm);
   programs @4 :List(ProgramAccount);
-  turns @5 :List(KeptTurn);
+  # Turns follow as messages of their own.
+  unused @5 :List(KeptTurn);
   struct ProgramAccount {
     program @0 :Text;
     spent @1 :Int64;
--- a/src/gateway/cp_consensus_driver.cpp
+++ b/src/gateway/cp_consensus_driver.cpp
@@ -144,7 +144,7 @@
 
 void ConsensusDriver::store(const std::shared_ptr<RaftReady> &ready)
 {
-    const bool needsDisk = ready->hard || ready->snapshot || !ready->entries.empty() || newSnapshot_.index != 0;
+    const bool needsDisk = ready->hard || ready->snapshot || !ready->entries.empty() || !newSnapshot_.isEmpty();
     if (!needsDisk) {
         complete(*ready);
         return;
@@ -154,7 +154,7 @@
     if (!ready->hard && node_->role() == RaftRole::Leader) {
         send(std::exchange(ready->messages, {}));
     }
-    auto own = std::make_shared<RaftSnapshot>(std::exchange(newSnapshot_, {}));
+    auto own = std::make_shared<LogBatch>(std::exchange(newSnapshot_, {}));
     DiskThread::Job job;
     job.group = controlGroup;
     job.prepare = [ready, own](LogStore & /*store*/, LogBatch &batch) {
@@ -164,9 +164,7 @@
         if (ready->snapshot) {
             batch.putSnapshot(controlGroup, *ready->snapshot);
         }
-        if (own->index != 0) {
-            batch.putSnapshot(controlGroup, *own);
-        }
+        batch.append(std::move(*own));
         for (const LogEntry &entry : ready->entries) {
             batch.putEntry(controlGroup, entry);
         }
@@ -262,7 +260,8 @@
     bytesSinceSnapshot_ = 0;
     parts_.log.info("ledger.compacted", {{"index", applied_}, {"bytes", snapshotBytes_}});
     node_->compact(applied_, std::move(state));
-    newSnapshot_ = node_->log().snapshot();
+    // In the form in which it is written: one copy less of what may be a sixth of a small VM's memory.
+    newSnapshot_.putSnapshot(controlGroup, node_->log().snapshot());
 }
 
 void ConsensusDriver::propose(std::string payload, Committed done)
--- a/src/gateway/cp_consensus_driver.hpp
+++ b/src/gateway/cp_consensus_driver.hpp
@@ -119,7 +119,8 @@
     LogIndex applied_ = 0;
     std::size_t bytesSinceSnapshot_ = 0;
     std::size_t snapshotBytes_ = 0;
-    RaftSnapshot newSnapshot_;
+    //! A snapshot that was made and is not stored yet.
+    LogBatch newSnapshot_;
     std::unordered_map<VmName, TimePoint> lastHeard_;
     std::unordered_map<VmName, TimePoint> lastReopened_;
     Counter &committed_;
