--- a/src/cardamompost/storage/cp_log_store.cpp
+++ b/src/cardamompost/storage/cp_log_store.cpp
@@ -109,8 +109,8 @@
     for (const std::uint64_t number : numbers) {
         BOOST_OUTCOME_TRYV(replay(number, number == numbers.back()));
     }
-    // Guards against a process that died between a write and its sync: what it wrote is read here as if it lasted. It has
-    // to, before anything is built on it; otherwise a later loss of power leaves a hole below synced entries.
+    // Guards against a process that died between a write and its sync: what it wrote is read here as if it lasted. It
+    // has to, before anything is built on it; otherwise a later loss of power leaves a hole below synced entries.
     if (!segments_.empty()) {
         BOOST_OUTCOME_TRYV(segments_.rbegin()->second.file->sync());
         BOOST_OUTCOME_TRYV(files_->syncFolder());
