--- a/tools/check.sh
+++ b/tools/check.sh
@@ -34,8 +34,8 @@
 ctest --test-dir build --output-on-failure -j 4
 
 step "fault soak of the gateway, one seed, and whether it notices a loss too many"
-python3 tools/gateway_soak.py --seconds 15 7
-if python3 tools/gateway_soak.py --seconds 10 --plant 7; then
+python3 tests/platform/gateway_soak.py --seconds 15 7
+if python3 tests/platform/gateway_soak.py --seconds 10 --plant 7; then
     echo "the soak did not notice that two of three disks were lost"
     exit 1
 fi
