--- a/tests/platform/gateway_soak.py
+++ b/tests/platform/gateway_soak.py
@@ -152,7 +152,12 @@
         with open(file, "w") as out:
             out.write("\n".join(lines) + "\n")
         log = open(os.path.join(self.soak.folder, self.name + ".log"), "ab")
-        self.child = await asyncio.create_subprocess_exec(self.soak.executable, "--settings", file, stdout=log, stderr=log)
+        # As a platform does: a process that ends by itself, as when another soak's connection has its port, is started again.
+        for _ in range(40):
+            self.child = await asyncio.create_subprocess_exec(self.soak.executable, "--settings", file, stdout=log, stderr=log)
+            await asyncio.sleep(0.1)
+            if self.child.returncode is None:
+                break
         self.first = False
 
     async def kill(self):
