--- a/src/gateway/cp_backend_pool.cpp
+++ b/src/gateway/cp_backend_pool.cpp
@@ -161,7 +161,6 @@
         backend.idle_.pop_back();
         if (now < connection->keptUntil && looksAlive(*connection)) {
             reused_.add();
-            connection->isFresh = false;
             return connection;
         }
     }
--- a/src/gateway/cp_backend_pool.hpp
+++ b/src/gateway/cp_backend_pool.hpp
@@ -31,7 +31,6 @@
     boost::beast::flat_buffer buffer;
     //! When the server may close it.
     TimePoint keptUntil {};
-    bool isFresh = true;
 };
 
 //! A backend server as one entry sees it. Requests under way hold it while the list changes.
@@ -60,10 +59,6 @@
     {
         return now < avoidUntil_;
     }
-    [[nodiscard]] unsigned inFlight() const
-    {
-        return inFlight_;
-    }
 
 private:
     friend class BackendPool;
--- a/src/gateway/cp_caller_connection.cpp
+++ b/src/gateway/cp_caller_connection.cpp
@@ -64,7 +64,6 @@
 
 asio::awaitable<bool> CallerConnection::write(std::string bytes)
 {
-    hasAnswered_ = true;
     stream_.expires_after(writeTimeout);
     const auto [error, written] = co_await asio::async_write(stream_, asio::buffer(bytes), asTuple);
     stream_.expires_never();
@@ -72,24 +71,6 @@
     co_return !isGone_;
 }
 
-asio::awaitable<bool> CallerConnection::writeChunk(std::string_view bytes)
-{
-    // An empty chunk would end the answer.
-    if (bytes.empty()) {
-        co_return !isGone_;
-    }
-    std::string chunk = fmt::format("{:x}\r\n", bytes.size());
-    chunk += bytes;
-    chunk += "\r\n";
-    co_return co_await write(std::move(chunk));
-}
-
-asio::awaitable<bool> CallerConnection::writeLastChunk()
-{
-    std::string last = "0\r\n\r\n";
-    co_return co_await write(std::move(last));
-}
-
 asio::awaitable<bool> CallerConnection::answer(OwnAnswer own)
 {
     const std::string body = fmt::format("{{\"error\":\"{}\"}}", own.reason);
--- a/src/gateway/cp_caller_connection.hpp
+++ b/src/gateway/cp_caller_connection.hpp
@@ -53,8 +53,6 @@
 
     //! Each gives false when the caller is gone.
     boost::asio::awaitable<bool> write(std::string bytes);
-    boost::asio::awaitable<bool> writeChunk(std::string_view bytes);
-    boost::asio::awaitable<bool> writeLastChunk();
     boost::asio::awaitable<bool> answer(OwnAnswer answer);
 
     //! After an answer that broke off, so that nobody takes it for whole.
@@ -71,14 +69,6 @@
     {
         return keepsOpen_ && !isGone_;
     }
-    [[nodiscard]] bool hasAnswered() const
-    {
-        return hasAnswered_;
-    }
-    void beginRequest()
-    {
-        hasAnswered_ = false;
-    }
 
 private:
     void armWatch();
@@ -90,7 +80,6 @@
     bool isArmed_ = false;
     bool isGone_ = false;
     bool keepsOpen_ = true;
-    bool hasAnswered_ = false;
 };
 
 } // namespace cardamompost
--- a/src/gateway/cp_entry_server.cpp
+++ b/src/gateway/cp_entry_server.cpp
@@ -170,7 +170,6 @@
     beast::flat_buffer &buffer = caller->buffer();
     while (caller->keepsOpen()) {
         const CallerBounds bounds = forwarder_.table() ? forwarder_.table()->bounds() : CallerBounds {};
-        caller->beginRequest();
         if (buffer.size() == 0) {
             stream.expires_after(bounds.idleTimeout);
             const auto [error, got] = co_await stream.async_read_some(buffer.prepare(firstReadBytes), asTuple);
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -11,6 +11,12 @@
 namespace cardamompost
 {
 
+//! Time of day in milliseconds, as the ledger's commands carry it.
+[[nodiscard]] inline std::int64_t ledgerTimeOfDayMs()
+{
+    return toMs(std::chrono::system_clock::now().time_since_epoch());
+}
+
 //! A ledger VM's answers to entries and to other ledger VMs, and on the leader the care for the group's members.
 //! Everything runs on the io_context's thread.
 class LedgerService : public IReplicatedState
--- a/src/gateway/cp_peer_clients.hpp
+++ b/src/gateway/cp_peer_clients.hpp
@@ -36,14 +36,6 @@
             found->second->reopen();
         }
     }
-    void closeAll()
-    {
-        for (const auto &[peer, client] : clients_) {
-            if (client) {
-                client->close();
-            }
-        }
-    }
 
 private:
     boost::asio::any_io_executor executor_;
