Take the tests' ports from below those of outgoing connections

Ruled out: a slow start or a lost race between processes: start() returns false only when an address can't be used.

--- a/tests/platform/cp_platform_path.tests.cpp
+++ b/tests/platform/cp_platform_path.tests.cpp
@@ -168,6 +168,20 @@
 
 BOOST_AUTO_TEST_SUITE(platform_path)
 
+// CI failed once: a process of this test could not listen on its port, though the port had been free a moment before.
+// The port was one of those that outgoing connections are given, and a connection of an earlier process took it.
+BOOST_AUTO_TEST_CASE(a_free_port_is_none_that_an_outgoing_connection_can_take)
+{
+    std::set<std::uint16_t> ports;
+    constexpr std::size_t many = 64;
+    for (std::size_t i = 0; i < many; ++i) {
+        ports.insert(freePort());
+    }
+    BOOST_TEST(ports.size() == many);
+    BOOST_TEST(*ports.begin() != 0);
+    BOOST_TEST(*ports.rbegin() < firstEphemeralPort());
+}
+
 // A plan review goes on through two entries while the VM that leads the ledger is killed in between: the next turn must
 // reach the engine with everything that was said before, and a turn that never was must be refused.
 BOOST_AUTO_TEST_CASE(a_history_outlives_the_ledgers_leader_and_is_found_through_any_entry)
--- a/tests/platform/gateway_soak.py
+++ b/tests/platform/gateway_soak.py
@@ -10,7 +10,7 @@
 repeated runs twice; what was refused as not run has not run; no program gets more than its budget and one turn; a turn that was
 answered whole is never unknown; the newest acknowledged document is read back; service is back once all faults are over.
 """
-import argparse, asyncio, json, os, random, resource, shutil, signal, sys, tempfile, time
+import argparse, asyncio, json, os, random, resource, shutil, signal, socket, sys, tempfile, time
 
 STRIDE, MOST, BUDGET = 10, 50, 400
 DOCUMENT = {"routes": [
@@ -174,6 +174,7 @@
         self.folder = tempfile.mkdtemp(prefix="gateway-soak-")
         self.backend, self.forwarders, self.ledgers, self.entries = Backend(random.Random(seed + 1)), [], [], []
         self.acked, self.counts, self.serial = 0, {}, 0
+        self.next_port = os.getpid() * 211
 
     def fail(self, text):
         self.broken.append(text)
@@ -184,7 +185,7 @@
 
     async def start(self):
         self.backend.address = await self.listen(self.backend.serve)
-        ports = [await self.free_port() for _ in range(3 * 3 + 2 * 3)]
+        ports = [self.free_port() for _ in range(3 * 3 + 2 * 3)]
         for i in range(3):
             self.forwarders.append(Forwarder(("127.0.0.1", ports[i])))
         self.peer_ports = [(await self.listen(forwarder.serve))[1] for forwarder in self.forwarders]
@@ -202,12 +203,18 @@
             await process.start()
         await self.put_document(1, 20)
 
-    async def free_port(self):
-        server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        server.close()
-        await server.wait_closed()
-        return port
+    def free_port(self):
+        # Not one that outgoing connections are given: another soak's connection could take it before its listener opens.
+        first = int(open("/proc/sys/net/ipv4/ip_local_port_range").read().split()[0])
+        while True:
+            self.next_port += 1
+            port = 10000 + self.next_port % (first - 10000)
+            with socket.socket() as probe:
+                try:
+                    probe.bind(("127.0.0.1", port))
+                    return port
+                except OSError:
+                    continue
 
     async def put_document(self, version, patience):
         until = time.monotonic() + patience
--- a/tests/support/cp_platform_stage.hpp
+++ b/tests/support/cp_platform_stage.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/cp_gateway.hpp"
 #include "platform/cp_platform_dialect.hpp"
+#include "support/cp_free_port.hpp"
 
 #include <cardamompost/net/cp_http_client.hpp>
 
@@ -17,14 +18,6 @@
 namespace cardamompost::tests
 {
 
-//! A port of the loopback that nobody listens on now.
-inline std::uint16_t freePort()
-{
-    boost::asio::io_context io;
-    boost::asio::ip::tcp::acceptor probe(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    return probe.local_endpoint().port();
-}
-
 inline Address local(std::uint16_t port)
 {
     return {"127.0.0.1", port};
