Send what may be repeated to another server once its answer is overdue

Ruled out: a silent connection (the server's other answers on kept connections came), places (22 servers at a third of their slots). Change: AnswerTime learns how long answers of a route take (RFC 6298's mean and deviation); a repeatable request whose answer is overdue goes to another server, within max-attempts and a retry budget (0.2 of first attempts), which now also bounds repeats after cut answers. Lost answers of streams that may run once are another matter.

--- a/include/cardamompost/limits/cp_retry_budget.hpp
+++ b/include/cardamompost/limits/cp_retry_budget.hpp
@@ -19,6 +19,7 @@
     //! Counts a first attempt.
     void onFirstAttempt();
 
+    [[nodiscard]] bool mayRetry() const;
     //! Takes one token if there is one. False: the caller answers with the attempt's own error.
     [[nodiscard]] bool tryRetry();
 
--- a/include/cardamompost/routing/cp_route_table.hpp
+++ b/include/cardamompost/routing/cp_route_table.hpp
@@ -25,6 +25,7 @@
     //! The route of the host with the longest prefix that begins the path; null when there is none.
     //! \param host  as in the request, with or without a port, in any case
     [[nodiscard]] const Route *find(std::string_view host, std::string_view path) const;
+    [[nodiscard]] bool hasRoute(std::string_view name) const;
     //! Null for a service that the document does not name.
     [[nodiscard]] const BackendService *service(std::string_view name) const;
     //! The service of a request; the same point always gives the same one.
--- a/src/cardamompost/limits/cp_retry_budget.cpp
+++ b/src/cardamompost/limits/cp_retry_budget.cpp
@@ -24,12 +24,17 @@
     tokens_ = std::min(burst_, tokens_ + retriesPerAttempt_);
 }
 
+bool RetryBudget::mayRetry() const
+{
+    return tokens_ >= retryCost;
+}
+
 bool RetryBudget::tryRetry()
 {
     // Guards against a retry storm: when every replica of a deployment answers late, each timeout would
     // start another attempt and the replicas never catch up. An empty bucket ends that, because retries
     // can then come no faster than callers bring new first attempts.
-    if (tokens_ < retryCost) {
+    if (!mayRetry()) {
         return false;
     }
     tokens_ -= retryCost;
--- a/src/cardamompost/routing/cp_route_table.cpp
+++ b/src/cardamompost/routing/cp_route_table.cpp
@@ -45,6 +45,12 @@
     return route == found->second.end() ? nullptr : *route;
 }
 
+bool RouteTable::hasRoute(std::string_view name) const
+{
+    return std::any_of(document_.routes.begin(), document_.routes.end(),
+                       [&](const Route &route) { return route.name == name; });
+}
+
 const BackendService *RouteTable::service(std::string_view name) const
 {
     const auto found = services_.find(name);
--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -96,18 +96,29 @@
     return request_.hasStarted ? ExchangeEnd::BrokeOff : ExchangeEnd::Unanswered;
 }
 
-asio::awaitable<ExchangeEnd> BackendExchange::run()
+asio::awaitable<ExchangeEnd> BackendExchange::run(std::optional<Milliseconds> patience)
 {
-    connection_->stream.expires_at(request_.deadline + deadlineSlack);
+    const TimePoint begun = timeNow();
+    const TimePoint deadline = request_.deadline + deadlineSlack;
+    // Guards against a server that ran the request and whose answer is lost: it shows as silence until the caller has
+    // given up. What may be repeated goes to another server in time.
+    connection_->stream.expires_at(patience ? std::min(deadline, begun + *patience) : deadline);
     const bool isSent = co_await send();
     if (!isSent) {
         request_.detail = "the request could not be written";
         co_return request_.caller->isGone() ? ExchangeEnd::CallerGone : ExchangeEnd::Unanswered;
     }
     const boost::system::error_code error = co_await readHead();
+    if (error == beast::error::timeout && timeNow() < request_.deadline && !request_.caller->isGone()) {
+        request_.detail = fmt::format("no answer within {} ms",
+                                      std::chrono::duration_cast<Milliseconds>(timeNow() - begun).count());
+        co_return ExchangeEnd::Silent;
+    }
     if (error) {
         co_return failed(error);
     }
+    answerTime_ = std::chrono::duration_cast<Milliseconds>(timeNow() - begun);
+    connection_->stream.expires_at(deadline);
     takeReport();
     if (isNotExecuted()) {
         std::string rest;
--- a/src/gateway/cp_backend_exchange.hpp
+++ b/src/gateway/cp_backend_exchange.hpp
@@ -23,7 +23,13 @@
     BackendExchange(Parts parts, ForwardedRequest &request, std::shared_ptr<BackendState> backend,
                     std::shared_ptr<BackendConnection> connection);
 
-    boost::asio::awaitable<ExchangeEnd> run();
+    //! \param patience  how long to wait for the head of an answer; nothing to wait until the request's deadline
+    boost::asio::awaitable<ExchangeEnd> run(std::optional<Milliseconds> patience);
+    //! From the sending to the head of the answer; nothing when there was none.
+    [[nodiscard]] std::optional<Milliseconds> answerTime() const
+    {
+        return answerTime_;
+    }
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
@@ -52,6 +58,7 @@
     std::shared_ptr<Outgoing> outgoing_;
     std::string head_;
     bool hadForeign_ = false;
+    std::optional<Milliseconds> answerTime_;
 };
 
 } // namespace cardamompost
--- a/src/gateway/cp_forwarded_request.hpp
+++ b/src/gateway/cp_forwarded_request.hpp
@@ -19,6 +19,8 @@
     NotRun,
     //! It was sent and not answered; it may have run.
     Unanswered,
+    //! As Unanswered, and given up on before the deadline, because answers usually come much sooner.
+    Silent,
     //! The answer had begun and broke off.
     BrokeOff,
     //! What was reserved for the turn was not confirmed.
@@ -31,9 +33,10 @@
 
 inline constexpr std::array exchangeEndNames {
     Named {ExchangeEnd::Answered, "answered"},      Named {ExchangeEnd::NotRun, "not-run"},
-    Named {ExchangeEnd::Unanswered, "unanswered"},  Named {ExchangeEnd::BrokeOff, "broke-off"},
-    Named {ExchangeEnd::NotGranted, "not-granted"}, Named {ExchangeEnd::NotDurable, "not-durable"},
-    Named {ExchangeEnd::CallerGone, "caller-gone"}, Named {ExchangeEnd::TimedOut, "timed-out"},
+    Named {ExchangeEnd::Unanswered, "unanswered"},  Named {ExchangeEnd::Silent, "silent"},
+    Named {ExchangeEnd::BrokeOff, "broke-off"},     Named {ExchangeEnd::NotGranted, "not-granted"},
+    Named {ExchangeEnd::NotDurable, "not-durable"}, Named {ExchangeEnd::CallerGone, "caller-gone"},
+    Named {ExchangeEnd::TimedOut, "timed-out"},
 };
 
 //! A caller's request on its way, from its arrival to its final answer.
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -28,6 +28,9 @@
 // Servers that may say that they did not run a request before its caller is told so.
 constexpr unsigned maxSends = 4;
 constexpr unsigned maxConnectFailures = 6;
+// Repeats for a route's first attempts, so that servers that fail together are not sent several times their load.
+constexpr double repeatsPerAttempt = 0.2;
+constexpr double repeatBurst = 20;
 constexpr std::uint32_t defaultRetentionMs = 60'000;
 
 TimePoint timeNow()
@@ -55,9 +58,27 @@
     return finish;
 }
 
+Forwarder::Repeats::Repeats()
+    : budget(repeatsPerAttempt, repeatBurst)
+{
+}
+
 Forwarder::Forwarder(Parts parts)
     : parts_(parts)
+    , silences_(parts.metrics.counter("cardamompost_answers_given_up_total"))
+{
+}
+
+void Forwarder::setTable(std::shared_ptr<const RouteTable> table)
 {
+    table_ = std::move(table);
+    std::erase_if(repeats_, [&](const auto &item) { return !table_->hasRoute(item.first); });
+}
+
+Forwarder::Repeats *Forwarder::repeatsOf(const ForwardedRequest &request)
+{
+    const bool isRepeatable = request.mayRepeat() && request.route->maxAttempts > 1;
+    return isRepeatable ? &repeats_[request.route->name] : nullptr;
 }
 
 asio::awaitable<void> Forwarder::forward(CallerRequest message, std::shared_ptr<CallerConnection> caller)
@@ -179,6 +200,9 @@
     const std::string &unit = request.facts.program.empty() ? request.facts.session : request.facts.program;
     unsigned connectFailures = 0;
     bool mayGoOn = true;
+    if (Repeats *repeats = repeatsOf(request)) {
+        repeats->budget.onFirstAttempt();
+    }
     while (mayGoOn) {
         if (request.caller->isGone()) {
             request.cause = "the caller left";
@@ -206,13 +230,37 @@
         request.lastBackend = id;
         BackendExchange exchange({parts_.io, parts_.dialect.headers(), parts_.pool, parts_.ledger}, request, backend,
                                  request.current);
-        const ExchangeEnd end = co_await exchange.run();
+        const std::optional<Milliseconds> patience = patienceFor(request);
+        const ExchangeEnd end = co_await exchange.run(patience);
         request.current.reset();
+        noteAnswer(request, end, exchange.answerTime());
         ++request.sends;
         mayGoOn = co_await goesOn(request, end, id);
     }
 }
 
+std::optional<Milliseconds> Forwarder::patienceFor(const ForwardedRequest &request)
+{
+    const Repeats *repeats = repeatsOf(request);
+    const bool mayGoElsewhere = repeats != nullptr && request.runs + 1 < request.route->maxAttempts
+        && repeats->budget.mayRetry() && !request.hasStarted;
+    if (!mayGoElsewhere) {
+        return std::nullopt;
+    }
+    return repeats->answers.patience(std::chrono::duration_cast<Milliseconds>(request.deadline - timeNow()));
+}
+
+void Forwarder::noteAnswer(const ForwardedRequest &request, ExchangeEnd end, std::optional<Milliseconds> time)
+{
+    Repeats *repeats = repeatsOf(request);
+    if (repeats != nullptr && time && end != ExchangeEnd::NotRun) {
+        repeats->answers.observe(*time);
+    }
+    if (end == ExchangeEnd::Silent) {
+        silences_.add();
+    }
+}
+
 asio::awaitable<bool> Forwarder::goesOn(ForwardedRequest &request, ExchangeEnd end, const std::string &backend)
 {
     request.cause = nameOf(exchangeEndNames, end);
@@ -233,11 +281,15 @@
         }
         break;
     case ExchangeEnd::Unanswered:
-    case ExchangeEnd::BrokeOff:
-        if (request.mayRepeat() && request.runs < request.route->maxAttempts && hasTime) {
+    case ExchangeEnd::Silent:
+    case ExchangeEnd::BrokeOff: {
+        Repeats *repeats = repeatsOf(request);
+        const bool isAllowed = repeats != nullptr && request.runs < request.route->maxAttempts && hasTime;
+        if (isAllowed && repeats->budget.tryRetry()) {
             co_return true;
         }
         break;
+    }
     case ExchangeEnd::TimedOut:
         final = {statusTimeout, "the time for the request is over", Milliseconds(0)};
         break;
--- a/src/gateway/cp_forwarder.hpp
+++ b/src/gateway/cp_forwarder.hpp
@@ -5,6 +5,9 @@
 #include "cp_forwarded_request.hpp"
 #include "cp_ledger_client.hpp"
 
+#include <cardamompost/limits/cp_retry_budget.hpp>
+#include <cardamompost/policy/cp_answer_time.hpp>
+
 namespace cardamompost
 {
 
@@ -27,10 +30,7 @@
     explicit Forwarder(Parts parts);
 
     //! Puts a document in force for the requests that follow.
-    void setTable(std::shared_ptr<const RouteTable> table)
-    {
-        table_ = std::move(table);
-    }
+    void setTable(std::shared_ptr<const RouteTable> table);
     [[nodiscard]] const std::shared_ptr<const RouteTable> &table() const
     {
         return table_;
@@ -44,19 +44,35 @@
     }
 
 private:
+    //! What is known of a route whose requests may be repeated.
+    struct Repeats {
+        Repeats();
+
+        AnswerTime answers;
+        RetryBudget budget;
+    };
+
+    //! Null when the request may run on one server only.
+    [[nodiscard]] Repeats *repeatsOf(const ForwardedRequest &request);
     boost::asio::awaitable<void> run(ForwardedRequest &request);
     [[nodiscard]] bool findRoute(ForwardedRequest &request);
     boost::asio::awaitable<bool> beginTurn(ForwardedRequest &request);
     boost::asio::awaitable<void> tryBackends(ForwardedRequest &request);
     boost::asio::awaitable<std::shared_ptr<BackendConnection>> connect(ForwardedRequest &request,
                                                                        std::shared_ptr<BackendState> backend);
+    //! How long the next server may be silent; nothing when the request can't go to another one.
+    [[nodiscard]] std::optional<Milliseconds> patienceFor(const ForwardedRequest &request);
+    void noteAnswer(const ForwardedRequest &request, ExchangeEnd end, std::optional<Milliseconds> time);
     boost::asio::awaitable<bool> goesOn(ForwardedRequest &request, ExchangeEnd end, const std::string &backend);
     void settle(ForwardedRequest &request);
     void logEnd(const ForwardedRequest &request);
 
     Parts parts_;
     std::shared_ptr<const RouteTable> table_;
+    //! By route.
+    std::unordered_map<std::string, Repeats> repeats_;
     std::size_t underWay_ = 0;
+    Counter &silences_;
 };
 
 } // namespace cardamompost
