Place turns at the ledger's leader: programs stay with their engine, new ones wait for a place

The engines' time for a turn is half reading, so a cold engine costs more than a crowded one. An entry's time-out for a begin starts anew with each reply; a waiting turn is asked again and keeps its place.

--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -23,6 +23,19 @@
     Term term = 0;
 };
 
+//! What decides at which engine a turn gets a place, and when. Not part of what is kept.
+struct PlacementWish {
+    //! Empty when the entry chooses by itself.
+    std::string service;
+    std::string failureDomain;
+    std::uint32_t rank = 0;
+    //! Until its program should be finished; below 0 when it is late.
+    std::int64_t programTimeLeftMs = 0;
+    std::uint32_t patienceMs = 0;
+    //! Servers that this entry could not reach a moment ago.
+    std::vector<std::string> unreachable;
+};
+
 //! Reserves the most that a turn may cost, and asks for the history that it continues.
 struct TurnBegin {
     //! The request's id, new for each attempt of a caller.
@@ -34,6 +47,7 @@
     //! Tokens that all turns of the program may generate; negative for a program without a budget.
     std::int64_t budget = -1;
     std::uint32_t retentionMs = 0;
+    PlacementWish wish {};
 };
 
 //! What became of a turn's begin.
@@ -47,6 +61,8 @@
     Spent,
     //! No such turn to continue, as a quorum knows.
     NoSuchTurn,
+    //! The engines' places are taken; Tentative follows once there is one.
+    Queued,
 };
 
 struct TurnBeginReply {
@@ -54,6 +70,8 @@
     VmName leader;
     //! Inputs and outputs of the turns that are continued, oldest first; only with Tentative.
     std::string history;
+    //! Id of the backend server with a place for it; empty when the entry has to choose. Only with Tentative.
+    std::string backend;
 };
 
 //! How a turn ended at the entry.
--- a/include/cardamompost/net/cp_peer_client.hpp
+++ b/include/cardamompost/net/cp_peer_client.hpp
@@ -38,6 +38,7 @@
     PeerClient(boost::asio::any_io_executor executor, Address address, std::shared_ptr<boost::asio::ssl::context> tls,
                PeerTraffic &traffic);
 
+    //! The time-out begins anew with each reply that is not the last.
     //! Errors to the handler: PeerLost (it may have been received), DeadlineExceeded.
     //! \returns the request's id, for cancel()
     std::uint64_t request(FrameBody body, Milliseconds timeout, ReplyHandler handler);
@@ -55,6 +56,7 @@
 private:
     struct Pending {
         ReplyHandler handler;
+        Milliseconds timeout;
         TimePoint deadline;
         TimePoint sentAt;
     };
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -216,12 +216,23 @@
   tokensAtMost @3 :Int64;
   budget @4 :Int64;
   retentionMs @5 :UInt32;
+  wish @6 :PlacementWish;
+}
+
+struct PlacementWish {
+  service @0 :Text;
+  failureDomain @1 :Text;
+  rank @2 :UInt32;
+  programTimeLeftMs @3 :Int64;
+  patienceMs @4 :UInt32;
+  unreachable @5 :List(Text);
 }
 
 struct TurnBeginReply {
   status @0 :UInt8;
   leader @1 :Text;
   history @2 :Data;
+  backend @3 :Text;
 }
 
 struct TurnFinish {
--- a/src/cardamompost/net/cp_frame_decoder.cpp
+++ b/src/cardamompost/net/cp_frame_decoder.cpp
@@ -141,8 +141,8 @@
         return decodeTurnBegin(in.getTurnBegin());
     case Body::TURN_BEGIN_REPLY: {
         const auto reply = in.getTurnBeginReply();
-        return TurnBeginReply {decodeEnum(reply.getStatus(), TurnBeginStatus::NoSuchTurn), fromText(reply.getLeader()),
-                               fromData(reply.getHistory())};
+        return TurnBeginReply {decodeEnum(reply.getStatus(), TurnBeginStatus::Queued), fromText(reply.getLeader()),
+                               fromData(reply.getHistory()), fromText(reply.getBackend())};
     }
     case Body::TURN_FINISH:
         return decodeTurnFinish(in.getTurnFinish());
--- a/src/cardamompost/net/cp_frame_encoder.cpp
+++ b/src/cardamompost/net/cp_frame_encoder.cpp
@@ -272,6 +272,7 @@
         message.setStatus(static_cast<std::uint8_t>(in.status));
         message.setLeader(toText(in.leader));
         message.setHistory(toData(in.history));
+        message.setBackend(toText(in.backend));
     }
 
     void operator()(const TurnFinish &in)
--- a/src/cardamompost/net/cp_ledger_schema.cpp
+++ b/src/cardamompost/net/cp_ledger_schema.cpp
@@ -3,6 +3,38 @@
 namespace cardamompost
 {
 
+namespace
+{
+
+void encodeWish(const PlacementWish &in, schema::PlacementWish::Builder out)
+{
+    out.setService(toText(in.service));
+    out.setFailureDomain(toText(in.failureDomain));
+    out.setRank(in.rank);
+    out.setProgramTimeLeftMs(in.programTimeLeftMs);
+    out.setPatienceMs(in.patienceMs);
+    auto unreachable = out.initUnreachable(static_cast<unsigned>(in.unreachable.size()));
+    for (unsigned i = 0; i < unreachable.size(); ++i) {
+        unreachable.set(i, toText(in.unreachable[i]));
+    }
+}
+
+PlacementWish decodeWish(schema::PlacementWish::Reader in)
+{
+    PlacementWish wish {fromText(in.getService()),
+                        fromText(in.getFailureDomain()),
+                        in.getRank(),
+                        in.getProgramTimeLeftMs(),
+                        in.getPatienceMs(),
+                        {}};
+    for (const auto server : in.getUnreachable()) {
+        wish.unreachable.push_back(fromText(server));
+    }
+    return wish;
+}
+
+} // namespace
+
 void encodeTurnBegin(const TurnBegin &in, schema::TurnBegin::Builder out)
 {
     out.setTurn(toText(in.turn));
@@ -11,12 +43,16 @@
     out.setTokensAtMost(in.tokensAtMost);
     out.setBudget(in.budget);
     out.setRetentionMs(in.retentionMs);
+    // What is kept in the log has no wish.
+    if (!in.wish.service.empty()) {
+        encodeWish(in.wish, out.initWish());
+    }
 }
 
 TurnBegin decodeTurnBegin(schema::TurnBegin::Reader in)
 {
     return {fromText(in.getTurn()), fromText(in.getProgram()), fromText(in.getPrevious()), in.getTokensAtMost(),
-            in.getBudget(),         in.getRetentionMs()};
+            in.getBudget(),         in.getRetentionMs(),       decodeWish(in.getWish())};
 }
 
 void encodeTurnFinish(const TurnFinish &in, schema::TurnFinish::Builder out)
--- a/src/cardamompost/net/cp_peer_client.cpp
+++ b/src/cardamompost/net/cp_peer_client.cpp
@@ -119,7 +119,7 @@
 {
     Frame frame {id, FrameKind::Request, static_cast<std::uint32_t>(timeout.count()), std::move(body)};
     const TimePoint now = std::chrono::steady_clock::now();
-    pending_.emplace(id, Pending {std::move(handler), now + timeout, now});
+    pending_.emplace(id, Pending {std::move(handler), timeout, now + timeout, now});
     scheduleCheck();
     if (connection_) {
         connection_->send(frame);
@@ -212,6 +212,8 @@
     const ReplyHandler handler = found->second.handler;
     if (isLast) {
         pending_.erase(found);
+    } else {
+        found->second.deadline = std::chrono::steady_clock::now() + found->second.timeout;
     }
     if (const auto *failure = std::get_if<FailureReply>(&frame.body)) {
         handler(failure->error, isLast);
--- a/src/gateway/cp_backend_pool.cpp
+++ b/src/gateway/cp_backend_pool.cpp
@@ -111,6 +111,28 @@
     return true;
 }
 
+std::shared_ptr<BackendState> BackendPool::find(const std::string &id, TimePoint now) const
+{
+    const auto found = byId_.find(id);
+    const bool isUsable = found != byId_.end() && !found->second->server_.isLeaving && !found->second->isAvoided(now);
+    return isUsable ? found->second : nullptr;
+}
+
+std::vector<std::string> BackendPool::avoided(std::string_view service, TimePoint now) const
+{
+    std::vector<std::string> ids;
+    const auto found = byService_.find(std::string(service));
+    if (found == byService_.end()) {
+        return ids;
+    }
+    for (const auto &backend : found->second) {
+        if (backend->isAvoided(now)) {
+            ids.push_back(backend->server_.id);
+        }
+    }
+    return ids;
+}
+
 std::shared_ptr<BackendState> BackendPool::pick(const PickRequest &request, TimePoint now)
 {
     const auto found = byService_.find(std::string(request.service));
--- a/src/gateway/cp_backend_pool.hpp
+++ b/src/gateway/cp_backend_pool.hpp
@@ -114,6 +114,14 @@
     {
         return version_;
     }
+    //! The server with an id, if it may take requests now; null otherwise.
+    [[nodiscard]] std::shared_ptr<BackendState> find(const std::string &id, TimePoint now) const;
+    //! Ids of a service's servers that are avoided now.
+    [[nodiscard]] std::vector<std::string> avoided(std::string_view service, TimePoint now) const;
+    [[nodiscard]] const std::string &failureDomain() const
+    {
+        return failureDomain_;
+    }
     //! Null when no server can take the request.
     [[nodiscard]] std::shared_ptr<BackendState> pick(const PickRequest &request, TimePoint now);
 
--- a/src/gateway/cp_forwarded_request.hpp
+++ b/src/gateway/cp_forwarded_request.hpp
@@ -66,6 +66,9 @@
     unsigned runs = 0;
     std::shared_ptr<BackendConnection> current;
     std::string lastBackend;
+    //! Until the ledger's leader had a place for the turn.
+    Milliseconds waited {0};
+    bool isPlacedByLeader = false;
     unsigned status = 0;
     std::string_view cause;
     std::string detail;
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -138,6 +138,40 @@
     }
 }
 
+PlacementWish Forwarder::wishOf(const ForwardedRequest &request) const
+{
+    const TimePoint now = timeNow();
+    PlacementWish wish;
+    wish.service = request.service->name;
+    wish.failureDomain = parts_.pool.failureDomain();
+    wish.rank = request.route->rank;
+    wish.programTimeLeftMs = request.facts.programTimeLeft.value_or(Milliseconds(0)).count();
+    wish.patienceMs = static_cast<std::uint32_t>(
+        std::max<std::int64_t>(0, std::chrono::duration_cast<Milliseconds>(request.deadline - now).count()));
+    wish.unreachable = parts_.pool.avoided(request.service->name, now);
+    return wish;
+}
+
+std::shared_ptr<BackendState> Forwarder::choose(ForwardedRequest &request)
+{
+    const TimePoint now = timeNow();
+    if (now >= request.deadline) {
+        return nullptr;
+    }
+    // The ledger's leader sees the turns of all entries; an entry chooses by itself only where that is of no use.
+    if (request.begin && request.tried.empty()) {
+        if (auto placed = parts_.pool.find(request.begin->backend(), now)) {
+            request.isPlacedByLeader = true;
+            return placed;
+        }
+    }
+    const bool isSticky = request.route->isSticky && request.service->isEngine;
+    const std::string &unit = request.facts.program.empty() ? request.facts.session : request.facts.program;
+    const PickRequest wanted {request.service->name, isSticky && !unit.empty() ? stableHash(unit) | 1U : 0,
+                              request.tried};
+    return parts_.pool.pick(wanted, now);
+}
+
 asio::awaitable<bool> Forwarder::beginTurn(ForwardedRequest &request)
 {
     if (!request.isTurn()) {
@@ -150,8 +184,12 @@
     begin.tokensAtMost = request.facts.tokensOutAtMost;
     begin.budget = request.facts.budget;
     begin.retentionMs = request.finish(TurnEnding::NotRun).retentionMs;
+    if (request.service->isEngine) {
+        begin.wish = wishOf(request);
+    }
     request.begin = parts_.ledger.begin(std::move(begin), std::min(request.deadline, request.arrived + beginPatience));
     co_await request.begin->untilTentative();
+    request.waited = std::chrono::duration_cast<Milliseconds>(timeNow() - request.arrived);
     if (request.begin->isTentative()) {
         co_return true;
     }
@@ -196,8 +234,6 @@
 
 asio::awaitable<void> Forwarder::tryBackends(ForwardedRequest &request)
 {
-    const bool isSticky = request.route->isSticky && request.service->isEngine;
-    const std::string &unit = request.facts.program.empty() ? request.facts.session : request.facts.program;
     unsigned connectFailures = 0;
     bool mayGoOn = true;
     if (Repeats *repeats = repeatsOf(request)) {
@@ -208,10 +244,7 @@
             request.cause = "the caller left";
             co_return;
         }
-        PickRequest wanted {request.service->name, isSticky && !unit.empty() ? stableHash(unit) | 1U : 0,
-                            request.tried};
-        const std::shared_ptr<BackendState> backend
-            = timeNow() < request.deadline ? parts_.pool.pick(wanted, timeNow()) : nullptr;
+        const std::shared_ptr<BackendState> backend = choose(request);
         if (!backend) {
             request.sends = maxSends;
             mayGoOn = co_await goesOn(request, ExchangeEnd::NotRun, {});
@@ -342,6 +375,10 @@
         line["route"] = request.route->name;
         line["program"] = request.facts.program;
         line["backend"] = request.lastBackend;
+        if (request.begin) {
+            line["placed_by"] = request.isPlacedByLeader ? "leader" : "entry";
+            line["waited_ms"] = request.waited.count();
+        }
         line["sends"] = request.sends;
         line["runs"] = request.runs;
         line["list"] = fmt::format("{}.{}", parts_.pool.version().term, parts_.pool.version().sequence);
--- a/src/gateway/cp_forwarder.hpp
+++ b/src/gateway/cp_forwarder.hpp
@@ -56,6 +56,9 @@
     [[nodiscard]] Repeats *repeatsOf(const ForwardedRequest &request);
     boost::asio::awaitable<void> run(ForwardedRequest &request);
     [[nodiscard]] bool findRoute(ForwardedRequest &request);
+    [[nodiscard]] PlacementWish wishOf(const ForwardedRequest &request) const;
+    //! The next server to send to; null when there is none, or no time.
+    [[nodiscard]] std::shared_ptr<BackendState> choose(ForwardedRequest &request);
     boost::asio::awaitable<bool> beginTurn(ForwardedRequest &request);
     boost::asio::awaitable<void> tryBackends(ForwardedRequest &request);
     boost::asio::awaitable<std::shared_ptr<BackendConnection>> connect(ForwardedRequest &request,
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -166,6 +166,12 @@
 {
     PendingBegin &pending = *attempt->pending;
     TurnBeginReply *answer = reply ? std::get_if<TurnBeginReply>(&reply.value()) : nullptr;
+    if (answer == nullptr && attempt->isQueued && !pending.isTentative_) {
+        // It was heard from, and the wait for a place is longer than the time-out: ask again; its place is kept.
+        attempt->isQueued = false;
+        sendBegin(attempt);
+        return;
+    }
     if (answer == nullptr) {
         loseLeader(peer, reply ? "an unexpected reply" : reply.error().message);
         resendLater(attempt);
@@ -174,10 +180,12 @@
     if (answer->status == TurnBeginStatus::Tentative) {
         pending.isTentative_ = true;
         pending.history_ = std::move(answer->history);
+        pending.backend_ = std::move(answer->backend);
         pending.signal();
         return;
     }
     if (!isLast) {
+        attempt->isQueued = answer->status == TurnBeginStatus::Queued;
         return;
     }
     if (answer->status == TurnBeginStatus::NotLeader) {
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -47,6 +47,11 @@
     {
         return history_;
     }
+    //! The backend server that has a place for the turn; empty when the entry has to choose. Once isTentative().
+    [[nodiscard]] const std::string &backend() const
+    {
+        return backend_;
+    }
     boost::asio::awaitable<void> untilTentative();
     boost::asio::awaitable<void> untilFinal();
 
@@ -59,6 +64,7 @@
     bool isFinal_ = false;
     TurnBeginStatus status_ = TurnBeginStatus::NotLeader;
     std::string history_;
+    std::string backend_;
 };
 
 //! An entry's way to the ledger: finds the leader, tries again elsewhere, and takes the news.
@@ -105,6 +111,8 @@
         TurnBegin begin;
         TimePoint until;
         std::shared_ptr<PendingBegin> pending;
+        //! The leader has said that the turn waits for a place.
+        bool isQueued = false;
     };
 
     void sendBegin(const std::shared_ptr<BeginTry> &attempt);
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -14,6 +14,8 @@
 // What a member that catches up may have on its way bounds the leader's memory on small VMs.
 constexpr std::size_t maxAppendBytes = 256U << 10U;
 constexpr std::size_t maxAppendsInFlight = 16;
+// As long as an entry leaves out a server that it could not reach.
+constexpr Milliseconds avoidFor {1000};
 constexpr LogIndex foundingIndex = 1;
 constexpr Term foundingTerm = 1;
 
@@ -24,6 +26,8 @@
     , self_(parts.settings.peer.toString())
     , driver_({parts.io, parts.disk, parts.peers, parts.log, parts.metrics}, *this)
     , joinTimer_(parts.io)
+    , placement_(randomIdentity())
+    , placeSeconds_(parts.metrics.histogram("cardamompost_turn_place_seconds"))
 {
 }
 
@@ -106,7 +110,7 @@
 void LedgerService::onBegin(TurnBegin begin, const Replier &replier)
 {
     if (!leads()) {
-        replier->reply(TurnBeginReply {TurnBeginStatus::NotLeader, driver_.leader(), {}});
+        replier->reply(TurnBeginReply {TurnBeginStatus::NotLeader, driver_.leader(), {}, {}});
         return;
     }
     const auto pending = pendingTokens_.find(begin.program);
@@ -120,12 +124,55 @@
         refuse(begin, status, false, replier);
         return;
     }
-    TurnBeginReply tentative {TurnBeginStatus::Tentative, self_, {}};
-    if (!begin.previous.empty()) {
-        tentative.history = state_.history(begin.previous);
+    const auto begun = std::make_shared<Begin>(
+        Begin {std::move(begin), replier, std::chrono::steady_clock::now(), false, std::nullopt});
+    placeBegin(begun);
+    if (!begun->isPlaced) {
+        replier->reply(TurnBeginReply {TurnBeginStatus::Queued, self_, {}, {}}, false);
+    }
+    commitBegin(begun);
+}
+
+void LedgerService::placeBegin(const std::shared_ptr<Begin> &begun)
+{
+    const TurnBegin &begin = begun->begin;
+    const PlacementWish &wish = begin.wish;
+    const TimePoint now = std::chrono::steady_clock::now();
+    for (const std::string &server : wish.unreachable) {
+        placement_.avoid(server, now + avoidFor);
+    }
+    TurnToPlace turn {begin.turn, begin.program, wish.service, wish.failureDomain,
+                      wish.rank,  false,         false,        Milliseconds(wish.patienceMs)};
+    turn.isUnderWay
+        = !begin.previous.empty() || state_.spent(begin.program) != 0 || state_.reserved(begin.program) != 0;
+    turn.isLate = wish.programTimeLeftMs < 0;
+    placement_.request(std::move(turn), now, [this, begun](const std::string &backend) { onPlaced(*begun, backend); });
+}
+
+void LedgerService::onPlaced(Begin &begun, const std::string &backend)
+{
+    begun.isPlaced = true;
+    placeSeconds_.observe(std::chrono::duration<double>(std::chrono::steady_clock::now() - begun.since).count());
+    TurnBeginReply tentative {TurnBeginStatus::Tentative, self_, {}, backend};
+    if (!begun.begin.previous.empty()) {
+        tentative.history = state_.history(begun.begin.previous);
+    }
+    begun.replier->reply(std::move(tentative), false);
+    if (begun.decided) {
+        onDecided(begun, *begun.decided);
+    }
+}
+
+void LedgerService::onDecided(Begin &begun, TurnBeginStatus status)
+{
+    begun.decided = status;
+    // What is granted waits for its place; what is refused is told at once.
+    if (begun.isPlaced || status != TurnBeginStatus::Granted) {
+        begun.replier->reply(TurnBeginReply {status, driver_.leader(), {}, {}});
+    }
+    if (status != TurnBeginStatus::Granted) {
+        placement_.release(begun.begin.turn, std::chrono::steady_clock::now());
     }
-    replier->reply(std::move(tentative), false);
-    commitBegin(begin, replier);
 }
 
 void LedgerService::refuse(const TurnBegin &begin, TurnBeginStatus status, bool isConfirmed, const Replier &replier)
@@ -141,7 +188,7 @@
                      {"reserved", state_.reserved(begin.program)},
                      {"asked", begin.tokensAtMost},
                      {"term", driver_.node().term()}});
-    replier->reply(TurnBeginReply {status, driver_.leader(), {}});
+    replier->reply(TurnBeginReply {status, driver_.leader(), {}, {}});
 }
 
 void LedgerService::confirmNoSuchTurn(const TurnBegin &begin, const Replier &replier)
@@ -155,17 +202,23 @@
     });
 }
 
-void LedgerService::commitBegin(const TurnBegin &begin, const Replier &replier)
+void LedgerService::commitBegin(const std::shared_ptr<Begin> &begun)
 {
-    pendingTokens_[begin.program] += begin.tokensAtMost;
-    propose({ledgerTimeOfDayMs(), begin}, [this, begin, replier](bool isCommitted) {
-        const auto pending = pendingTokens_.find(begin.program);
-        pending->second -= begin.tokensAtMost;
+    if (state_.isReserved(begun->begin.program, begun->begin.turn)) {
+        // Asked again, as while it waits for a place: what is applied here is on a quorum's disks already.
+        onDecided(*begun, TurnBeginStatus::Granted);
+        return;
+    }
+    pendingTokens_[begun->begin.program] += begun->begin.tokensAtMost;
+    TurnBegin kept = begun->begin;
+    kept.wish = {};
+    propose({ledgerTimeOfDayMs(), std::move(kept)}, [this, begun](bool isCommitted) {
+        const auto pending = pendingTokens_.find(begun->begin.program);
+        pending->second -= begun->begin.tokensAtMost;
         if (pending->second == 0) {
             pendingTokens_.erase(pending);
         }
-        const TurnBeginStatus status = isCommitted ? lastApplied_ : TurnBeginStatus::NotLeader;
-        replier->reply(TurnBeginReply {status, driver_.leader(), {}});
+        onDecided(*begun, isCommitted ? lastApplied_ : TurnBeginStatus::NotLeader);
     });
 }
 
@@ -175,6 +228,7 @@
         replier->reply(TurnFinishReply {false, driver_.leader()});
         return;
     }
+    placement_.release(finish.turn, std::chrono::steady_clock::now());
     propose({ledgerTimeOfDayMs(), std::move(finish)}, [this, replier](bool isCommitted) {
         replier->reply(TurnFinishReply {isCommitted, driver_.leader()});
     });
@@ -248,6 +302,7 @@
     }
     const std::uint64_t sequence = backends_.version.term == term ? backends_.version.sequence + 1 : 1;
     backends_ = {{term, sequence}, std::move(servers)};
+    placement_.setServers(backends_.servers, listReadAt_);
     std::size_t leaving = 0;
     for (const BackendServer &server : backends_.servers) {
         leaving += server.isLeaving ? 1 : 0;
@@ -291,6 +346,11 @@
         leadingSince_ = std::chrono::steady_clock::now();
         backends_ = {};
     }
+    if (isLeader != wasLeader_) {
+        placement_.clear();
+    } else if (isLeader) {
+        placement_.tick(std::chrono::steady_clock::now());
+    }
     if (isLeader != wasLeader_ || driver_.leader() != loggedLeader_) {
         wasLeader_ = isLeader;
         logRole();
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -7,6 +7,7 @@
 #include <cardamompost/ledger/cp_ledger_state.hpp>
 #include <cardamompost/ledger/cp_member_planner.hpp>
 #include <cardamompost/net/cp_peer_server.hpp>
+#include <cardamompost/policy/cp_turn_placement.hpp>
 
 namespace cardamompost
 {
@@ -93,6 +94,15 @@
     void onChange() override;
 
 private:
+    //! A turn's begin on its way: it needs a place at an engine, and its reservation on a quorum's disks.
+    struct Begin {
+        TurnBegin begin;
+        Replier replier;
+        TimePoint since {};
+        bool isPlaced = false;
+        //! What the quorum decided; nothing yet.
+        std::optional<TurnBeginStatus> decided;
+    };
     struct NewsWaiter {
         NewsRequest request;
         Replier replier;
@@ -106,7 +116,10 @@
     void propose(LedgerCommand command, ConsensusDriver::Committed done);
     void refuse(const TurnBegin &begin, TurnBeginStatus status, bool isConfirmed, const Replier &replier);
     void confirmNoSuchTurn(const TurnBegin &begin, const Replier &replier);
-    void commitBegin(const TurnBegin &begin, const Replier &replier);
+    void placeBegin(const std::shared_ptr<Begin> &begun);
+    void onPlaced(Begin &begun, const std::string &backend);
+    void commitBegin(const std::shared_ptr<Begin> &begun);
+    void onDecided(Begin &begun, TurnBeginStatus status);
     [[nodiscard]] bool hasNews(const NewsRequest &request) const;
     void replyNews(const NewsRequest &request, const Replier &replier);
     void answerWaiters(bool all);
@@ -127,6 +140,8 @@
     std::size_t nextAsked_ = 0;
     VmName leaderHint_;
     std::unordered_map<std::string, std::int64_t> pendingTokens_;
+    TurnPlacement placement_;
+    Histogram &placeSeconds_;
     TurnBeginStatus lastApplied_ = TurnBeginStatus::Granted;
     std::unordered_map<VmName, TimePoint> lastJoin_;
     std::vector<NewsWaiter> waiters_;
