--- a/src/cardamompost/net/cp_peer_client.cpp
+++ b/src/cardamompost/net/cp_peer_client.cpp
@@ -26,7 +26,7 @@
 constexpr Milliseconds silentAtLeast {300};
 // Shorter than the time after which a lost opening packet is sent again: a VM that is back is found by a new
 // connection.
-constexpr Milliseconds connectTimeout {350};
+constexpr Milliseconds connectTimeout {200};
 // Messages without a reply that wait for a connection; more are dropped, as they are when there is none.
 constexpr std::size_t maxWaitingMessages = 64;
 
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -21,7 +21,7 @@
 constexpr Milliseconds connectTimeout {400};
 constexpr Milliseconds avoidFor {1000};
 // Longest wait for the ledger before a turn is refused; an election of a new leader fits in.
-constexpr Milliseconds beginPatience {1600};
+constexpr Milliseconds beginPatience {1750};
 constexpr Milliseconds settleTimeout {6000};
 constexpr Milliseconds comeBackSoon {250};
 constexpr Milliseconds comeBackLater {500};
--- a/src/gateway/cp_gateway_settings.cpp
+++ b/src/gateway/cp_gateway_settings.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::int64_t maxLosses = 4;
 constexpr std::int64_t defaultGraceMs = 8000;
-constexpr std::int64_t defaultLifetimeMs = 1000;
+constexpr std::int64_t defaultLifetimeMs = 300;
 constexpr std::int64_t defaultListIntervalMs = 800;
 constexpr std::int64_t maxTimeMs = 600'000;
 constexpr std::int64_t maxPort = 65'535;
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -9,7 +9,7 @@
 {
 
 constexpr Milliseconds electionTimeout {300};
-constexpr Milliseconds firstElectionTimeout {120};
+constexpr Milliseconds firstElectionTimeout {60};
 constexpr Milliseconds heartbeatInterval {100};
 // What a member that catches up may have on its way bounds the leader's memory on small VMs.
 constexpr std::size_t maxAppendBytes = 256U << 10U;
