Keep to a few near servers of a service, and leave out those that lose requests

Each of 67 entries kept connections to all servers, used each every five seconds, and each kept connection to a server that had gone without a word took one request and lost it. Change: an entry keeps to six servers of a service, those of its own failure domain first, while the least loaded has under 0.35 of its slots taken; a server that loses a request has its kept connections dropped, and after two in a row is left out for 1 s, a third of a service's servers at most.

--- a/src/gateway/cp_backend_pool.cpp
+++ b/src/gateway/cp_backend_pool.cpp
@@ -27,6 +27,11 @@
 // A sticky request leaves its server once that is loaded to this share of its slots.
 constexpr double stickyLoadLimit = 0.8;
 constexpr std::size_t sampledServers = 3;
+// An entry keeps to so many servers of a service while they have places. Few servers mean connections that are in use
+// again before their servers drop them.
+constexpr std::size_t preferredServers = 6;
+// The share of its slots from which on a preferred server counts as busy.
+constexpr double preferredLoadLimit = 0.35;
 constexpr std::size_t maxKeptPerServer = 16;
 // Closed by us well before a server does: a request that crosses the server's close may or may not have run.
 constexpr Milliseconds keepAtMost {20'000};
@@ -52,6 +57,12 @@
     setOption(stream, IPPROTO_TCP, TCP_KEEPCNT, probes);
 }
 
+// Requests that a server loses one after the other before it is left out.
+constexpr unsigned lostUntilLeftOut = 2;
+constexpr Milliseconds leaveOutFor {1000};
+// The share of a service's servers that may be left out for lost requests at once.
+constexpr double mostLeftOut = 0.34;
+
 bool looksAlive(BackendConnection &connection)
 {
     // A kept connection has nothing to read; an end or a byte there belongs to nobody's request.
@@ -74,8 +85,9 @@
     reportedAt_ = now;
 }
 
-BackendPool::BackendPool(std::string failureDomain, MetricRegistry &metrics)
-    : failureDomain_(std::move(failureDomain))
+BackendPool::BackendPool(std::string vm, std::string failureDomain, MetricRegistry &metrics)
+    : vm_(std::move(vm))
+    , failureDomain_(std::move(failureDomain))
     , random_(randomIdentity())
     , connects_(metrics.counter("cardamompost_backend_connects_total"))
     , reused_(metrics.counter("cardamompost_backend_reused_total"))
@@ -108,9 +120,24 @@
         }
     }
     byId_ = std::move(byId);
+    for (auto &[service, servers] : byService_) {
+        sortByPreference(servers);
+    }
     return true;
 }
 
+void BackendPool::sortByPreference(std::vector<std::shared_ptr<BackendState>> &servers) const
+{
+    // Those of the own failure domain first, and then in an order of the entry's own, so that the entries' choices
+    // overlap evenly and a server that comes or goes changes few of them.
+    const auto order = [&](const std::shared_ptr<BackendState> &backend) {
+        return std::pair(backend->server_.failureDomain != failureDomain_,
+                         stableHash(vm_, stableHash(backend->server_.id)));
+    };
+    std::sort(servers.begin(), servers.end(),
+              [&](const auto &left, const auto &right) { return order(left) < order(right); });
+}
+
 std::shared_ptr<BackendState> BackendPool::find(const std::string &id, TimePoint now) const
 {
     const auto found = byId_.find(id);
@@ -177,9 +204,22 @@
         ->second;
 }
 
+std::shared_ptr<BackendState> BackendPool::pickPreferred(const std::vector<std::shared_ptr<BackendState>> &usable,
+                                                         TimePoint now) const
+{
+    const auto share = [&](const auto &backend) { return backend->load(now) / backend->server().slots; };
+    const auto end = usable.begin() + static_cast<std::ptrdiff_t>(std::min(preferredServers, usable.size()));
+    const auto least = std::min_element(
+        usable.begin(), end, [&](const auto &left, const auto &right) { return share(left) < share(right); });
+    return least != end && share(*least) < preferredLoadLimit ? *least : nullptr;
+}
+
 std::shared_ptr<BackendState> BackendPool::pickLeastLoaded(const std::vector<std::shared_ptr<BackendState>> &usable,
                                                            TimePoint now)
 {
+    if (auto preferred = pickPreferred(usable, now)) {
+        return preferred;
+    }
     // Guards against a herd: all entries see the same server as the idlest for as long as its report is old, so each
     // compares a few that it draws by lot.
     const auto cost = [&](const BackendState &backend) {
@@ -244,6 +284,25 @@
     backend.idle_.push_back(std::move(connection));
 }
 
+void BackendPool::noteLost(BackendState &backend, TimePoint now)
+{
+    // Guards against a server that went down or dropped its idle connections without a word: each kept connection to it
+    // would take a request and lose it, one after the other; and one that fails at once looks idle and draws more.
+    backend.idle_.clear();
+    ++backend.lostInARow_;
+    const auto service = byService_.find(backend.server_.service);
+    if (backend.lostInARow_ < lostUntilLeftOut || service == byService_.end()) {
+        return;
+    }
+    const auto leftOut = std::count_if(service->second.begin(), service->second.end(),
+                                       [&](const auto &other) { return other->isAvoided(now); });
+    // Guards against overload of the rest: servers that lose a few answers each still do most of the work.
+    const auto most = static_cast<double>(service->second.size()) * mostLeftOut;
+    if (static_cast<double>(leftOut) < most) {
+        backend.avoid(now + leaveOutFor);
+    }
+}
+
 void BackendPool::closeIdle(TimePoint now)
 {
     for (const auto &[id, backend] : byId_) {
--- a/src/gateway/cp_backend_pool.hpp
+++ b/src/gateway/cp_backend_pool.hpp
@@ -55,6 +55,11 @@
     {
         avoidUntil_ = until;
     }
+    //! It answered a request.
+    void noteAnswer()
+    {
+        lostInARow_ = 0;
+    }
     [[nodiscard]] bool isAvoided(TimePoint now) const
     {
         return now < avoidUntil_;
@@ -69,6 +74,7 @@
     double othersAtReport_ = 0;
     TimePoint reportedAt_ {};
     TimePoint avoidUntil_ {};
+    unsigned lostInARow_ = 0;
     std::vector<std::shared_ptr<BackendConnection>> idle_;
 };
 
@@ -105,7 +111,8 @@
 class BackendPool
 {
 public:
-    BackendPool(std::string failureDomain, MetricRegistry &metrics);
+    //! \param vm  the entry's name; each entry prefers other servers
+    BackendPool(std::string vm, std::string failureDomain, MetricRegistry &metrics);
 
     //! Takes a list unless a newer one is known. Servers that are leaving or gone get nothing new.
     //! \returns true when it was newer
@@ -132,6 +139,9 @@
                                                                                Milliseconds timeout);
     //! Keeps a connection for the next request.
     void keep(BackendState &backend, std::shared_ptr<BackendConnection> connection, TimePoint now);
+    //! A server took a request and did not answer. Its kept connections are used no more; when it happens again before
+    //! any answer, others are chosen for a while, unless too many servers of the service are left out already.
+    void noteLost(BackendState &backend, TimePoint now);
     //! Closes what has been idle for too long.
     void closeIdle(TimePoint now);
 
@@ -140,10 +150,16 @@
                                                            std::uint64_t point, TimePoint now) const;
     [[nodiscard]] std::shared_ptr<BackendState>
     pickLeastLoaded(const std::vector<std::shared_ptr<BackendState>> &usable, TimePoint now);
+    //! Null when all that this entry prefers have much to do.
+    [[nodiscard]] std::shared_ptr<BackendState> pickPreferred(const std::vector<std::shared_ptr<BackendState>> &usable,
+                                                              TimePoint now) const;
+    void sortByPreference(std::vector<std::shared_ptr<BackendState>> &servers) const;
 
+    std::string vm_;
     std::string failureDomain_;
     BackendListVersion version_;
     std::map<std::string, std::shared_ptr<BackendState>> byId_;
+    //! Each in this entry's order of preference.
     std::unordered_map<std::string, std::vector<std::shared_ptr<BackendState>>> byService_;
     std::mt19937_64 random_;
     Counter &connects_;
--- a/src/gateway/cp_entry_server.cpp
+++ b/src/gateway/cp_entry_server.cpp
@@ -57,7 +57,7 @@
 EntryServer::EntryServer(Parts parts)
     : parts_(parts)
     , ledger_({parts.io, parts.settings, parts.peers, parts.log, parts.metrics})
-    , pool_(parts.settings.failureDomain, parts.metrics)
+    , pool_(parts.settings.vm, parts.settings.failureDomain, parts.metrics)
     , forwarder_({parts.io, parts.dialect, pool_, ledger_, parts.log, parts.metrics})
     , ready_(
           parts.io.get_executor(), HttpLimits {},
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -267,6 +267,11 @@
         const ExchangeEnd end = co_await exchange.run(patience);
         request.current.reset();
         noteAnswer(request, end, exchange.answerTime());
+        if (end == ExchangeEnd::Unanswered) {
+            parts_.pool.noteLost(*backend, timeNow());
+        } else if (exchange.answerTime()) {
+            backend->noteAnswer();
+        }
         ++request.sends;
         mayGoOn = co_await goesOn(request, end, id);
     }
