--- a/tests/platform/cp_platform_faults.tests.cpp
+++ b/tests/platform/cp_platform_faults.tests.cpp
@@ -114,4 +114,121 @@
     BOOST_TEST(system.stage.runsOf("m2") == 1U);
 }
 
+// All VMs lose their power at once, and one comes back without its disk. Officers go on where they were, and a loop
+// that had spent its budget before is still stopped.
+BOOST_AUTO_TEST_CASE(histories_and_budgets_outlive_a_loss_of_all_power_with_one_disk_gone)
+{
+    System system;
+    system.putDocument(3);
+    const Address entry = system.addEntry(system.seeds());
+    BOOST_TEST(system.turn(entry, "p1", {}, 60).status == 200U);
+    BOOST_TEST(system.turn(entry, "p2", "p1", 60).status == 402U);
+    system.killLedgers();
+    system.restartLedger(0);
+    system.restartLedger(1);
+    system.restartLedger(2, false);
+    const auto turnUntilServed = [&](const std::string &id, const std::string &previous, int budget) {
+        unsigned status = 0;
+        int tries = 0;
+        BOOST_TEST(System::eventually([&] {
+            status = system.turn(entry, id + std::to_string(++tries), previous, budget).status;
+            return status != 503;
+        }));
+        return status;
+    };
+    BOOST_TEST(turnUntilServed("loop", "p1", 60) == 402U);
+    BOOST_TEST(turnUntilServed("unknown", "nobody", 1000) == 404U);
+    BOOST_TEST(system.turn(entry, "p3", "p1", 1000).status == 200U);
+    BOOST_TEST(system.stage.bodyOf("p3") == "in-p1;a-p1\nb-p1\nin-p3;");
+    BOOST_TEST(
+        system.stage.call(system.ledgers[system.putDocument(3)].control, "GET", "/cardamompost/configuration").body
+        == document(3));
+}
+
+// The VM that acknowledged a turn last loses its disk right after, and then one of the others goes too, once the first
+// is back: two disks in a row, never two at once.
+BOOST_AUTO_TEST_CASE(a_second_disk_may_go_once_the_first_one_is_made_good)
+{
+    System system;
+    const std::size_t leader = system.putDocument(3);
+    const Address entry = system.addEntry(system.seeds());
+    BOOST_TEST(system.turn(entry, "w1", {}).status == 200U);
+    const auto isServed = [&](const std::string &id, const std::string &previous) {
+        return System::eventually([&] { return system.turn(entry, id, previous).status == 200; });
+    };
+    const std::size_t other = (leader + 1) % system.ledgers.size();
+    for (const std::size_t lost : {leader, other}) {
+        system.restartLedger(lost, false);
+        const std::string order = "/cardamompost/retire/nobody";
+        // It is made good once it can be asked as a member: a leader's 404, or its way to the leader.
+        BOOST_TEST(System::eventually([&] {
+            const unsigned status = system.stage.call(system.ledgers[lost].control, "GET", order).status;
+            return status == 404 || status == 307;
+        }));
+        BOOST_TEST(isServed("w2-" + std::to_string(lost), "w1"));
+    }
+    BOOST_TEST(system.stage.bodyOf("w2-" + std::to_string(other))
+               == "in-w1;a-w1\nb-w1\nin-w2-" + std::to_string(other) + ";");
+}
+
+// A server ends and its address is given to one of another service. The list is behind; what is sent there must not
+// run.
+BOOST_AUTO_TEST_CASE(a_request_never_runs_at_a_server_that_took_over_an_address)
+{
+    System system;
+    system.putDocument(3);
+    const Address entry = system.addEntry(system.seeds());
+    system.stage.reuseFirstAddress();
+    for (int i = 0; i < 12; ++i) {
+        const std::string id = "u" + std::to_string(i);
+        const HttpResponse answer = system.stage.call(entry, "POST", "/tools/x", System::headers(id), "work");
+        BOOST_TEST(answer.status == 200U);
+        BOOST_TEST(system.stage.runsOf(id) == 1U);
+        BOOST_TEST(system.stage.lastServerOf(id) == "i-2");
+    }
+}
+
+// A faulty server answers a second time. On a kept connection that answer would go to whoever comes next.
+BOOST_AUTO_TEST_CASE(a_second_answer_reaches_nobody)
+{
+    System system;
+    system.putDocument(3);
+    const Address entry = system.addEntry(system.seeds());
+    for (int i = 0; i < 8; ++i) {
+        const std::string id = "v" + std::to_string(i);
+        const std::string path = i % 2 == 0 ? "/tools/twice" : "/tools/x";
+        const HttpResponse answer = system.stage.call(entry, "POST", path, System::headers(id), "work");
+        BOOST_TEST(answer.status == 200U);
+        BOOST_TEST(answer.header("Server-Signature") == "sig-" + id);
+        BOOST_TEST(answer.body == "id: 1\ndata: a-" + id + "\n\nid: 2\ndata: b-" + id + "\n\n");
+    }
+}
+
+// A caller hides a second request in the body of its first. Passed on as bytes of another length, it would run with
+// nobody's leave.
+BOOST_AUTO_TEST_CASE(a_request_inside_a_body_stays_a_body)
+{
+    System system;
+    system.putDocument(3);
+    const Address entry = system.addEntry(system.seeds());
+    const std::string hidden
+        = "POST /tools/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: hidden\r\nContent-Length: 0\r\n\r\n";
+    BOOST_TEST(system.stage.call(entry, "POST", "/tools/x", System::headers("x1"), hidden).status == 200U);
+    BOOST_TEST(system.stage.bodyOf("x1") == hidden);
+    BOOST_TEST(system.stage.runsOf("hidden") == 0U);
+}
+
+// An officer closes the page while a plan is written. The engine goes on for nobody unless its connection is closed.
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_ends_the_work_of_its_engine)
+{
+    System system;
+    system.putDocument(3);
+    const Address entry = system.addEntry(system.seeds());
+    HttpHeaders headers = System::headers("y1");
+    headers["Token-Usage"] = "100,50";
+    const HttpResponse none = system.stage.begin(entry, "POST", "/drafts/slow", headers, "in", Milliseconds(200)).get();
+    BOOST_TEST(none.status == 0U);
+    BOOST_TEST(System::eventually([&] { return system.stage.wasLeft("y1"); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/cp_platform_stage.hpp
+++ b/tests/support/cp_platform_stage.hpp
@@ -15,6 +15,7 @@
 #include <csignal>
 #include <future>
 #include <mutex>
+#include <set>
 #include <thread>
 
 namespace cardamompost::tests
@@ -76,7 +77,8 @@
 
 //! The platform's side, small: two backend servers, one of which is also the list, and calls as clients and operators
 //! make them. What a server does follows from the path: "lost" loses the answer of work that was done, "silent-once"
-//! runs it without an answer the first time, "cut-once" breaks its stream within an event, "slow" takes its time.
+//! runs it without an answer the first time, "twice" answers a second time, "cut-once" breaks its stream within an
+//! event, "slow" takes its time.
 class PlatformStage
 {
 public:
@@ -106,7 +108,8 @@
 
     //! Begins a call; its whole answer comes later, with status 0 when there was none.
     std::future<HttpResponse> begin(const Address &address, std::string method, std::string target,
-                                    HttpHeaders headers = {}, std::string body = {})
+                                    HttpHeaders headers = {}, std::string body = {},
+                                    Milliseconds patience = Milliseconds(5000))
     {
         HttpCall call;
         call.address = address;
@@ -114,7 +117,7 @@
         call.target = std::move(target);
         call.headers = std::move(headers);
         call.body = std::move(body);
-        call.timeout = Milliseconds(5000);
+        call.timeout = patience;
         call.reuseConnection = false;
         auto run = [this, call = std::move(call)]() -> boost::asio::awaitable<HttpResponse> {
             const Result<HttpResponse> answer = co_await client_.request(call);
@@ -148,6 +151,18 @@
         const std::lock_guard lock(mutex_);
         return runs_[id].empty() ? std::string() : "i-" + std::to_string(runs_[id].back() + 1);
     }
+    //! Whether a stream ended because nobody took it any more.
+    bool wasLeft(const std::string &id)
+    {
+        const std::lock_guard lock(mutex_);
+        return left_.contains(id);
+    }
+    //! From now on another server has the first one's address, as after its end.
+    void reuseFirstAddress()
+    {
+        const std::lock_guard lock(mutex_);
+        isReused_ = true;
+    }
     int arrivals()
     {
         const std::lock_guard lock(mutex_);
@@ -180,6 +195,13 @@
         runs_[id].push_back(server);
         return runs_[id].size() - 1;
     }
+    //! Whether a request that names an instance is at the right one.
+    bool isMeant(std::size_t server, const std::string &expected)
+    {
+        const std::lock_guard lock(mutex_);
+        const std::string own = server == 0 && isReused_ ? "i-9" : "i-" + std::to_string(server + 1);
+        return expected == own;
+    }
     static std::string event(int number, const std::string &text)
     {
         return "id: " + std::to_string(number) + "\ndata: " + text + "\n\n";
@@ -192,6 +214,13 @@
             co_return;
         }
         const std::string id(request.header("Request-Id"));
+        if (!isMeant(server, std::string(request.header("Expected-Instance")))) {
+            HttpResponse misdirected;
+            misdirected.status = 421;
+            misdirected.headers["Request-Id"] = id;
+            co_await responder.respond(std::move(misdirected));
+            co_return;
+        }
         const std::size_t before = note(server, id, request.body);
         const auto has = [&](std::string_view word) { return request.path.find(word) != std::string::npos; };
         if (has("silent-once") && before == 0) {
@@ -209,7 +238,12 @@
         if (has("/slow")) {
             for (int i = 1; i <= slowEvents; ++i) {
                 co_await sleepFor(slowPause);
-                co_await responder.write(event(i, "s"));
+                const bool isTaken = co_await responder.write(event(i, "s"));
+                if (!isTaken) {
+                    const std::lock_guard lock(mutex_);
+                    left_.insert(id);
+                    co_return;
+                }
             }
             co_await responder.end({});
             co_return;
@@ -224,6 +258,13 @@
         }
         co_await responder.write(event(2, "b-" + id));
         co_await responder.end({});
+        if (has("/twice")) {
+            HttpResponse second;
+            second.headers["Request-Id"] = id;
+            second.headers["Server-Signature"] = "sig-" + id;
+            second.body = "a second answer";
+            co_await responder.respond(std::move(second));
+        }
     }
 
     const std::array<std::uint16_t, serverCount> ports {freePort(), freePort()};
@@ -233,6 +274,8 @@
     std::mutex mutex_;
     std::map<std::string, std::string> bodies_;
     std::map<std::string, std::vector<std::size_t>> runs_;
+    std::set<std::string> left_;
+    bool isReused_ = false;
     int arrivals_ = 0;
     std::thread thread_;
 };
--- a/tests/support/cp_platform_system.hpp
+++ b/tests/support/cp_platform_system.hpp
@@ -124,6 +124,26 @@
         BOOST_REQUIRE(entries.back()->isStarted());
         return entrySettings.back();
     }
+    //! Ends all ledger VMs at once, as a loss of power does.
+    void killLedgers()
+    {
+        running.clear();
+    }
+    //! Starts a ledger VM again; all of them, after killLedgers(), in order.
+    void restartLedger(std::size_t number, bool keepsDisk = true)
+    {
+        GatewaySettings &settings = ledgers[number];
+        settings.isFirstStart = false;
+        if (!keepsDisk) {
+            std::filesystem::remove_all(settings.dataFolder);
+        }
+        if (running.size() <= number) {
+            running.resize(number + 1);
+        }
+        running[number].reset();
+        running[number] = std::make_unique<GatewayThread>(settings);
+        BOOST_REQUIRE(running[number]->isStarted());
+    }
     [[nodiscard]] unsigned readiness(std::size_t entry)
     {
         return stage.call(entrySettings[entry].ready, "GET", "/cardamompost/readiness").status;
