--- a/src/cardamompost/observe/cp_log_explainer.cpp
+++ b/src/cardamompost/observe/cp_log_explainer.cpp
@@ -22,10 +22,10 @@
 constexpr std::int64_t afterMs = 1500;
 
 //! Events that change what a process believes, whichever request it serves.
-constexpr std::array<std::string_view, 14> beliefs {
+constexpr std::array<std::string_view, 15> beliefs {
     "ledger.lost",      "ledger.found",   "ledger.leader", "members.change",    "process.start",
     "process.stopping", "list.lost",      "list.regained", "document.in_force", "entry.readiness",
-    "disk.failed",      "ledger.started", "log.dropped",   "backend.left_out",
+    "disk.failed",      "ledger.started", "log.dropped",   "backend.left_out",  "process.stalled",
 };
 
 std::int64_t parseTime(const std::string &text)
@@ -121,6 +121,17 @@
         number(refusal, "asked"));
 }
 
+//! What to add to the cause when the request's VM stood still around its end; empty otherwise.
+std::string stallOf(const std::string &vm, const std::vector<ExplainedLine> &surroundings)
+{
+    for (const ExplainedLine &line : surroundings) {
+        if (line.event == "process.stalled" && line.vm == vm) {
+            return fmt::format("; '{}' had stood still for {} ms", vm, number(parseLine(line.text), "ms"));
+        }
+    }
+    return {};
+}
+
 bool isBelief(const std::string &event)
 {
     return std::find(beliefs.begin(), beliefs.end(), event) != beliefs.end();
@@ -192,6 +203,7 @@
         result.missing = "the ledger VMs' logs, which have what was spent";
     }
     result.cause = refusal.empty() || number(end, "status") != spentStatus ? causeOfEnd(end) : causeOfRefusal(refusal);
+    result.cause += stallOf(text(end, "vm"), result.surroundings);
     return result;
 }
 
--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 
 #include <csignal>
+#include <ctime>
 
 namespace cardamompost
 {
@@ -24,6 +25,16 @@
 constexpr Milliseconds graceMargin {600};
 constexpr Milliseconds handOverTime {300};
 constexpr Milliseconds flushInterval {200};
+// A process that was not run for so long explains requests that nobody answered meanwhile.
+constexpr Milliseconds stallAtLeast {800};
+
+//! Counts on while the VM is suspended, which the steady clock does not.
+std::chrono::nanoseconds timeSinceBoot()
+{
+    timespec time {};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
 
 } // namespace
 
@@ -117,8 +128,19 @@
     });
 }
 
+void Gateway::noteStall()
+{
+    const std::chrono::nanoseconds awake = timeSinceBoot();
+    const auto gap = std::chrono::duration_cast<Milliseconds>(awake - lastAwake_);
+    if (lastAwake_.count() != 0 && gap > flushInterval + stallAtLeast) {
+        log_.warn("process.stalled", {{"ms", gap.count()}});
+    }
+    lastAwake_ = awake;
+}
+
 void Gateway::keepFlushing()
 {
+    noteStall();
     log_.flush();
     flushTimer_.expires_after(flushInterval);
     flushTimer_.async_wait([this](const boost::system::error_code &error) {
--- a/src/gateway/cp_gateway.hpp
+++ b/src/gateway/cp_gateway.hpp
@@ -39,6 +39,8 @@
     Result<void> startLedger();
     void waitForSignal();
     void keepFlushing();
+    //! Says so when this process, or its VM, stood still since it was last called.
+    void noteStall();
     void onSignal(int signal);
     void reloadSettings();
     void drain();
@@ -64,6 +66,7 @@
     std::unique_ptr<ListReader> listReader_;
     std::unique_ptr<EntryServer> entry_;
     bool isDraining_ = false;
+    std::chrono::nanoseconds lastAwake_ {0};
 };
 
 } // namespace cardamompost
--- a/tools/logging_share.py
+++ b/tests/platform/logging_share.py
@@ -6,7 +6,7 @@
 """
 import argparse, asyncio, os, sys, time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "tests", "platform"))
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from gateway_soak import Soak, call
 
 
--- a/tools/capacity.sh
+++ b/tools/capacity.sh
@@ -1,9 +1,12 @@
 #!/usr/bin/env bash
 # Measures what a node costs against the sizes that it grows with, on this machine with small stand-ins, and writes
 # docs/results/capacity.tsv (series, x, value), the fits in docs/results/capacity-fits.md and the plots beside them.
-# tools/capacity.sh [OUTPUT_FOLDER]; about five minutes.
+# tools/capacity.sh [OUTPUT_FOLDER]; about six minutes. tools/capacity.sh --changes measures the changes of the document only, and
+# puts their rows in place of the old ones.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+part=all
+[ "${1:-}" != --changes ] || { part=changes; shift; }
 out=${1:-docs/results}
 build=build
 cmake -S . -B $build -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache -DCARDAMOMPOST_TESTS=ON >/dev/null
@@ -61,6 +64,42 @@
     row change_in_force_everywhere_seconds "$1" "$(calc "$total / 5")"
 }
 
+changes() { # nodes: what a change of the document costs beyond idleness
+    local leader count=60 cpu0 cpu1 lead0 lead1 bytes0 bytes1 t0 t1 idleCpu idleLead idleBytes
+    leader=$(leader_number)
+    sleep 1
+    # A window of idleness, then one of changes, with the same readings.
+    for window in idle changes; do
+        cpu0=$(sum_metric "$1" cardamompost_process_cpu_seconds)
+        bytes0=$(sum_metric "$1" cardamompost_peer_bytes_sent)
+        lead0=$(metric "$leader" cardamompost_process_cpu_seconds)
+        t0=$(now)
+        if [ $window = idle ]; then
+            sleep 6
+        else
+            for ((i = 1; i <= count; ++i)); do
+                sed "s/rank = 5/rank = $((20 + i % 50))/" "$work/document.ini" >"$work/changed.ini"
+                $build/cardamompost config submit "$work/changed.ini" --key duty-key >/dev/null
+                sleep 0.1
+            done
+        fi
+        t1=$(now)
+        cpu1=$(sum_metric "$1" cardamompost_process_cpu_seconds)
+        bytes1=$(sum_metric "$1" cardamompost_peer_bytes_sent)
+        lead1=$(metric "$leader" cardamompost_process_cpu_seconds)
+        if [ $window = idle ]; then
+            idleCpu=$(calc "($cpu1 - $cpu0 - $lead1 + $lead0) / ($t1 - $t0)")
+            idleLead=$(calc "($lead1 - $lead0) / ($t1 - $t0)")
+            idleBytes=$(calc "($bytes1 - $bytes0) / ($t1 - $t0)")
+        fi
+    done
+    local span
+    span=$(calc "$t1 - $t0")
+    row change_cpu_ms_a_node "$1" "$(calc "1000 * ($cpu1 - $cpu0 - $lead1 + $lead0 - $idleCpu * $span) / ($1 - 1) / $count")"
+    row change_cpu_ms_leader "$1" "$(calc "1000 * ($lead1 - $lead0 - $idleLead * $span) / $count")"
+    row change_bytes_a_node "$1" "$(calc "2 * ($bytes1 - $bytes0 - $idleBytes * $span) / $1 / $count")"
+}
+
 create_programs() { # count text-bytes
     local body='{"deployment":"stow-agents","class":"plan-session"}'
     seq "$1" | xargs -P 8 -I{} curl -s -o /dev/null -H 'Authorization: Bearer officer-key' -H 'Idempotency-Key: capacity-{}' -d "$body" \
@@ -88,10 +127,17 @@
 
 for nodes in 3 9 27 81; do
     start_system $nodes 3 1024 3
-    idle $nodes
-    spread $nodes
+    [ $part = changes ] || idle $nodes
+    [ $part = changes ] || spread $nodes
+    changes $nodes
     stop_system
 done
+if [ $part = changes ]; then
+    grep -v '^change_\(cpu\|bytes\)' "$out/capacity.tsv" >>"$rows"
+    cp "$rows" "$out/capacity.tsv"
+    python3 tools/scripts/fit.py "$out/capacity.tsv" "$out" >"$out/capacity-fits.md"
+    exit 0
+fi
 
 for programs in 0 2000 6000; do
     start_system 9 3 256 3
--- a/tools/scripts/capacity_page.py
+++ b/tools/scripts/capacity_page.py
@@ -13,6 +13,7 @@
 PROGRAMS = 43000
 CALLS_PER_SECOND = 4500
 TOKENS_PER_SECOND = 1.1e6
+CHANGES_A_DAY = 11000
 TODAY_NODES = 9
 TODAY_CALLS = 30
 TODAY_TOKENS = 900
@@ -60,6 +61,14 @@
         ("callers' data: processor of a node, % of a core", node_data_cpu(TODAY_NODES, TODAY_CALLS, TODAY_TOKENS), node_data_cpu(NODES, CALLS_PER_SECOND, TOKENS_PER_SECOND), "none given", f"{call_cpu:.3g} ms a call and {token_cpu:.3g} ms a token, summed over all nodes"),
         ("callers' data: bytes a second between nodes, of a node", (TODAY_CALLS * call_bytes + TODAY_TOKENS * token_bytes) / TODAY_NODES, (CALLS_PER_SECOND * call_bytes + TOKENS_PER_SECOND * token_bytes) / NODES, "none given", f"{call_bytes:.0f} bytes a call, {token_bytes:.0f} a token"),
     ]
+    per_second = CHANGES_A_DAY / 86400
+    change_cpu = max(y for _, y in series["change_cpu_ms_a_node"])
+    change_bytes = max(y for _, y in series["change_bytes_a_node"])
+    rows += [
+        ("11,000 changes a day: processor of a node, % of a core", per_second * change_cpu / 10, per_second * change_cpu / 10, "3.6 with the above", f"{change_cpu:.3g} ms a change, the largest of 3 to 81 nodes"),
+        ("11,000 changes a day: bytes a second of a node", per_second * change_bytes, per_second * change_bytes, "3,000 with the above", f"{change_bytes:.0f} bytes a change, the largest of 3 to 81 nodes; sent and received"),
+        ("11,000 changes a day: processor of the leader, % of a core", per_second * at(series, "change_cpu_ms_leader", TODAY_NODES) / 10, per_second * at(series, "change_cpu_ms_leader", NODES) / 10, "set aside", "line over 3 to 81 nodes"),
+    ]
     lines = ["| what | 9 nodes | 350 nodes | limit | from |", "|---|---|---|---|---|"]
     for name, today, later, limit, source in rows:
         lines.append(f"| {name} | {today:.3g} | {later:.3g} | {limit} | {source} |")
