--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -4,7 +4,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/json/monotonic_resource.hpp>
 
 namespace cardamompost
 {
@@ -32,8 +31,6 @@
 // Repeats for a route's first attempts, so that servers that fail together are not sent several times their load.
 constexpr double repeatsPerAttempt = 0.2;
 constexpr double repeatBurst = 20;
-constexpr std::size_t logLineBytes = 4096;
-constexpr std::size_t logLineFields = 20;
 constexpr std::uint32_t defaultRetentionMs = 60'000;
 
 TimePoint timeNow()
@@ -41,16 +38,6 @@
     return std::chrono::steady_clock::now();
 }
 
-//! What is known of whether a request ran, for the metrics.
-std::string_view outcomeOf(const ForwardedRequest &request)
-{
-    const bool isAnswered = request.cause == nameOf(exchangeEndNames, ExchangeEnd::Answered);
-    if (isAnswered) {
-        return "ran";
-    }
-    return request.runs == 0 ? "not-run" : "unknown";
-}
-
 } // namespace
 
 TurnFinish ForwardedRequest::finish(TurnEnding ending)
@@ -78,6 +65,7 @@
 
 Forwarder::Forwarder(Parts parts)
     : parts_(parts)
+    , report_({parts.pool, parts.ledger, parts.log, parts.metrics})
     , silences_(parts.metrics.counter("cardamompost_answers_given_up_total"))
     , lost_(parts.metrics.counter("cardamompost_backend_lost_total"))
     , repeated_(parts.metrics.counter("cardamompost_requests_repeated_total"))
@@ -112,7 +100,7 @@
     co_await run(request);
     request.caller->watch({});
     --underWay_;
-    logEnd(request);
+    report_.end(request);
 }
 
 bool Forwarder::findRoute(ForwardedRequest &request)
@@ -392,44 +380,4 @@
     asio::co_spawn(parts_.io, work(parts_.ledger, request.finish(ending)), asio::detached);
 }
 
-void Forwarder::logEnd(const ForwardedRequest &request)
-{
-    const auto time = timeNow() - request.arrived;
-    const auto ms = std::chrono::duration_cast<Milliseconds>(time).count();
-    const std::string work = request.route == nullptr ? std::string("none") : request.route->name;
-    const std::string kind(request.route == nullptr ? "none" : nameOf(routeKindNames, request.route->kind));
-    const MetricLabels labels {{"class", work}, {"kind", kind}, {"outcome", std::string(outcomeOf(request))}};
-    parts_.metrics.counter("cardamompost_requests_total", {{"class", work}, {"status", std::to_string(request.status)}})
-        .add();
-    parts_.metrics.histogram("cardamompost_request_seconds", labels)
-        .observe(std::chrono::duration<double>(time).count());
-    // In one block on the stack: a line of each request has some sixteen fields.
-    std::array<unsigned char, logLineBytes> space;
-    boost::json::monotonic_resource memory(space.data(), space.size());
-    boost::json::object line(&memory);
-    line.reserve(logLineFields);
-    line["id"] = request.facts.id;
-    line["status"] = request.status;
-    line["cause"] = request.cause;
-    line["ms"] = ms;
-    line["document"] = request.table ? request.table->version() : 0;
-    if (request.route != nullptr) {
-        line["route"] = request.route->name;
-        line["program"] = request.facts.program;
-        line["backend"] = request.lastBackend;
-        if (request.begin) {
-            line["placed_by"] = request.isPlacedByLeader ? "leader" : "entry";
-            line["waited_ms"] = request.waited.count();
-        }
-        line["sends"] = request.sends;
-        line["runs"] = request.runs;
-        line["list"] = fmt::format("{}.{}", parts_.pool.version().term, parts_.pool.version().sequence);
-        line["news_age_ms"] = parts_.ledger.newsAge().count();
-    }
-    if (!request.detail.empty()) {
-        line["detail"] = request.detail;
-    }
-    parts_.log.info("request.end", std::move(line));
-}
-
 } // namespace cardamompost
--- a/src/gateway/cp_forwarder.hpp
+++ b/src/gateway/cp_forwarder.hpp
@@ -4,6 +4,7 @@
 #include "cp_backend_pool.hpp"
 #include "cp_forwarded_request.hpp"
 #include "cp_ledger_client.hpp"
+#include "cp_request_report.hpp"
 
 #include <cardamompost/limits/cp_retry_budget.hpp>
 #include <cardamompost/policy/cp_answer_time.hpp>
@@ -69,9 +70,9 @@
     void noteAnswer(const ForwardedRequest &request, ExchangeEnd end, std::optional<Milliseconds> time);
     boost::asio::awaitable<bool> goesOn(ForwardedRequest &request, ExchangeEnd end, const std::string &backend);
     void settle(ForwardedRequest &request);
-    void logEnd(const ForwardedRequest &request);
 
     Parts parts_;
+    RequestReport report_;
     std::shared_ptr<const RouteTable> table_;
     //! By route.
     std::unordered_map<std::string, Repeats> repeats_;
--- /dev/null
+++ b/src/gateway/cp_request_report.cpp
@@ -0,0 +1,67 @@
+#include "cp_request_report.hpp"
+
+#include <boost/json/monotonic_resource.hpp>
+#include <fmt/format.h>
+
+namespace cardamompost
+{
+
+namespace
+{
+
+constexpr std::size_t logLineBytes = 4096;
+constexpr std::size_t logLineFields = 20;
+
+//! What is known of whether a request ran, for the metrics.
+std::string_view outcomeOf(const ForwardedRequest &request)
+{
+    const bool isAnswered = request.cause == nameOf(exchangeEndNames, ExchangeEnd::Answered);
+    if (isAnswered) {
+        return "ran";
+    }
+    return request.runs == 0 ? "not-run" : "unknown";
+}
+
+} // namespace
+
+void RequestReport::end(const ForwardedRequest &request) const
+{
+    const auto time = std::chrono::steady_clock::now() - request.arrived;
+    const auto ms = std::chrono::duration_cast<Milliseconds>(time).count();
+    const std::string work = request.route == nullptr ? std::string("none") : request.route->name;
+    const std::string kind(request.route == nullptr ? "none" : nameOf(routeKindNames, request.route->kind));
+    const MetricLabels labels {{"class", work}, {"kind", kind}, {"outcome", std::string(outcomeOf(request))}};
+    parts_.metrics.counter("cardamompost_requests_total", {{"class", work}, {"status", std::to_string(request.status)}})
+        .add();
+    parts_.metrics.histogram("cardamompost_request_seconds", labels)
+        .observe(std::chrono::duration<double>(time).count());
+    // In one block on the stack: a line of each request has some sixteen fields.
+    std::array<unsigned char, logLineBytes> space;
+    boost::json::monotonic_resource memory(space.data(), space.size());
+    boost::json::object line(&memory);
+    line.reserve(logLineFields);
+    line["id"] = request.facts.id;
+    line["status"] = request.status;
+    line["cause"] = request.cause;
+    line["ms"] = ms;
+    line["document"] = request.table ? request.table->version() : 0;
+    if (request.route != nullptr) {
+        line["route"] = request.route->name;
+        line["program"] = request.facts.program;
+        line["backend"] = request.lastBackend;
+        if (request.begin) {
+            line["placed_by"] = request.isPlacedByLeader ? "leader" : "entry";
+            line["waited_ms"] = request.waited.count();
+        }
+        line["sends"] = request.sends;
+        line["runs"] = request.runs;
+        line["list"] = fmt::format("{}.{}", parts_.pool.version().term, parts_.pool.version().sequence);
+        line["news_age_ms"] = parts_.ledger.newsAge().count();
+    }
+    if (!request.detail.empty()) {
+        line["detail"] = request.detail;
+    }
+    parts_.log.info("request.end", std::move(line));
+}
+
+} // namespace cardamompost
