--- a/include/cardamompost/observe/cp_event_log.hpp
+++ b/include/cardamompost/observe/cp_event_log.hpp
@@ -35,18 +35,18 @@
 
     //! Writes out what waits for standard output; to be called a few times a second where "-" is the file.
     void flush();
-    void write(LogLevel level, std::string_view event, boost::json::object fields = {});
-    void info(std::string_view event, boost::json::object fields = {})
+    void write(LogLevel level, std::string_view event, const boost::json::object &fields = {});
+    void info(std::string_view event, const boost::json::object &fields = {})
     {
-        write(LogLevel::Info, event, std::move(fields));
+        write(LogLevel::Info, event, fields);
     }
-    void warn(std::string_view event, boost::json::object fields = {})
+    void warn(std::string_view event, const boost::json::object &fields = {})
     {
-        write(LogLevel::Warning, event, std::move(fields));
+        write(LogLevel::Warning, event, fields);
     }
-    void debug(std::string_view event, boost::json::object fields = {})
+    void debug(std::string_view event, const boost::json::object &fields = {})
     {
-        write(LogLevel::Debug, event, std::move(fields));
+        write(LogLevel::Debug, event, fields);
     }
 
 private:
--- a/include/cardamompost/policy/cp_turn_placement.hpp
+++ b/include/cardamompost/policy/cp_turn_placement.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 
 namespace cardamompost
@@ -84,7 +85,10 @@
         unsigned rank = 0;
         std::uint64_t sequence = 0;
 
-        friend auto operator<=>(const Order &, const Order &) = default;
+        friend bool operator<(const Order &left, const Order &right)
+        {
+            return std::tie(left.group, left.rank, left.sequence) < std::tie(right.group, right.rank, right.sequence);
+        }
     };
     struct Waiting {
         TurnToPlace turn;
--- a/src/cardamompost/observe/cp_event_log.cpp
+++ b/src/cardamompost/observe/cp_event_log.cpp
@@ -147,7 +147,7 @@
     logger_->flush();
 }
 
-void EventLog::write(LogLevel level, std::string_view event, boost::json::object fields)
+void EventLog::write(LogLevel level, std::string_view event, const boost::json::object &fields)
 {
     if (!logger_->should_log(toSpdlog(level))) {
         return;
--- a/src/cardamompost/policy/cp_turn_placement.cpp
+++ b/src/cardamompost/policy/cp_turn_placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 #include <vector>
 
 namespace cardamompost
@@ -160,7 +161,8 @@
     const unsigned group = turn.isLate ? groupLate : turn.isUnderWay ? groupUnderWay : groupNew;
     const Order order {group, turn.rank, nextSequence_++};
     places_.emplace(turn.turn, std::pair(turn.service, order));
-    queues_[turn.service].emplace(order, Waiting {std::move(turn), now, std::move(placed)});
+    Queue &queue = queues_[turn.service];
+    queue.emplace(order, Waiting {std::move(turn), now, std::move(placed)});
     serveQueues(now);
 }
 
--- a/src/gateway/cp_request_report.cpp
+++ b/src/gateway/cp_request_report.cpp
@@ -61,7 +61,7 @@
     if (!request.detail.empty()) {
         line["detail"] = request.detail;
     }
-    parts_.log.info("request.end", std::move(line));
+    parts_.log.info("request.end", line);
 }
 
 } // namespace cardamompost
