--- /dev/null
+++ b/tests/platform/gateway_cost.py
@@ -0,0 +1,67 @@
+#!/usr/bin/env python3
+"""What the gateway costs: processor time of a plain call and of a turn at an entry and at the ledger VMs, time that a turn adds.
+
+usage: gateway_cost.py [--build FOLDER] [--turns N]
+Three ledger VMs and two entries on loopback, one caller at a time; disks as this machine has them. Prints figures, judges nothing.
+"""
+import argparse, asyncio, os, statistics, sys, time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from gateway_soak import Soak, call
+from logging_share import processor_seconds
+
+
+async def timed(address, path, headers):
+    """Milliseconds until the first byte of the answer's body."""
+    reader, writer = await asyncio.open_connection(*address)
+    lines = [f"POST {path} HTTP/1.1", "Connection: close", "Content-Length: 4"] + [f"{k}: {v}" for k, v in headers.items()]
+    begun = time.perf_counter()
+    writer.write("\r\n".join(lines + ["", ""]).encode() + b"work")
+    await reader.readuntil(b"\r\n\r\n")
+    await reader.read(1)
+    taken = 1000 * (time.perf_counter() - begun)
+    # Until its end, which the stand-in marks by the last chunk and the entry by closing.
+    while (more := await asyncio.wait_for(reader.read(65536), 5)) and not more.endswith(b"0\r\n\r\n"):
+        pass
+    writer.close()
+    return taken
+
+
+def turn_headers(name):
+    return {"Host": "h.example", "Request-Id": name, "Program": name, "Session": "s", "Token-Usage": "100,50", "Token-Budget": 1000,
+            "Deadline-Milliseconds": 4000}
+
+
+async def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--turns", type=int, default=1000)
+    arguments = parser.parse_args()
+    soak = Soak(arguments.build, 1, False)
+    soak.backend.random.random = lambda: 0.5
+    try:
+        await soak.start()
+        front, processes = soak.fronts[0], [soak.entries[0]] + soak.ledgers
+        until = time.monotonic() + 10
+        while time.monotonic() < until and (await call(front, "POST", "/tools/x", {"Host": "h.example"}))[0] != 200:
+            await asyncio.sleep(0.1)
+        idle = [processor_seconds(process) for process in processes]
+        await asyncio.sleep(5)
+        idle = [(processor_seconds(process) - start) / 5 for process, start in zip(processes, idle)]
+        for name, path in (("plain call", "/tools/x"), ("turn", "/plans/x")):
+            before, begun, added = [processor_seconds(process) for process in processes], time.monotonic(), []
+            for number in range(arguments.turns):
+                direct = await timed(soak.backend.address, path, {"Host": "h", "Request-Id": f"d{name}{number}"})
+                added.append(await timed(front, path, turn_headers(f"{name[0]}{number}")) - direct)
+            span = time.monotonic() - begun
+            used = [1000 * (processor_seconds(process) - start - rest * span) / arguments.turns
+                    for process, start, rest in zip(processes, before, idle)]
+            print(f"{name}: entry {used[0]:.3f} ms, ledger VMs {sum(used[1:]):.3f} ms together, the busiest {max(used[1:]):.3f} ms; "
+                  f"added before the first byte {statistics.median(added):.2f} ms (median)")
+        print(f"idle: entry {100 * idle[0]:.2f} %, ledger VMs {100 * sum(idle[1:]) / 3:.2f} % of a core each")
+    finally:
+        await soak.finish()
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/tests/platform/logging_share.py
+++ b/tests/platform/logging_share.py
@@ -50,4 +50,5 @@
         await soak.finish()
 
 
-asyncio.run(main())
+if __name__ == "__main__":
+    asyncio.run(main())
