Log a request's id also when it is refused before a route is known

Its headers were read only once a route was found. Change: they are read first. Test: explain finds a request that no route takes.

--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -112,7 +112,6 @@
     if (request.route == nullptr) {
         return false;
     }
-    request.facts = readFacts(request.message, parts_.dialect.headers());
     const std::string &spread = request.facts.program.empty() ? request.facts.id : request.facts.program;
     request.service = request.table->service(RouteTable::pickService(*request.route, stableHash(spread)));
     const Milliseconds patience = request.facts.patience.value_or(request.route->timeout);
@@ -122,6 +121,8 @@
 
 asio::awaitable<void> Forwarder::run(ForwardedRequest &request)
 {
+    // Before anything is decided: a request that is refused at once is looked for by its id too.
+    request.facts = readFacts(request.message, parts_.dialect.headers());
     OwnAnswer refusal;
     if (!request.table) {
         refusal = {statusUnavailable, "no configuration is known yet", comeBackLater};
--- a/tests/platform/cp_platform_path.tests.cpp
+++ b/tests/platform/cp_platform_path.tests.cpp
@@ -131,6 +131,10 @@
     const auto isLost = [](const ExplainedLine &line) { return line.event == "ledger.lost"; };
     BOOST_TEST(std::any_of(refused.surroundings.begin(), refused.surroundings.end(), isLost));
     BOOST_TEST(!system.explain("nobody").missing.empty());
+
+    // Refused before a route was known: it was logged without its id.
+    BOOST_TEST(system.stage.call(entry, "POST", "/nowhere", System::headers("g1"), "x").status == 404U);
+    BOOST_TEST(system.explain("g1").cause.find("no route for this host and path") != std::string::npos);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
