Wait for a serving entry in one place

gateway_cost.py and logging_share.py each had the same loop after a soak's start; Soak.until_served() serves both. Scripts only, no check changed. Read and left as they are: settings read alike in the two main programs (older), thin shapes between test cases.

--- a/tests/platform/gateway_cost.py
+++ b/tests/platform/gateway_cost.py
@@ -7,7 +7,7 @@
 import argparse, asyncio, os, statistics, sys, time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from gateway_soak import Soak, call
+from gateway_soak import Soak
 from logging_share import processor_seconds
 
 
@@ -42,9 +42,7 @@
     try:
         await soak.start()
         front, processes = soak.fronts[0], [soak.entries[0]] + soak.ledgers
-        until = time.monotonic() + 10
-        while time.monotonic() < until and (await call(front, "POST", "/tools/x", {"Host": "h.example"}))[0] != 200:
-            await asyncio.sleep(0.1)
+        await soak.until_served(front)
         idle = [processor_seconds(process) for process in processes]
         await asyncio.sleep(5)
         idle = [(processor_seconds(process) - start) / 5 for process, start in zip(processes, idle)]
--- a/tests/platform/gateway_soak.py
+++ b/tests/platform/gateway_soak.py
@@ -216,6 +216,12 @@
                 except OSError:
                     continue
 
+    async def until_served(self, front):
+        """Waits until an entry serves a call; for measurements, which begin on a system at rest."""
+        until = time.monotonic() + 10
+        while time.monotonic() < until and (await call(front, "POST", "/tools/x", {"Host": "h.example"}))[0] != 200:
+            await asyncio.sleep(0.1)
+
     async def put_document(self, version, patience):
         until = time.monotonic() + patience
         while time.monotonic() < until:
--- a/tests/platform/logging_share.py
+++ b/tests/platform/logging_share.py
@@ -4,7 +4,7 @@
 usage: logging_share.py [--build FOLDER] [--requests N]
 Prints both entries' processor time for a request and the share that logging takes of the first one's. Loopback only.
 """
-import argparse, asyncio, os, sys, time
+import argparse, asyncio, os, sys
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from gateway_soak import Soak, call
@@ -34,9 +34,7 @@
         quiet.settings["log_level"] = "error"
         await quiet.kill()
         await quiet.start()
-        until = time.monotonic() + 10
-        while time.monotonic() < until and (await call(soak.fronts[1], "POST", "/tools/x", {"Host": "h.example"}))[0] != 200:
-            await asyncio.sleep(0.1)
+        await soak.until_served(soak.fronts[1])
         before = [processor_seconds(entry) for entry in soak.entries]
         rounds = 8
         for part in range(rounds):
