--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -14,6 +14,8 @@
     VmName vm;
     //! The member's address, which is its name in the ledger's group.
     std::string peer;
+    //! All that the log up to here says is on its disk or in its memory, turns' texts too; 0 while any is missing.
+    LogIndex holdsUpTo = 0;
 };
 
 struct JoinReply {
@@ -127,6 +129,21 @@
     std::uint32_t listAgeMs = 0;
 };
 
+//! Asks another member for what turns said, by the indexes of the entries that ended them.
+struct TurnTextsRequest {
+    std::vector<LogIndex> indexes;
+};
+
+struct TurnText {
+    LogIndex index = 0;
+    std::string text;
+};
+
+struct TurnTextsReply {
+    //! Those that the member has, as many as fit into one message.
+    std::vector<TurnText> texts;
+};
+
 //! Tells a directory that an entry takes requests; counts for a few seconds.
 struct Presence {
     VmName vm;
--- a/include/cardamompost/ledger/cp_ledger_state.hpp
+++ b/include/cardamompost/ledger/cp_ledger_state.hpp
@@ -2,6 +2,7 @@
 #define CARDAMOMPOST_CP_LEDGER_STATE_HPP_INCLUDED
 
 #include <cardamompost/ledger/cp_ledger_command.hpp>
+#include <cardamompost/ledger/cp_turn_texts.hpp>
 
 #include <map>
 #include <unordered_map>
@@ -18,7 +19,8 @@
 {
 public:
     //! What a command answers to the one who asked for it.
-    TurnBeginStatus apply(const LedgerCommand &command);
+    //! \param index  of the log's entry that holds the command; kept texts go by it
+    TurnBeginStatus apply(const LedgerCommand &command, LogIndex index);
 
     //! What a reservation would answer now.
     //! \param pendingTokens  reservations of the same program that are proposed and not applied yet
@@ -29,8 +31,19 @@
     {
         return turns_.contains(turn);
     }
-    //! Inputs and outputs of a turn and all before it, oldest first.
-    [[nodiscard]] std::string history(const std::string &turn) const;
+    //! A turn and all before it, oldest first, by the indexes of their texts.
+    [[nodiscard]] std::vector<LogIndex> history(const std::string &turn) const;
+    //! What turns said; each text is its turn's input and output.
+    [[nodiscard]] TurnTexts &texts()
+    {
+        return texts_;
+    }
+    [[nodiscard]] const TurnTexts &texts() const
+    {
+        return texts_;
+    }
+    //! Takes the texts of the state that this one replaces; those of turns that this one does not know are forgotten.
+    void takeTexts(TurnTexts &&texts);
     [[nodiscard]] std::int64_t spent(const std::string &program) const;
     //! What its turns under way may cost at their most.
     [[nodiscard]] std::int64_t reserved(const std::string &program) const;
@@ -56,11 +69,13 @@
     {
         return programs_.size();
     }
+    //! Bytes of all kept texts, wherever they are.
     [[nodiscard]] std::size_t turnBytes() const
     {
         return turnBytes_;
     }
 
+    //! All but the texts.
     [[nodiscard]] std::string encode() const;
     //! Errors: StorageCorrupt.
     [[nodiscard]] static Result<LedgerState> decode(const std::string &bytes);
@@ -77,16 +92,16 @@
     struct Turn {
         std::string previous;
         std::int64_t expiresMs = 0;
-        std::string input;
-        std::string output;
+        LogIndex index = 0;
+        std::uint32_t bytes = 0;
     };
 
     void advanceTime(std::int64_t nowMs);
     void applyDocument(const RouteDocumentPut &put);
     TurnBeginStatus applyBegin(const TurnBegin &begin);
-    void applyFinish(const TurnFinish &finish);
+    void applyFinish(const TurnFinish &finish, LogIndex index);
     void applyVm(const LedgerVm &vm);
-    void keepTurn(const TurnFinish &finish);
+    void keepTurn(const TurnFinish &finish, LogIndex index);
     void extendHistory(const std::string &last, std::int64_t expiresMs);
     void touchProgram(Program &program, std::uint32_t retentionMs);
     void expire();
@@ -97,6 +112,7 @@
     std::unordered_map<std::string, Program> programs_;
     std::unordered_map<std::string, Turn> turns_;
     std::size_t turnBytes_ = 0;
+    TurnTexts texts_;
 };
 
 } // namespace cardamompost
--- a/include/cardamompost/storage/cp_log_batch.hpp
+++ b/include/cardamompost/storage/cp_log_batch.hpp
@@ -11,6 +11,9 @@
 
 inline constexpr GroupId controlGroup = 0;
 
+//! What turns said, beside the ledger's log: entries with holes, each by itself. No partition has this number.
+inline constexpr GroupId textGroup = 0xffff'ffff;
+
 [[nodiscard]] constexpr GroupId journalGroup(PartitionId partition)
 {
     return partition + 1;
@@ -21,7 +24,8 @@
     HardState = 1,
     //! Voids the entries of its group from its index on.
     Entry = 2,
-    //! An entry copied from a segment that is to be removed; voids nothing.
+    //! An entry copied from a segment that is to be removed, or one of a group whose entries stand by themselves;
+    //! voids nothing but an older one of its index.
     MovedEntry = 3,
     Snapshot = 4,
     //! Entries that are not needed any more, without those that follow them.
@@ -43,6 +47,8 @@
 
     void putHardState(GroupId group, const RaftHardState &state);
     void putEntry(GroupId group, const LogEntry &entry);
+    //! An entry that voids no others, for groups whose entries stand by themselves.
+    void putLooseEntry(GroupId group, LogIndex index, std::string payload);
     void putSnapshot(GroupId group, const RaftSnapshot &snapshot);
     void forget(GroupId group, const std::vector<LogIndex> &indexes);
 
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -201,6 +201,7 @@
 struct JoinRequest {
   vm @0 :Text;
   peer @1 :Text;
+  holdsUpTo @2 :UInt64;
 }
 
 struct JoinReply {
@@ -289,6 +290,11 @@
   isReady @3 :Bool;
 }
 
+struct TurnText {
+  index @0 :UInt64;
+  text @1 :Data;
+}
+
 # One frame on a connection between two processes.
 struct Frame {
   id @0 :UInt64;
@@ -328,6 +334,8 @@
     news @33 :NewsRequest;
     newsReply @34 :NewsReply;
     presence @35 :Presence;
+    turnTexts @36 :List(UInt64);
+    turnTextsReply @37 :List(TurnText);
   }
 }
 
@@ -478,8 +486,7 @@
   document @2 :Data;
   vms @3 :List(LedgerVm);
   programs @4 :List(ProgramAccount);
-  # Turns follow as messages of their own.
-  unused @5 :List(KeptTurn);
+  turns @5 :List(KeptTurn);
   struct ProgramAccount {
     program @0 :Text;
     spent @1 :Int64;
@@ -494,7 +501,8 @@
     turn @0 :Text;
     previous @1 :Text;
     expiresMs @2 :Int64;
-    input @3 :Data;
-    output @4 :Data;
+    # Of the entry that ended the turn; each member holds the texts by it.
+    index @3 :UInt64;
+    bytes @4 :UInt32;
   }
 }
--- a/src/cardamompost/ledger/cp_ledger_codec.cpp
+++ b/src/cardamompost/ledger/cp_ledger_codec.cpp
@@ -31,33 +31,6 @@
     return {fromText(in.getVm()), fromText(in.getPeer()), in.getIsRetiring()};
 }
 
-// What a turn takes in a snapshot besides its texts.
-constexpr std::size_t turnOverheadBytes = 160;
-
-void appendMessage(std::string &bytes, capnp::MessageBuilder &message)
-{
-    const std::string item = toBytes(message);
-    const auto length = static_cast<std::uint32_t>(item.size());
-    bytes.append(reinterpret_cast<const char *>(&length), sizeof(length));
-    bytes += item;
-}
-
-//! The message at a place, which then moves behind it; nothing when it is not there as a whole.
-std::optional<std::string> takeMessage(const std::string &bytes, std::size_t &begin)
-{
-    std::uint32_t length = 0;
-    if (bytes.size() - begin < sizeof(length)) {
-        return std::nullopt;
-    }
-    std::memcpy(&length, bytes.data() + begin, sizeof(length));
-    if (bytes.size() - begin - sizeof(length) < length) {
-        return std::nullopt;
-    }
-    const std::size_t from = begin + sizeof(length);
-    begin = from + length;
-    return bytes.substr(from, length);
-}
-
 LedgerCommand readCommand(schema::LedgerCommand::Reader in)
 {
     LedgerCommand command;
@@ -112,7 +85,7 @@
 class LedgerSnapshotCodec
 {
 public:
-    static void encodeHead(const LedgerState &state, schema::LedgerSnapshot::Builder out)
+    static void encode(const LedgerState &state, schema::LedgerSnapshot::Builder out)
     {
         out.setNowMs(state.nowMs_);
         out.setDocumentVersion(state.document_.version);
@@ -136,9 +109,10 @@
                 reservations[place++].setTokens(tokens);
             }
         }
+        encodeTurns(state, out.initTurns(static_cast<unsigned>(state.turns_.size())));
     }
 
-    static void decodeHead(LedgerState &state, schema::LedgerSnapshot::Reader in)
+    static void decode(LedgerState &state, schema::LedgerSnapshot::Reader in)
     {
         state.nowMs_ = in.getNowMs();
         state.document_ = {in.getDocumentVersion(), fromData(in.getDocument())};
@@ -153,64 +127,46 @@
                 program.reservations.emplace(fromText(reservation.getTurn()), reservation.getTokens());
             }
         }
+        state.turns_.reserve(in.getTurns().size());
+        for (const auto item : in.getTurns()) {
+            const LedgerState::Turn turn {fromText(item.getPrevious()), item.getExpiresMs(), item.getIndex(),
+                                          item.getBytes()};
+            state.turnBytes_ += turn.bytes;
+            state.turns_.emplace(fromText(item.getTurn()), turn);
+        }
     }
 
-    static std::string encodeTurns(const LedgerState &state, std::string bytes)
+private:
+    using KeptTurns = capnp::List<schema::LedgerSnapshot::KeptTurn>::Builder;
+
+    static void encodeTurns(const LedgerState &state, KeptTurns out)
     {
+        unsigned place = 0;
         for (const auto &[name, turn] : state.turns_) {
-            capnp::MallocMessageBuilder message;
-            auto item = message.initRoot<schema::LedgerSnapshot::KeptTurn>();
+            auto item = out[place++];
             item.setTurn(toText(name));
             item.setPrevious(toText(turn.previous));
             item.setExpiresMs(turn.expiresMs);
-            item.setInput(toData(turn.input));
-            item.setOutput(toData(turn.output));
-            appendMessage(bytes, message);
+            item.setIndex(turn.index);
+            item.setBytes(turn.bytes);
         }
-        return bytes;
-    }
-
-    static void decodeTurn(LedgerState &state, schema::LedgerSnapshot::KeptTurn::Reader in)
-    {
-        LedgerState::Turn turn {fromText(in.getPrevious()), in.getExpiresMs(), fromData(in.getInput()),
-                                fromData(in.getOutput())};
-        state.turnBytes_ += turn.input.size() + turn.output.size();
-        state.turns_.emplace(fromText(in.getTurn()), std::move(turn));
     }
 };
 
-// A snapshot is a sequence of messages, each behind its length: one with all but the turns, then one a turn. As a
-// single message it would stand in memory three times while it is made, which is more than the smallest VMs have.
 std::string LedgerState::encode() const
 {
-    std::string bytes;
-    bytes.reserve(turnBytes_ + turns_.size() * turnOverheadBytes);
-    capnp::MallocMessageBuilder head;
-    LedgerSnapshotCodec::encodeHead(*this, head.initRoot<schema::LedgerSnapshot>());
-    appendMessage(bytes, head);
-    return LedgerSnapshotCodec::encodeTurns(*this, std::move(bytes));
+    capnp::MallocMessageBuilder message;
+    LedgerSnapshotCodec::encode(*this, message.initRoot<schema::LedgerSnapshot>());
+    return toBytes(message);
 }
 
 Result<LedgerState> LedgerState::decode(const std::string &bytes)
 {
     LedgerState state;
-    std::size_t begin = 0;
-    bool isHead = true;
     try {
-        while (begin < bytes.size()) {
-            const std::optional<std::string> item = takeMessage(bytes, begin);
-            if (!item) {
-                return makeError(ErrorKind::StorageCorrupt, "the ledger's snapshot ends within a message");
-            }
-            visitMessage(*item, [&](auto &reader) {
-                if (isHead) {
-                    LedgerSnapshotCodec::decodeHead(state, reader.template getRoot<schema::LedgerSnapshot>());
-                } else {
-                    LedgerSnapshotCodec::decodeTurn(state, reader.template getRoot<schema::LedgerSnapshot::KeptTurn>());
-                }
-            });
-            isHead = false;
-        }
+        visitMessage(bytes, [&](auto &reader) {
+            LedgerSnapshotCodec::decode(state, reader.template getRoot<schema::LedgerSnapshot>());
+        });
     } catch (const kj::Exception &) {
         return makeError(ErrorKind::StorageCorrupt, "the bytes are not a snapshot of the ledger");
     }
--- a/src/cardamompost/ledger/cp_ledger_state.cpp
+++ b/src/cardamompost/ledger/cp_ledger_state.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-TurnBeginStatus LedgerState::apply(const LedgerCommand &command)
+TurnBeginStatus LedgerState::apply(const LedgerCommand &command, LogIndex index)
 {
     advanceTime(command.nowMs);
     if (const auto *put = std::get_if<RouteDocumentPut>(&command.action)) {
@@ -25,7 +25,7 @@
     } else if (const auto *begin = std::get_if<TurnBegin>(&command.action)) {
         return applyBegin(*begin);
     } else if (const auto *finish = std::get_if<TurnFinish>(&command.action)) {
-        applyFinish(*finish);
+        applyFinish(*finish, index);
     } else {
         applyVm(std::get<LedgerVm>(command.action));
     }
@@ -48,7 +48,10 @@
     std::erase_if(programs_, [&](const auto &item) { return item.second.expiresMs < nowMs_; });
     std::erase_if(turns_, [&](const auto &item) {
         const bool isOver = item.second.expiresMs < nowMs_;
-        turnBytes_ -= isOver ? item.second.input.size() + item.second.output.size() : 0;
+        if (isOver) {
+            turnBytes_ -= item.second.bytes;
+            texts_.forget(item.second.index);
+        }
         return isOver;
     });
 }
@@ -94,7 +97,7 @@
     return status;
 }
 
-void LedgerState::applyFinish(const TurnFinish &finish)
+void LedgerState::applyFinish(const TurnFinish &finish, LogIndex index)
 {
     if (!finish.program.empty()) {
         Program &program = programs_[finish.program];
@@ -105,17 +108,19 @@
         }
     }
     if (finish.ending == TurnEnding::Whole && finish.isKept) {
-        keepTurn(finish);
+        keepTurn(finish, index);
     }
 }
 
-void LedgerState::keepTurn(const TurnFinish &finish)
+void LedgerState::keepTurn(const TurnFinish &finish, LogIndex index)
 {
     const std::int64_t expiresMs = nowMs_ + finish.retentionMs + expiryMarginMs;
     const auto [turn, isNew] = turns_.try_emplace(finish.turn);
     if (isNew) {
-        turn->second = {finish.previous, expiresMs, finish.input, finish.output};
-        turnBytes_ += finish.input.size() + finish.output.size();
+        const std::size_t bytes = finish.input.size() + finish.output.size();
+        turn->second = {finish.previous, expiresMs, index, static_cast<std::uint32_t>(bytes)};
+        turnBytes_ += bytes;
+        texts_.add(index, finish.input + finish.output);
     }
     extendHistory(finish.turn, expiresMs);
 }
@@ -139,24 +144,26 @@
     vms_[vm.vm] = vm;
 }
 
-std::string LedgerState::history(const std::string &turn) const
+std::vector<LogIndex> LedgerState::history(const std::string &turn) const
 {
-    std::vector<const Turn *> turns;
-    std::size_t bytes = 0;
+    std::vector<LogIndex> indexes;
     auto found = turns_.find(turn);
-    while (found != turns_.end() && turns.size() < maxHistoryTurns) {
-        turns.push_back(&found->second);
-        bytes += found->second.input.size() + found->second.output.size();
+    while (found != turns_.end() && indexes.size() < maxHistoryTurns) {
+        indexes.push_back(found->second.index);
         found = found->second.previous.empty() ? turns_.end() : turns_.find(found->second.previous);
     }
-    std::string text;
-    text.reserve(bytes);
-    std::reverse(turns.begin(), turns.end());
-    for (const Turn *item : turns) {
-        text += item->input;
-        text += item->output;
+    std::reverse(indexes.begin(), indexes.end());
+    return indexes;
+}
+
+void LedgerState::takeTexts(TurnTexts &&texts)
+{
+    texts_ = std::move(texts);
+    std::map<LogIndex, std::size_t> sizes;
+    for (const auto &[name, turn] : turns_) {
+        sizes.emplace(turn.index, turn.bytes);
     }
-    return text;
+    texts_.retain(sizes);
 }
 
 std::int64_t LedgerState::spent(const std::string &program) const
--- a/src/cardamompost/net/cp_frame_decoder.cpp
+++ b/src/cardamompost/net/cp_frame_decoder.cpp
@@ -132,7 +132,8 @@
 {
     switch (in.which()) {
     case Body::JOIN:
-        return JoinRequest {fromText(in.getJoin().getVm()), fromText(in.getJoin().getPeer())};
+        return JoinRequest {fromText(in.getJoin().getVm()), fromText(in.getJoin().getPeer()),
+                            in.getJoin().getHoldsUpTo()};
     case Body::JOIN_REPLY: {
         const auto reply = in.getJoinReply();
         return JoinReply {reply.getIsConfirmed(), fromText(reply.getLeader()), reply.getTerm()};
@@ -159,6 +160,20 @@
         return Presence {fromText(presence.getVm()), fromText(presence.getAddress()),
                          fromText(presence.getFailureDomain()), presence.getIsReady()};
     }
+    case Body::TURN_TEXTS: {
+        TurnTextsRequest request;
+        for (const std::uint64_t index : in.getTurnTexts()) {
+            request.indexes.push_back(index);
+        }
+        return request;
+    }
+    case Body::TURN_TEXTS_REPLY: {
+        TurnTextsReply reply;
+        for (const auto item : in.getTurnTextsReply()) {
+            reply.texts.push_back({item.getIndex(), fromData(item.getText())});
+        }
+        return reply;
+    }
     default:
         return std::monostate {};
     }
--- a/src/cardamompost/net/cp_frame_encoder.cpp
+++ b/src/cardamompost/net/cp_frame_encoder.cpp
@@ -251,6 +251,7 @@
         auto message = out.initJoin();
         message.setVm(toText(in.vm));
         message.setPeer(toText(in.peer));
+        message.setHoldsUpTo(in.holdsUpTo);
     }
 
     void operator()(const JoinReply &in)
@@ -310,6 +311,23 @@
         message.setIsReady(in.isReady);
     }
 
+    void operator()(const TurnTextsRequest &in)
+    {
+        auto indexes = out.initTurnTexts(static_cast<unsigned>(in.indexes.size()));
+        for (unsigned i = 0; i < indexes.size(); ++i) {
+            indexes.set(i, in.indexes[i]);
+        }
+    }
+
+    void operator()(const TurnTextsReply &in)
+    {
+        auto texts = out.initTurnTextsReply(static_cast<unsigned>(in.texts.size()));
+        for (unsigned i = 0; i < texts.size(); ++i) {
+            texts[i].setIndex(in.texts[i].index);
+            texts[i].setText(toData(in.texts[i].text));
+        }
+    }
+
     void operator()(const FailureReply &reply)
     {
         const Error &in = reply.error;
--- a/src/cardamompost/storage/cp_log_store.cpp
+++ b/src/cardamompost/storage/cp_log_store.cpp
@@ -276,13 +276,22 @@
 
 void LogStore::applyForget(StoredGroup &group, const LogBatch::Record &record)
 {
-    for (const LogIndex index : decodeIndexes(record.payload).value_or(std::vector<LogIndex> {})) {
-        const auto found = std::ranges::lower_bound(group.entries, index, {}, indexOf);
-        if (found != group.entries.end() && found->index == index) {
-            dropLive(*found);
-            group.entries.erase(found);
-        }
+    std::vector<LogIndex> indexes = decodeIndexes(record.payload).value_or(std::vector<LogIndex> {});
+    if (indexes.empty()) {
+        return;
     }
+    std::ranges::sort(indexes);
+    // In one pass: of thousands of indexes, each erased alone would move all entries behind it.
+    const auto begin = std::ranges::lower_bound(group.entries, indexes.front(), {}, indexOf);
+    const auto end = std::ranges::upper_bound(begin, group.entries.end(), indexes.back(), {}, indexOf);
+    const auto kept = std::remove_if(begin, end, [&](const StoredEntry &entry) {
+        const bool isForgotten = std::ranges::binary_search(indexes, entry.index);
+        if (isForgotten) {
+            dropLive(entry);
+        }
+        return isForgotten;
+    });
+    group.entries.erase(kept, end);
 }
 
 void LogStore::addLive(std::uint64_t segment, std::uint64_t bytes)
--- a/src/daemon/cp_disk_thread.cpp
+++ b/src/daemon/cp_disk_thread.cpp
@@ -14,8 +14,9 @@
 
 } // namespace
 
-DiskThread::DiskThread(std::unique_ptr<IFiles> files, EventLog &log, MetricRegistry &metrics)
+DiskThread::DiskThread(std::unique_ptr<IFiles> files, EventLog &log, MetricRegistry &metrics, LogStoreOptions options)
     : files_(std::move(files))
+    , options_(options)
     , log_(log)
     , syncs_(metrics.counter("cardamompost_disk_syncs_total"))
     , jobsDone_(metrics.counter("cardamompost_disk_jobs_total"))
@@ -37,7 +38,7 @@
 
 Result<void> DiskThread::open()
 {
-    Result<LogStore> opened = LogStore::open(*files_);
+    Result<LogStore> opened = LogStore::open(*files_, options_);
     if (!opened) {
         return opened.error();
     }
--- a/src/daemon/cp_disk_thread.hpp
+++ b/src/daemon/cp_disk_thread.hpp
@@ -28,7 +28,7 @@
         std::function<void(const Result<void> &written)> finish;
     };
 
-    DiskThread(std::unique_ptr<IFiles> files, EventLog &log, MetricRegistry &metrics);
+    DiskThread(std::unique_ptr<IFiles> files, EventLog &log, MetricRegistry &metrics, LogStoreOptions options = {});
     ~DiskThread();
     DiskThread(const DiskThread &) = delete;
     DiskThread &operator=(const DiskThread &) = delete;
@@ -55,6 +55,7 @@
     void process(const std::vector<Job> &jobs);
 
     std::unique_ptr<IFiles> files_;
+    LogStoreOptions options_;
     EventLog &log_;
     Counter &syncs_;
     Counter &jobsDone_;
--- a/src/gateway/cp_consensus_driver.cpp
+++ b/src/gateway/cp_consensus_driver.cpp
@@ -19,7 +19,7 @@
 // A member that was silent for so long may be behind a connection that is dead without anybody having noticed.
 constexpr Milliseconds reopenAfter {700};
 // The log is cut once it is longer than this and than the state itself, which bounds memory and restarts.
-constexpr std::size_t minBytesPerSnapshot = 16U << 20U;
+constexpr std::size_t minBytesPerSnapshot = 8U << 20U;
 constexpr std::size_t entryOverheadBytes = 128;
 
 TimePoint timeNow()
@@ -146,7 +146,7 @@
 {
     const bool needsDisk = ready->hard || ready->snapshot || !ready->entries.empty() || !newSnapshot_.isEmpty();
     if (!needsDisk) {
-        complete(*ready);
+        complete(*ready, false);
         return;
     }
     // A leader's appends may leave while it syncs the same entries itself: they promise nothing in its name, and its
@@ -169,14 +169,14 @@
             batch.putEntry(controlGroup, entry);
         }
     };
-    job.finish = [this, ready](const Result<void> &written) {
+    job.finish = [this, ready, hasSnapshot = !own->isEmpty()](const Result<void> &written) {
         const bool isWritten = written.has_value();
-        asio::post(parts_.io, [this, ready, isWritten] {
+        asio::post(parts_.io, [this, ready, isWritten, hasSnapshot] {
             isStopped_ = isStopped_ || !isWritten;
             if (isStopped_) {
                 failWaiting();
             } else {
-                complete(*ready);
+                complete(*ready, hasSnapshot);
             }
         });
     };
@@ -193,8 +193,11 @@
     }
 }
 
-void ConsensusDriver::complete(RaftReady &ready)
+void ConsensusDriver::complete(RaftReady &ready, bool hasSnapshot)
 {
+    if (hasSnapshot) {
+        state_.onSnapshotStored();
+    }
     if (!ready.entries.empty()) {
         node_->persisted(ready.entries.back().index, ready.entries.back().term);
     }
@@ -262,6 +265,7 @@
     node_->compact(applied_, std::move(state));
     // In the form in which it is written: one copy less of what may be a sixth of a small VM's memory.
     newSnapshot_.putSnapshot(controlGroup, node_->log().snapshot());
+    state_.addToSnapshot(newSnapshot_);
 }
 
 void ConsensusDriver::propose(std::string payload, Committed done)
--- a/src/gateway/cp_consensus_driver.hpp
+++ b/src/gateway/cp_consensus_driver.hpp
@@ -23,6 +23,9 @@
     virtual void apply(const LogEntry &entry) = 0;
     virtual Result<void> restore(const RaftSnapshot &snapshot) = 0;
     [[nodiscard]] virtual std::string encodeSnapshot() const = 0;
+    //! Adds what has to become durable together with the snapshot that was just made.
+    virtual void addToSnapshot(LogBatch &batch) = 0;
+    virtual void onSnapshotStored() = 0;
     //! Leadership, term or members may have changed.
     virtual void onChange() = 0;
 };
@@ -69,6 +72,11 @@
     {
         return isRunning() && node_->isSettledLeader();
     }
+    //! Index of the last entry that is applied here.
+    [[nodiscard]] LogIndex applied() const
+    {
+        return applied_;
+    }
     //! Empty while none is known.
     [[nodiscard]] VmName leader() const
     {
@@ -96,7 +104,8 @@
     //! True while the leader's next round has to wait; it comes by itself then.
     [[nodiscard]] bool isPaced();
     void store(const std::shared_ptr<RaftReady> &ready);
-    void complete(RaftReady &ready);
+    //! \param hasSnapshot  a snapshot of this member's own was stored with it
+    void complete(RaftReady &ready, bool hasSnapshot);
     void send(std::vector<RaftMessage> messages);
     void applyCommitted(const std::vector<LogEntry> &entries);
     void answerReads(const RaftReady &ready);
--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -28,6 +28,10 @@
 // A process that was not run for so long explains requests that nobody answered meanwhile.
 constexpr Milliseconds stallAtLeast {800};
 
+// Small segments: what a small VM's memory holds while one is cleaned, or read at a start. Most of what expires lies
+// in the oldest ones, so that much can be required to be of use.
+constexpr LogStoreOptions ledgerStore {4U << 20U, 0.6};
+
 //! Counts on while the VM is suspended, which the steady clock does not.
 std::chrono::nanoseconds timeSinceBoot()
 {
@@ -72,7 +76,7 @@
 Result<void> Gateway::startLedger()
 {
     BOOST_OUTCOME_TRY(auto files, PosixFiles::openFolder(settings_.dataFolder, true));
-    disk_ = std::make_unique<DiskThread>(std::move(files), log_, metrics_);
+    disk_ = std::make_unique<DiskThread>(std::move(files), log_, metrics_, ledgerStore);
     BOOST_OUTCOME_TRYV(disk_->open());
     ledger_ = std::make_unique<LedgerService>(LedgerService::Parts {io_, settings_, *disk_, peers_, log_, metrics_});
     api_ = std::make_unique<LedgerApi>(
@@ -113,6 +117,8 @@
         ledger_->onFinish(std::move(*finish), replier);
     } else if (const auto *news = std::get_if<NewsRequest>(&body)) {
         ledger_->onNews(*news, replier);
+    } else if (const auto *texts = std::get_if<TurnTextsRequest>(&body)) {
+        ledger_->onTurnTexts(*texts, replier);
     } else {
         replier->reply(FailureReply {makeError(ErrorKind::InvalidRequest, "not a request to a ledger VM")});
     }
--- a/src/gateway/cp_gateway_settings.cpp
+++ b/src/gateway/cp_gateway_settings.cpp
@@ -13,6 +13,9 @@
 constexpr std::int64_t defaultLifetimeMs = 300;
 constexpr std::int64_t defaultListIntervalMs = 800;
 constexpr std::int64_t maxTimeMs = 600'000;
+constexpr std::int64_t defaultMemoryMb = 128;
+constexpr std::int64_t minMemoryMb = 32;
+constexpr std::int64_t maxMemoryMb = 1'000'000;
 constexpr std::int64_t maxPort = 65'535;
 
 void readRole(SectionReader &reader, GatewaySettings &settings)
@@ -49,6 +52,8 @@
     settings.seedPort = static_cast<std::uint16_t>(reader.integer("seed_port", 0, 0, maxPort));
     settings.isFirstStart = reader.boolean("first_start", false);
     settings.lossesToBear = static_cast<unsigned>(reader.integer("losses_to_bear", 1, 0, maxLosses));
+    settings.memoryBytes
+        = static_cast<std::size_t>(reader.integer("memory_mb", defaultMemoryMb, minMemoryMb, maxMemoryMb)) << 20U;
     settings.grace = time("grace_ms", defaultGraceMs);
     settings.directoryLifetime = time("directory_lifetime_ms", defaultLifetimeMs);
     settings.listInterval = time("list_interval_ms", defaultListIntervalMs);
--- a/src/gateway/cp_gateway_settings.hpp
+++ b/src/gateway/cp_gateway_settings.hpp
@@ -41,6 +41,8 @@
     Address backendList;
     Milliseconds listInterval {0};
     std::string dataFolder;
+    //! What the process may take before its VM ends it.
+    std::size_t memoryBytes = 0;
     //! True only when the whole system starts for the first time.
     bool isFirstStart = false;
     //! Ledger VMs that may be lost at once.
@@ -57,6 +59,13 @@
     //! Stands in for the seeds' own ports where those are not the ones for peers; 0 for none.
     std::uint16_t seedPort = 0;
 
+    //! Room for what turns said lately; all of it is on disk too.
+    [[nodiscard]] std::size_t textCacheBytes() const
+    {
+        return memoryBytes / shareForTexts;
+    }
+    static constexpr std::size_t shareForTexts = 8;
+
     //! Seeds' names in the ledger's group.
     [[nodiscard]] std::vector<VmName> seedPeers() const;
 };
--- a/src/gateway/cp_ledger_members.cpp
+++ b/src/gateway/cp_ledger_members.cpp
@@ -31,6 +31,26 @@
     return peers;
 }
 
+std::vector<VmName> LedgerService::otherMembers() const
+{
+    std::vector<VmName> others;
+    if (!driver_.isStarted()) {
+        return others;
+    }
+    const Membership &members = driver_.node().membership();
+    const VmName leader = driver_.leader();
+    // A learner may lack the same as this member.
+    for (const VmName &voter : members.voters) {
+        if (voter != self_ && voter != leader) {
+            others.push_back(voter);
+        }
+    }
+    if (!leader.empty() && leader != self_) {
+        others.push_back(leader);
+    }
+    return others;
+}
+
 void LedgerService::keepJoining()
 {
     askToJoin();
@@ -45,8 +65,9 @@
 void LedgerService::askToJoin()
 {
     // The leader learns each VM's name and address from this, members' too, and that those outside are live.
+    const LogIndex holdsUpTo = driver_.isStarted() && state_.texts().missing().empty() ? driver_.applied() : 0;
     if (leads()) {
-        const JoinRequest own {parts_.settings.vm, self_};
+        const JoinRequest own {parts_.settings.vm, self_, holdsUpTo};
         onJoin(own, nullptr);
         return;
     }
@@ -61,7 +82,8 @@
         leaderHint_.clear();
         return;
     }
-    client->request(JoinRequest {parts_.settings.vm, self_}, joinTimeout, [this](Result<FrameBody> reply, bool) {
+    const JoinRequest request {parts_.settings.vm, self_, holdsUpTo};
+    client->request(request, joinTimeout, [this](Result<FrameBody> reply, bool) {
         const JoinReply *joined = reply ? std::get_if<JoinReply>(&reply.value()) : nullptr;
         // Handlers come on the client's strand, which the one thread of this process runs.
         onJoined(joined != nullptr ? *joined : JoinReply {});
@@ -92,6 +114,7 @@
         return;
     }
     lastJoin_[request.peer] = std::chrono::steady_clock::now();
+    holdsUpTo_[request.peer] = request.holdsUpTo;
     const auto known = state_.vms().find(request.vm);
     if (known == state_.vms().end() || known->second.peer != request.peer) {
         propose({ledgerTimeOfDayMs(), LedgerVm {request.vm, request.peer, false}}, [](bool) {});
@@ -166,7 +189,11 @@
         for (const VmName &peer : *group) {
             MemberCandidate &candidate = result[peer];
             candidate.isLive = peer == self_ || driver_.silenceOf(peer) < lostAfter;
-            candidate.isCaughtUp = node.matchOf(peer) >= node.commitIndex();
+            // Guards against a newcomer that has the log and not what turns said, which no snapshot holds: were it to
+            // take a lost member's place, the next loss could be one too many.
+            const auto held = holdsUpTo_.find(peer);
+            const bool hasTexts = held != holdsUpTo_.end() && held->second >= node.log().snapshot().index;
+            candidate.isCaughtUp = hasTexts && node.matchOf(peer) >= node.commitIndex();
         }
     }
     return result;
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -24,6 +24,8 @@
 LedgerService::LedgerService(Parts parts)
     : parts_(parts)
     , self_(parts.settings.peer.toString())
+    , texts_({parts.io, parts.disk, parts.peers, parts.log, parts.metrics,
+              [this]() -> TurnTexts & { return state_.texts(); }, [this] { return otherMembers(); }})
     , driver_({parts.io, parts.disk, parts.peers, parts.log, parts.metrics}, *this)
     , joinTimer_(parts.io)
     , placement_(randomIdentity())
@@ -47,6 +49,8 @@
         parts_.log.info("ledger.founded", {{"self", self_}, {"members", seeds.size()}});
     }
     BOOST_OUTCOME_TRY(RaftStoredState stored, store.loadRaft(controlGroup));
+    state_.texts().setCacheBytes(parts_.settings.textCacheBytes());
+    texts_.open(store);
     parts_.disk.start();
     if (!store.isEmpty() && stored.hard.term != 0) {
         BOOST_OUTCOME_TRYV(startMember(std::move(stored)));
@@ -76,6 +80,7 @@
 void LedgerService::stop()
 {
     joinTimer_.cancel();
+    texts_.stop();
     answerWaiters(true);
     driver_.stop();
 }
@@ -93,7 +98,7 @@
         return;
     }
     const std::uint64_t before = state_.documentVersion();
-    lastApplied_ = state_.apply(command.value());
+    lastApplied_ = state_.apply(command.value(), entry.index);
     if (state_.documentVersion() != before) {
         parts_.log.info("document.in_force", {{"version", state_.documentVersion()}, {"before", before}});
         answerWaiters(false);
@@ -102,7 +107,10 @@
 
 Result<void> LedgerService::restore(const RaftSnapshot &snapshot)
 {
-    BOOST_OUTCOME_TRY(state_, LedgerState::decode(snapshot.state));
+    BOOST_OUTCOME_TRY(LedgerState fresh, LedgerState::decode(snapshot.state));
+    fresh.takeTexts(std::move(state_.texts()));
+    state_ = std::move(fresh);
+    texts_.fetchMissing();
     parts_.log.info("ledger.restored", {{"index", snapshot.index}, {"turns", state_.turnCount()}});
     return boost::outcome_v2::success();
 }
@@ -125,10 +133,28 @@
         return;
     }
     const auto begun = std::make_shared<Begin>(
-        Begin {std::move(begin), replier, std::chrono::steady_clock::now(), false, std::nullopt});
+        Begin {std::move(begin), replier, std::chrono::steady_clock::now(), {}, false, std::nullopt});
+    if (begun->begin.previous.empty()) {
+        startBegin(begun);
+        return;
+    }
+    texts_.read(state_.history(begun->begin.previous), [this, begun](std::optional<std::string> history) {
+        // Guards against a turn without a part of its history, and against one that is refused as unknown although
+        // it is only out of reach for now: the entry asks again until the caller has waited long enough.
+        if (!history || !leads()) {
+            begun->replier->reply(TurnBeginReply {TurnBeginStatus::NotLeader, driver_.leader(), {}, {}});
+            return;
+        }
+        begun->history = std::move(*history);
+        startBegin(begun);
+    });
+}
+
+void LedgerService::startBegin(const std::shared_ptr<Begin> &begun)
+{
     placeBegin(begun);
     if (!begun->isPlaced) {
-        replier->reply(TurnBeginReply {TurnBeginStatus::Queued, self_, {}, {}}, false);
+        begun->replier->reply(TurnBeginReply {TurnBeginStatus::Queued, self_, {}, {}}, false);
     }
     commitBegin(begun);
 }
@@ -153,11 +179,7 @@
 {
     begun.isPlaced = true;
     placeSeconds_.observe(std::chrono::duration<double>(std::chrono::steady_clock::now() - begun.since).count());
-    TurnBeginReply tentative {TurnBeginStatus::Tentative, self_, {}, backend};
-    if (!begun.begin.previous.empty()) {
-        tentative.history = state_.history(begun.begin.previous);
-    }
-    begun.replier->reply(std::move(tentative), false);
+    begun.replier->reply(TurnBeginReply {TurnBeginStatus::Tentative, self_, std::move(begun.history), backend}, false);
     if (begun.decided) {
         onDecided(begun, *begun.decided);
     }
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -3,6 +3,7 @@
 
 #include "cp_consensus_driver.hpp"
 #include "cp_gateway_settings.hpp"
+#include "cp_turn_text_store.hpp"
 
 #include <cardamompost/ledger/cp_ledger_state.hpp>
 #include <cardamompost/ledger/cp_member_planner.hpp>
@@ -57,6 +58,10 @@
     void onBegin(TurnBegin begin, const Replier &replier);
     void onFinish(TurnFinish finish, const Replier &replier);
     void onNews(const NewsRequest &request, const Replier &replier);
+    void onTurnTexts(const TurnTextsRequest &request, const Replier &replier)
+    {
+        texts_.onRequest(request, replier);
+    }
 
     //! Called with a list that was read newly; on the leader only.
     void setBackends(std::vector<BackendServer> servers);
@@ -91,6 +96,14 @@
     {
         return state_.encode();
     }
+    void addToSnapshot(LogBatch &batch) override
+    {
+        texts_.addToSnapshot(batch);
+    }
+    void onSnapshotStored() override
+    {
+        state_.texts().endStoring();
+    }
     void onChange() override;
 
 private:
@@ -99,6 +112,8 @@
         TurnBegin begin;
         Replier replier;
         TimePoint since {};
+        //! Of the turns that it continues.
+        std::string history;
         bool isPlaced = false;
         //! What the quorum decided; nothing yet.
         std::optional<TurnBeginStatus> decided;
@@ -116,6 +131,8 @@
     void propose(LedgerCommand command, ConsensusDriver::Committed done);
     void refuse(const TurnBegin &begin, TurnBeginStatus status, bool isConfirmed, const Replier &replier);
     void confirmNoSuchTurn(const TurnBegin &begin, const Replier &replier);
+    //! Goes on with a begin whose history is there.
+    void startBegin(const std::shared_ptr<Begin> &begun);
     void placeBegin(const std::shared_ptr<Begin> &begun);
     void onPlaced(Begin &begun, const std::string &backend);
     void commitBegin(const std::shared_ptr<Begin> &begun);
@@ -131,10 +148,13 @@
     }
     void logRole();
     [[nodiscard]] std::vector<VmName> knownPeers() const;
+    //! The other members, the leader last.
+    [[nodiscard]] std::vector<VmName> otherMembers() const;
 
     Parts parts_;
     VmName self_;
     LedgerState state_;
+    TurnTextStore texts_;
     ConsensusDriver driver_;
     boost::asio::steady_timer joinTimer_;
     std::size_t nextAsked_ = 0;
@@ -144,6 +164,8 @@
     Histogram &placeSeconds_;
     TurnBeginStatus lastApplied_ = TurnBeginStatus::Granted;
     std::unordered_map<VmName, TimePoint> lastJoin_;
+    //! As each VM told when it asked to join.
+    std::unordered_map<VmName, LogIndex> holdsUpTo_;
     std::vector<NewsWaiter> waiters_;
     BackendList backends_;
     TimePoint listReadAt_ {};
--- a/tests/ledger/cp_ledger_state.tests.cpp
+++ b/tests/ledger/cp_ledger_state.tests.cpp
@@ -34,7 +34,14 @@
 template<typename Action>
 TurnBeginStatus apply(LedgerState &state, Action action, std::int64_t nowMs = startMs)
 {
-    return state.apply({nowMs, std::move(action)});
+    // Every command has an index of its own, as in a log.
+    static LogIndex index = 0;
+    return state.apply({nowMs, std::move(action)}, ++index);
+}
+
+std::string historyOf(LedgerState &state, const std::string &turn)
+{
+    return state.texts().join(state.history(turn)).value_or("not in memory");
 }
 
 bool isStatus(TurnBeginStatus left, TurnBeginStatus right)
@@ -105,7 +112,7 @@
     apply(state, finish("a", 1));
     apply(state, finish("b", 1, TurnEnding::Whole, "a"));
     apply(state, finish("other", 1, TurnEnding::Whole, "a"));
-    BOOST_TEST(state.history("b") == "in-a;out-a\nin-b;out-b\n");
+    BOOST_TEST(historyOf(state, "b") == "in-a;out-a\nin-b;out-b\n");
     BOOST_TEST(isStatus(apply(state, begin("c", 1, -1, "nobody")), TurnBeginStatus::NoSuchTurn));
     BOOST_TEST(isStatus(apply(state, begin("c", 1, -1, "b")), TurnBeginStatus::Granted));
 }
@@ -118,7 +125,7 @@
     apply(state, finish("a", 1), startMs);
     apply(state, finish("b", 1, TurnEnding::Whole, "a"), startMs + 50'000);
     apply(state, finish("x", 1), startMs + 100'000);
-    BOOST_TEST(state.history("b") == "in-a;out-a\nin-b;out-b\n");
+    BOOST_TEST(historyOf(state, "b") == "in-a;out-a\nin-b;out-b\n");
     apply(state, finish("y", 1), startMs + 150'000);
     BOOST_TEST(!state.hasTurn("a"));
     BOOST_TEST(!state.hasTurn("b"));
--- a/tests/platform/cp_platform_faults.tests.cpp
+++ b/tests/platform/cp_platform_faults.tests.cpp
@@ -171,6 +171,35 @@
                == "in-w1;a-w1\nb-w1\nin-w2-" + std::to_string(other) + ";");
 }
 
+// A plan review of the morning goes on when its turns have long left the ledger VMs' memory and the log was cut behind
+// them. Then one VM after the other loses its disk, the leader too; each fills up from the others before the next.
+BOOST_AUTO_TEST_CASE(a_history_that_only_disks_hold_outlives_every_disk_in_turn)
+{
+    constexpr int bulkTurns = 110;
+    constexpr std::size_t bulkBytes = 90'000;
+    constexpr int budget = 100'000;
+    System system;
+    system.putDocument(3);
+    const Address entry = system.addEntry(system.seeds());
+    BOOST_TEST(system.turn(entry, "d1", {}).status == 200U);
+    BOOST_TEST(system.turn(entry, "d2", "d1").status == 200U);
+    for (int i = 0; i < bulkTurns; ++i) {
+        const std::string id = "bulk-" + std::to_string(i);
+        const auto bulk = system.beginTurn(entry, id, {}, budget, "/plans/1", std::string(bulkBytes, 'x')).get();
+        BOOST_REQUIRE(bulk.status == 200U);
+    }
+    BOOST_TEST(system.logged("ledger.compacted") >= system.ledgers.size());
+    std::size_t wholeAgain = 0;
+    for (std::size_t lost = 0; lost < system.ledgers.size(); ++lost) {
+        system.restartLedger(lost, false);
+        ++wholeAgain;
+        BOOST_TEST(System::eventually([&] { return system.logged("texts.whole") >= wholeAgain; }));
+        const std::string id = "d3-" + std::to_string(lost);
+        BOOST_TEST(System::eventually([&] { return system.turn(entry, id, "d2", budget).status == 200; }));
+        BOOST_TEST(system.stage.bodyOf(id) == "in-d1;a-d1\nb-d1\nin-d2;a-d2\nb-d2\nin-" + id + ";");
+    }
+}
+
 // A server ends and its address is given to one of another service. The list is behind; what is sent there must not
 // run.
 BOOST_AUTO_TEST_CASE(a_request_never_runs_at_a_server_that_took_over_an_address)
--- a/tests/storage/cp_log_store.tests.cpp
+++ b/tests/storage/cp_log_store.tests.cpp
@@ -57,6 +57,31 @@
     BOOST_TEST(state.entries[1].payload == "b");
 }
 
+// What turns said is stored by itself, in any order: an old text that another member sent must not void newer ones.
+BOOST_AUTO_TEST_CASE(a_loose_entry_voids_nothing_and_many_are_forgotten_at_once)
+{
+    MemoryFiles files;
+    {
+        LogStore store = LogStore::open(files).value();
+        LogBatch batch;
+        for (const LogIndex index : {7U, 3U, 9U, 5U}) {
+            batch.putLooseEntry(group, index, "text " + std::to_string(index));
+        }
+        BOOST_REQUIRE(store.write(batch).has_value());
+        const std::uint64_t live = store.liveBytes();
+        LogBatch forget;
+        forget.forget(group, {9, 1, 5});
+        BOOST_REQUIRE(store.write(forget).has_value());
+        BOOST_TEST(store.liveBytes() < live);
+    }
+    LogStore store = LogStore::open(files).value();
+    const StoredGroup &stored = store.group(group);
+    BOOST_REQUIRE(stored.entries.size() == 2U);
+    BOOST_TEST(store.read(group, *stored.find(3)).value().payload == "text 3");
+    BOOST_TEST(store.read(group, *stored.find(7)).value().payload == "text 7");
+    BOOST_TEST((stored.find(5) == nullptr));
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_voids_those_at_and_behind_its_index)
 {
     MemoryFiles files;
--- a/tests/support/cp_platform_system.hpp
+++ b/tests/support/cp_platform_system.hpp
@@ -98,6 +98,8 @@
         settings.directory = local(freePort());
         settings.backendList = stage.listAddress();
         settings.dataFolder = (folder_ / settings.vm).string();
+        // Small, so that tests see what is read back from the disk.
+        settings.memoryBytes = 2U << 20U;
         settings.isFirstStart = true;
         return settings;
     }
@@ -196,7 +198,8 @@
         return {{"Host", "h.example"}, {"Request-Id", id}, {"Deadline-Milliseconds", "4000"}};
     }
     std::future<HttpResponse> beginTurn(const Address &entry, const std::string &id, const std::string &previous,
-                                        int budget = 1000, const std::string &path = "/plans/1")
+                                        int budget = 1000, const std::string &path = "/plans/1",
+                                        const std::string &more = {})
     {
         HttpHeaders all = headers(id);
         all["Program"] = "p1";
@@ -207,7 +210,7 @@
         if (!previous.empty()) {
             all["Previous-Turn"] = previous;
         }
-        return stage.begin(entry, "POST", path, all, "in-" + id + ";");
+        return stage.begin(entry, "POST", path, all, "in-" + id + ";" + more);
     }
     HttpResponse turn(const Address &entry, const std::string &id, const std::string &previous, int budget = 1000,
                       const std::string &path = "/plans/1")
@@ -228,6 +231,19 @@
         return explainer.explain(id);
     }
 
+    //! How often an event stands in the logs of all processes.
+    [[nodiscard]] std::size_t logged(const std::string &event) const
+    {
+        std::size_t count = 0;
+        for (const auto &item : std::filesystem::directory_iterator(folder_)) {
+            std::ifstream input(item.path());
+            for (std::string line; std::getline(input, line);) {
+                count += line.find('"' + event + '"') != std::string::npos ? 1 : 0;
+            }
+        }
+        return count;
+    }
+
     PlatformStage stage;
     ForgetfulLink link;
     std::vector<GatewaySettings> ledgers;
