End a ledger VM whose disk has failed, and wait for the disk when it is started again

Cause: after one refused write a member stays silent, so that it promises nothing that it can't keep, but its process ran on for good. Ruled out: trying the failed sync again (what failed may count as clean since); tearing the role down inside the process (handlers under way hold it). The test fails without the change (checked by leaving the call out).

--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -24,6 +24,7 @@
 // What is left of the grace period when the process ends, whatever is still under way.
 constexpr Milliseconds graceMargin {600};
 constexpr Milliseconds handOverTime {300};
+constexpr Milliseconds diskRetryInterval {300};
 constexpr Milliseconds flushInterval {200};
 // A process that was not run for so long explains requests that nobody answered meanwhile.
 constexpr Milliseconds stallAtLeast {800};
@@ -42,13 +43,16 @@
 
 } // namespace
 
-Gateway::Gateway(GatewaySettings settings, std::unique_ptr<const IDialect> dialect, Reload reload)
+Gateway::Gateway(GatewaySettings settings, std::unique_ptr<const IDialect> dialect, Reload reload,
+                 OpenFolder openFolder)
     : settings_(std::move(settings))
     , dialect_(std::move(dialect))
     , reload_(std::move(reload))
+    , openFolder_(std::move(openFolder))
     , io_(1)
     , signals_(io_, SIGTERM, SIGINT, SIGHUP)
     , flushTimer_(io_)
+    , startTimer_(io_)
     , log_(settings_.vm, settings_.logFile, settings_.logLevel)
     , peers_(io_.get_executor(), traffic_)
 {
@@ -75,9 +79,15 @@
 
 Result<void> Gateway::startLedger()
 {
-    BOOST_OUTCOME_TRY(auto files, PosixFiles::openFolder(settings_.dataFolder, true));
-    disk_ = std::make_unique<DiskThread>(std::move(files), log_, metrics_, ledgerStore);
-    BOOST_OUTCOME_TRYV(disk_->open());
+    const Result<void> opened = openDisk();
+    if (!opened && opened.error().kind == ErrorKind::StorageFailed) {
+        // Guards against a disk that refuses writes for a while, as a full one does: a process that ended for it would
+        // only be started and end again, and one that stayed without it would be lost for good.
+        log_.write(LogLevel::Error, "disk.failed", {{"error", opened.error().message}});
+        startLedgerLater();
+        return boost::outcome_v2::success();
+    }
+    BOOST_OUTCOME_TRYV(opened);
     ledger_ = std::make_unique<LedgerService>(LedgerService::Parts {io_, settings_, *disk_, peers_, log_, metrics_});
     api_ = std::make_unique<LedgerApi>(
         LedgerApi::Parts {io_, settings_, *dialect_, *ledger_, presence_, log_, metrics_});
@@ -94,6 +104,54 @@
     return boost::outcome_v2::success();
 }
 
+Result<std::unique_ptr<IFiles>> Gateway::openPosixFolder(const std::string &folder)
+{
+    BOOST_OUTCOME_TRY(std::unique_ptr<IFiles> files, PosixFiles::openFolder(folder, true));
+    return files;
+}
+
+Result<void> Gateway::openDisk()
+{
+    BOOST_OUTCOME_TRY(auto files, openFolder_(settings_.dataFolder));
+    auto disk = std::make_unique<DiskThread>(std::move(files), log_, metrics_, ledgerStore);
+    BOOST_OUTCOME_TRYV(disk->open());
+    disk_ = std::move(disk);
+    return boost::outcome_v2::success();
+}
+
+void Gateway::startLedgerLater()
+{
+    startTimer_.expires_after(diskRetryInterval);
+    startTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (error || isDraining_) {
+            return;
+        }
+        const Result<void> started = startLedger();
+        if (!started) {
+            log_.write(LogLevel::Error, "process.failed", {{"error", started.error().message}});
+            endWith(exitStartFailed);
+        }
+    });
+}
+
+void Gateway::endIfDiskFailed()
+{
+    // Guards against a member that stays silent for good after its disk refused one write: it shows as a VM that runs
+    // and holds nothing, and the next loss is one too many. After a failed sync, what the files hold is only known by
+    // reading them anew, which a new process does.
+    if (disk_ && !disk_->isHealthy()) {
+        log_.write(LogLevel::Error, "process.failed", {{"error", "the disk has failed"}});
+        endWith(exitDiskFailed);
+    }
+}
+
+void Gateway::endWith(int exitCode)
+{
+    exitCode_ = exitCode;
+    log_.flush();
+    io_.stop();
+}
+
 void Gateway::onPeer(FrameBody body, const std::shared_ptr<PeerReplier> &replier)
 {
     if (auto *raft = std::get_if<RaftMessage>(&body)) {
@@ -147,6 +205,7 @@
 void Gateway::keepFlushing()
 {
     noteStall();
+    endIfDiskFailed();
     log_.flush();
     flushTimer_.expires_after(flushInterval);
     flushTimer_.async_wait([this](const boost::system::error_code &error) {
@@ -207,6 +266,11 @@
 
 asio::awaitable<void> Gateway::drainLedger()
 {
+    if (!ledger_) {
+        // It still waits for its disk.
+        io_.stop();
+        co_return;
+    }
     ledger_->handOver();
     co_await sleepFor(handOverTime);
     api_->stop();
@@ -220,7 +284,7 @@
 int Gateway::run()
 {
     io_.run();
-    return 0;
+    return exitCode_;
 }
 
 } // namespace cardamompost
--- a/tests/platform/cp_platform_faults.tests.cpp
+++ b/tests/platform/cp_platform_faults.tests.cpp
@@ -171,6 +171,29 @@
                == "in-w1;a-w1\nb-w1\nin-w2-" + std::to_string(other) + ";");
 }
 
+// A ledger VM's disk is full for some seconds. The VM stayed silent for good afterwards, so a second one that lost its
+// disk much later took the whole system along: no turn was served and no configuration could be read any more.
+BOOST_AUTO_TEST_CASE(a_ledger_vm_whose_disk_was_full_holds_everything_again)
+{
+    System system;
+    const std::size_t leader = system.putDocument(3);
+    const Address entry = system.addEntry(system.seeds());
+    BOOST_TEST(system.turn(entry, "f1", {}).status == 200U);
+    *system.diskRefuses[leader] = true;
+    BOOST_TEST(System::eventually([&] { return system.turn(entry, "f2", "f1").status == 200; }));
+    BOOST_TEST(System::eventually([&] { return system.running[leader]->hasEnded(); }));
+    BOOST_TEST(system.running[leader]->exitCode() == Gateway::exitDiskFailed);
+    // Started again while the disk is still full, it waits instead of ending again.
+    system.restartLedger(leader);
+    BOOST_TEST(System::eventually([&] { return system.logged("disk.failed") >= 3; }));
+    BOOST_TEST(!system.running[leader]->hasEnded());
+    *system.diskRefuses[leader] = false;
+    BOOST_TEST(System::eventually([&] { return system.logged("ledger.started") >= system.ledgers.size() + 1; }));
+    system.restartLedger((leader + 1) % system.ledgers.size(), false);
+    BOOST_TEST(System::eventually([&] { return system.turn(entry, "f3", "f1").status == 200; }));
+    BOOST_TEST(system.stage.bodyOf("f3") == "in-f1;a-f1\nb-f1\nin-f3;");
+}
+
 // A plan review of the morning goes on when its turns have long left the ledger VMs' memory and the log was cut behind
 // them. Then one VM after the other loses its disk, the leader too; each fills up from the others before the next.
 BOOST_AUTO_TEST_CASE(a_history_that_only_disks_hold_outlives_every_disk_in_turn)
--- a/tests/support/cp_platform_stage.hpp
+++ b/tests/support/cp_platform_stage.hpp
@@ -4,6 +4,7 @@
 #include "gateway/cp_gateway.hpp"
 #include "platform/cp_platform_dialect.hpp"
 #include "support/cp_free_port.hpp"
+#include "support/cp_refusing_files.hpp"
 
 #include <cardamompost/net/cp_await.hpp>
 #include <cardamompost/net/cp_http_client.hpp>
@@ -30,12 +31,19 @@
 class GatewayThread
 {
 public:
-    explicit GatewayThread(GatewaySettings settings)
-        : gateway_(std::move(settings), std::make_unique<PlatformDialect>(), [this] { return reloaded_; })
+    //! \param diskRefuses  its disk refuses writes while this is on
+    explicit GatewayThread(GatewaySettings settings,
+                           RefusingFiles::Switch diskRefuses = std::make_shared<std::atomic<bool>>(false))
+        : gateway_(
+            std::move(settings), std::make_unique<PlatformDialect>(), [this] { return reloaded_; },
+            [diskRefuses](const std::string &folder) -> Result<std::unique_ptr<IFiles>> {
+                BOOST_OUTCOME_TRY(auto files, PosixFiles::openFolder(folder, true));
+                return std::unique_ptr<IFiles>(std::make_unique<RefusingFiles>(std::move(files), diskRefuses));
+            })
     {
         isStarted_ = gateway_.start().has_value();
         thread_ = std::thread([this] {
-            gateway_.run();
+            exitCode_ = gateway_.run();
             hasEnded_ = true;
         });
     }
@@ -56,6 +64,11 @@
     {
         return hasEnded_;
     }
+    //! Once it has ended.
+    [[nodiscard]] int exitCode() const
+    {
+        return exitCode_;
+    }
     void deliver(int signal)
     {
         gateway_.deliver(signal);
@@ -71,6 +84,7 @@
     std::optional<GatewaySettings> reloaded_;
     Gateway gateway_;
     bool isStarted_ = false;
+    std::atomic<int> exitCode_ {0};
     std::atomic<bool> hasEnded_ {false};
     std::thread thread_;
 };
--- a/tests/support/cp_platform_system.hpp
+++ b/tests/support/cp_platform_system.hpp
@@ -51,8 +51,7 @@
             }
         }
         for (const GatewaySettings &settings : ledgers) {
-            running.push_back(std::make_unique<GatewayThread>(settings));
-            BOOST_REQUIRE(running.back()->isStarted());
+            runLedger(settings);
         }
     }
     //! Starts one more ledger VM, as a platform does that adds a machine.
@@ -62,8 +61,7 @@
         settings.isFirstStart = false;
         settings.seeds = ledgers.front().seeds;
         ledgers.push_back(settings);
-        running.push_back(std::make_unique<GatewayThread>(settings));
-        BOOST_REQUIRE(running.back()->isStarted());
+        runLedger(settings);
     }
     ~System()
     {
@@ -143,7 +141,7 @@
             running.resize(number + 1);
         }
         running[number].reset();
-        running[number] = std::make_unique<GatewayThread>(settings);
+        running[number] = std::make_unique<GatewayThread>(settings, diskRefuses[number]);
         BOOST_REQUIRE(running[number]->isStarted());
     }
     [[nodiscard]] unsigned readiness(std::size_t entry)
@@ -249,11 +247,20 @@
     std::vector<GatewaySettings> ledgers;
     std::vector<GatewaySettings> entrySettings;
     std::vector<std::unique_ptr<GatewayThread>> running;
+    //! A ledger VM's disk refuses writes while its switch is on.
+    std::vector<RefusingFiles::Switch> diskRefuses;
     std::vector<std::unique_ptr<GatewayThread>> entries;
 
 private:
     static constexpr int founders = 3;
 
+    void runLedger(const GatewaySettings &settings)
+    {
+        diskRefuses.push_back(std::make_shared<std::atomic<bool>>(false));
+        running.push_back(std::make_unique<GatewayThread>(settings, diskRefuses.back()));
+        BOOST_REQUIRE(running.back()->isStarted());
+    }
+
     std::filesystem::path folder_;
 };
 
