Let the ledger's time go on by steady clocks, from command to command

Cause: what programs said and spent expired by the time of day of whoever led. A leader that is an hour ahead for one command has every turn expire on all members; callers are then told that it is unknown (LOST). Ruled out: a wider margin (memory, and no bound on how wrong a clock is); asking a quorum for its times (all may be off). Change: LedgerClock. A new leader goes on from the time of the last command that it applied, by its own steady clock. Time without a leader does not count, so what is kept stays a little longer. Time of day is in log lines only now.

--- a/include/cardamompost/ledger/cp_ledger_command.hpp
+++ b/include/cardamompost/ledger/cp_ledger_command.hpp
@@ -28,9 +28,11 @@
 
 //! One entry of the ledger's log.
 struct LedgerCommand {
-    //! Time of day at the leader that proposed it, in milliseconds; what expires goes by it on all members alike.
+    using Action = std::variant<RouteDocumentPut, TurnBegin, TurnFinish, LedgerVm>;
+
+    //! The ledger's time at the leader that proposed it, see LedgerClock; what expires goes by it on all members alike.
     std::int64_t nowMs = 0;
-    std::variant<RouteDocumentPut, TurnBegin, TurnFinish, LedgerVm> action;
+    Action action;
 };
 
 [[nodiscard]] std::string encodeLedgerCommand(const LedgerCommand &command);
--- a/include/cardamompost/ledger/cp_ledger_state.hpp
+++ b/include/cardamompost/ledger/cp_ledger_state.hpp
@@ -48,6 +48,11 @@
     //! What its turns under way may cost at their most.
     [[nodiscard]] std::int64_t reserved(const std::string &program) const;
 
+    //! Time of the last command.
+    [[nodiscard]] std::int64_t nowMs() const
+    {
+        return nowMs_;
+    }
     [[nodiscard]] std::uint64_t documentVersion() const
     {
         return document_.version;
--- a/src/cardamompost/ledger/cp_ledger_state.cpp
+++ b/src/cardamompost/ledger/cp_ledger_state.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-// Guards against a turn that a caller may still continue while this system's clock runs ahead: what is kept outlives
-// its retention by this much, in milliseconds.
+// Guards against a turn that a caller may still continue: its answer may have reached the caller later than its end was
+// made durable, and steady clocks differ. What is kept outlives its retention by this much, in milliseconds.
 constexpr std::int64_t expiryMarginMs = 15'000;
 constexpr std::int64_t sweepIntervalMs = 2000;
 // Longest history that is followed; far above any real one, and an end for a damaged one.
@@ -34,7 +34,7 @@
 
 void LedgerState::advanceTime(std::int64_t nowMs)
 {
-    // A new leader's clock may be behind that of the last one; time never goes back here.
+    // A new leader may not have applied all commands of the last one when it takes its time over; it never goes back.
     const std::int64_t before = nowMs_;
     nowMs_ = std::max(nowMs_, nowMs);
     // The sweeps' times follow from the commands alone, so that members that began with a snapshot sweep with the rest.
--- a/src/gateway/cp_ledger_members.cpp
+++ b/src/gateway/cp_ledger_members.cpp
@@ -117,7 +117,7 @@
     holdsUpTo_[request.peer] = request.holdsUpTo;
     const auto known = state_.vms().find(request.vm);
     if (known == state_.vms().end() || known->second.peer != request.peer) {
-        propose({ledgerTimeOfDayMs(), LedgerVm {request.vm, request.peer, false}}, [](bool) {});
+        propose(LedgerVm {request.vm, request.peer, false}, [](bool) {});
     }
     if (!replier) {
         return;
@@ -148,7 +148,7 @@
             done(OrderResult::TooFewLeft);
             return;
         }
-        propose({ledgerTimeOfDayMs(), LedgerVm {vm, found->second.peer, true}}, [this, vm, done](bool isCommitted) {
+        propose(LedgerVm {vm, found->second.peer, true}, [this, vm, done](bool isCommitted) {
             parts_.log.info("retire.accepted", {{"target", vm}, {"committed", isCommitted}});
             done(isCommitted ? OrderResult::Done : OrderResult::Unknown);
         });
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -94,9 +94,14 @@
     driver_.stop();
 }
 
-void LedgerService::propose(LedgerCommand command, ConsensusDriver::Committed done)
+void LedgerService::propose(LedgerCommand::Action action, ConsensusDriver::Committed done)
 {
-    driver_.propose(encodeLedgerCommand(command), std::move(done));
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (driver_.isStarted() && clockTerm_ != driver_.node().term()) {
+        clockTerm_ = driver_.node().term();
+        clock_.takeOver(state_.nowMs(), now);
+    }
+    driver_.propose(encodeLedgerCommand({clock_.nowMs(now), std::move(action)}), std::move(done));
 }
 
 void LedgerService::apply(const LogEntry &entry)
@@ -246,7 +251,7 @@
     pendingTokens_[begun->begin.program] += begun->begin.tokensAtMost;
     TurnBegin kept = begun->begin;
     kept.wish = {};
-    propose({ledgerTimeOfDayMs(), std::move(kept)}, [this, begun](bool isCommitted) {
+    propose(std::move(kept), [this, begun](bool isCommitted) {
         const auto pending = pendingTokens_.find(begun->begin.program);
         pending->second -= begun->begin.tokensAtMost;
         if (pending->second == 0) {
@@ -263,7 +268,7 @@
         return;
     }
     placement_.release(finish.turn, std::chrono::steady_clock::now());
-    propose({ledgerTimeOfDayMs(), std::move(finish)}, [this, replier](bool isCommitted) {
+    propose(std::move(finish), [this, replier](bool isCommitted) {
         replier->reply(TurnFinishReply {isCommitted, driver_.leader()});
     });
 }
@@ -358,9 +363,9 @@
         confirm(std::move(done));
         return;
     }
-    propose(
-        {ledgerTimeOfDayMs(), RouteDocumentPut {version, std::move(bytes)}},
-        [done = std::move(done)](bool isCommitted) { done(isCommitted ? OrderResult::Done : OrderResult::Unknown); });
+    propose(RouteDocumentPut {version, std::move(bytes)}, [done = std::move(done)](bool isCommitted) {
+        done(isCommitted ? OrderResult::Done : OrderResult::Unknown);
+    });
 }
 
 void LedgerService::confirm(OrderDone done)
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -5,6 +5,7 @@
 #include "cp_gateway_settings.hpp"
 #include "cp_turn_text_store.hpp"
 
+#include <cardamompost/ledger/cp_ledger_clock.hpp>
 #include <cardamompost/ledger/cp_ledger_state.hpp>
 #include <cardamompost/ledger/cp_member_planner.hpp>
 #include <cardamompost/net/cp_peer_server.hpp>
@@ -13,12 +14,6 @@
 namespace cardamompost
 {
 
-//! Time of day in milliseconds, as the ledger's commands carry it.
-[[nodiscard]] inline std::int64_t ledgerTimeOfDayMs()
-{
-    return toMs(std::chrono::system_clock::now().time_since_epoch());
-}
-
 //! A ledger VM's answers to entries and to other ledger VMs, and on the leader the care for the group's members.
 //! Everything runs on the io_context's thread.
 class LedgerService : public IReplicatedState
@@ -128,7 +123,8 @@
     void keepJoining();
     void askToJoin();
     void onJoined(const JoinReply &reply);
-    void propose(LedgerCommand command, ConsensusDriver::Committed done);
+    //! Proposes a change, with the ledger's time.
+    void propose(LedgerCommand::Action action, ConsensusDriver::Committed done);
     void refuse(const TurnBegin &begin, TurnBeginStatus status, bool isConfirmed, const Replier &replier);
     void confirmNoSuchTurn(const TurnBegin &begin, const Replier &replier);
     //! Goes on with a begin whose history is there.
@@ -154,6 +150,9 @@
     Parts parts_;
     VmName self_;
     LedgerState state_;
+    LedgerClock clock_;
+    //! The term that the clock was taken over for.
+    Term clockTerm_ = 0;
     TurnTextStore texts_;
     ConsensusDriver driver_;
     boost::asio::steady_timer joinTimer_;
--- a/tests/ledger/cp_ledger_state.tests.cpp
+++ b/tests/ledger/cp_ledger_state.tests.cpp
@@ -1,3 +1,4 @@
+#include <cardamompost/ledger/cp_ledger_clock.hpp>
 #include <cardamompost/ledger/cp_ledger_state.hpp>
 
 #include <boost/test/unit_test.hpp>
@@ -132,6 +133,27 @@
     BOOST_TEST(state.turnBytes() == (std::string("in-x;out-x\n") + "in-y;out-y\n").size());
 }
 
+// The time of day of one ledger VM is an hour ahead, and for some seconds it leads. With its time of day in the
+// commands, everything that programs had said expired at its first one, and callers were told that it is unknown.
+BOOST_AUTO_TEST_CASE(leaders_after_each_other_lose_nothing_whatever_their_clocks_say)
+{
+    LedgerState state;
+    const TimePoint start {};
+    LedgerClock first;
+    first.takeOver(state.nowMs(), start);
+    apply(state, finish("a", 1), first.nowMs(start + Milliseconds(5000)));
+    // Steady clocks of two machines have nothing in common.
+    const TimePoint elsewhere = start + std::chrono::hours(1000);
+    LedgerClock second;
+    second.takeOver(state.nowMs(), elsewhere);
+    apply(state, finish("b", 1, TurnEnding::Whole, "a"), second.nowMs(elsewhere + Milliseconds(59'000)));
+    BOOST_TEST(state.hasTurn("a"));
+    // Retention goes on over the change of leaders: it does not begin anew either.
+    apply(state, finish("c", 1), second.nowMs(elsewhere + Milliseconds(180'000)));
+    BOOST_TEST(!state.hasTurn("a"));
+    BOOST_TEST(!state.hasTurn("b"));
+}
+
 // A loop that was stopped by its budget comes back half a minute later: what it spent must still count.
 BOOST_AUTO_TEST_CASE(what_a_program_spent_lives_as_long_as_its_turns)
 {
