Send entries the buckets of the list that changed, within a bound on bytes

The leader was ended over its memory, and so was the next. Ruled out: deltas by sequence, since a new leader, after which all ask at once, shares none with the last; lists from followers, which have no reader's term. Change: BackendBuckets: questions carry 64 digests, answers only the buckets that differ, packed. Searches bring neither list nor document. 24 MB of news a second for all entries together, the rest wait their turn.

--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -2,7 +2,7 @@
 #define CARDAMOMPOST_CP_LEDGER_MESSAGE_HPP_INCLUDED
 
 #include <cardamompost/core/cp_ids.hpp>
-#include <cardamompost/routing/cp_backend_list.hpp>
+#include <cardamompost/routing/cp_backend_buckets.hpp>
 
 #include <vector>
 
@@ -109,8 +109,12 @@
 struct NewsRequest {
     std::uint64_t documentVersion = 0;
     BackendListVersion list;
+    //! Of the list that is held.
+    BackendBuckets::Digests listDigests;
     //! How long the leader may wait for a change before it answers.
     std::uint32_t waitMs = 0;
+    //! False for a question that is only after who leads.
+    bool wantsContent = true;
 };
 
 struct NewsReply {
@@ -124,7 +128,9 @@
     //! Empty when nothing newer is known.
     std::string document;
     bool hasList = false;
-    BackendList list;
+    BackendListVersion list;
+    //! Those that differ from the digests in the request.
+    std::vector<BackendBucket> buckets;
     //! Time since the list was read, in milliseconds.
     std::uint32_t listAgeMs = 0;
 };
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -262,11 +262,17 @@
   isLeaving @5 :Bool;
 }
 
+struct ServerBucket {
+  servers @0 :List(BackendServer);
+}
+
 struct NewsRequest {
   documentVersion @0 :UInt64;
   listTerm @1 :UInt64;
   listSequence @2 :UInt64;
   waitMs @3 :UInt32;
+  wantsContent @4 :Bool;
+  listDigests @5 :List(UInt32);
 }
 
 struct NewsReply {
@@ -278,9 +284,14 @@
   listTerm @5 :UInt64;
   listSequence @6 :UInt64;
   hasList @7 :Bool;
-  servers @8 :List(BackendServer);
+  buckets @8 :List(Bucket);
   listAgeMs @9 :UInt32;
   term @10 :UInt64;
+  struct Bucket {
+    number @0 :UInt32;
+    # A ServerBucket, packed.
+    bytes @1 :Data;
+  }
 }
 
 struct Presence {
--- a/src/cardamompost/net/cp_frame_decoder.cpp
+++ b/src/cardamompost/net/cp_frame_decoder.cpp
@@ -151,7 +151,15 @@
         return TurnFinishReply {in.getTurnFinishReply().getIsDurable(), fromText(in.getTurnFinishReply().getLeader())};
     case Body::NEWS: {
         const auto news = in.getNews();
-        return NewsRequest {news.getDocumentVersion(), {news.getListTerm(), news.getListSequence()}, news.getWaitMs()};
+        NewsRequest request {news.getDocumentVersion(),
+                             {news.getListTerm(), news.getListSequence()},
+                             {},
+                             news.getWaitMs(),
+                             news.getWantsContent()};
+        for (const std::uint32_t digest : news.getListDigests()) {
+            request.listDigests.push_back(digest);
+        }
+        return request;
     }
     case Body::NEWS_REPLY:
         return decodeNewsReply(in.getNewsReply());
--- a/src/cardamompost/net/cp_frame_encoder.cpp
+++ b/src/cardamompost/net/cp_frame_encoder.cpp
@@ -295,6 +295,11 @@
         message.setListTerm(in.list.term);
         message.setListSequence(in.list.sequence);
         message.setWaitMs(in.waitMs);
+        message.setWantsContent(in.wantsContent);
+        auto digests = message.initListDigests(static_cast<unsigned>(in.listDigests.size()));
+        for (unsigned i = 0; i < digests.size(); ++i) {
+            digests.set(i, in.listDigests[i]);
+        }
     }
 
     void operator()(const NewsReply &in)
--- a/src/cardamompost/net/cp_ledger_schema.cpp
+++ b/src/cardamompost/net/cp_ledger_schema.cpp
@@ -97,18 +97,13 @@
     out.setDocumentVersion(in.documentVersion);
     out.setDocument(toData(in.document));
     out.setHasList(in.hasList);
-    out.setListTerm(in.list.version.term);
-    out.setListSequence(in.list.version.sequence);
+    out.setListTerm(in.list.term);
+    out.setListSequence(in.list.sequence);
     out.setListAgeMs(in.listAgeMs);
-    auto servers = out.initServers(static_cast<unsigned>(in.list.servers.size()));
-    for (unsigned i = 0; i < servers.size(); ++i) {
-        const BackendServer &server = in.list.servers[i];
-        servers[i].setId(toText(server.id));
-        servers[i].setService(toText(server.service));
-        servers[i].setAddress(toText(server.address.toString()));
-        servers[i].setFailureDomain(toText(server.failureDomain));
-        servers[i].setSlots(server.slots);
-        servers[i].setIsLeaving(server.isLeaving);
+    auto buckets = out.initBuckets(static_cast<unsigned>(in.buckets.size()));
+    for (unsigned i = 0; i < buckets.size(); ++i) {
+        buckets[i].setNumber(in.buckets[i].number);
+        buckets[i].setBytes(toData(in.buckets[i].bytes));
     }
 }
 
@@ -124,12 +119,10 @@
     reply.documentVersion = in.getDocumentVersion();
     reply.document = fromData(in.getDocument());
     reply.hasList = in.getHasList();
-    reply.list.version = {in.getListTerm(), in.getListSequence()};
+    reply.list = {in.getListTerm(), in.getListSequence()};
     reply.listAgeMs = in.getListAgeMs();
-    for (const auto server : in.getServers()) {
-        const Address address = parseAddress(fromText(server.getAddress())).value_or(Address {});
-        reply.list.servers.push_back({fromText(server.getId()), fromText(server.getService()), address,
-                                      fromText(server.getFailureDomain()), server.getSlots(), server.getIsLeaving()});
+    for (const auto bucket : in.getBuckets()) {
+        reply.buckets.push_back({bucket.getNumber(), fromData(bucket.getBytes())});
     }
     return reply;
 }
--- a/src/gateway/cp_entry_server.cpp
+++ b/src/gateway/cp_entry_server.cpp
@@ -98,17 +98,33 @@
             parts_.log.info("document.in_force", {{"version", news.documentVersion}, {"before", known}});
         }
     }
-    if (news.hasList && pool_.setList(news.list)) {
-        parts_.log.info("backends.taken",
-                        {{"term", news.list.version.term},
-                         {"sequence", news.list.version.sequence},
-                         {"servers", news.list.servers.size()},
-                         {"age_ms", news.listAgeMs}});
-    }
-    ledger_.setKnown(forwarder_.table() ? forwarder_.table()->version() : 0, pool_.version());
+    takeList(news);
+    ledger_.setKnown(forwarder_.table() ? forwarder_.table()->version() : 0, pool_.version(), buckets_.digests());
     tellIfChanged();
 }
 
+void EntryServer::takeList(const NewsReply &news)
+{
+    if (!news.hasList || news.list <= pool_.version()) {
+        return;
+    }
+    const Result<void> taken = buckets_.take(news.buckets);
+    if (!taken) {
+        // Everything is asked for anew.
+        buckets_ = {};
+        parts_.log.warn("backends.unreadable", {{"error", taken.error().message}});
+        return;
+    }
+    const std::vector<BackendServer> servers = buckets_.servers();
+    pool_.setList({news.list, servers});
+    parts_.log.info("backends.taken",
+                    {{"term", news.list.term},
+                     {"sequence", news.list.sequence},
+                     {"servers", servers.size()},
+                     {"buckets", news.buckets.size()},
+                     {"age_ms", news.listAgeMs}});
+}
+
 void EntryServer::tellIfChanged()
 {
     if (isReady() != wasReady_) {
--- a/src/gateway/cp_entry_server.hpp
+++ b/src/gateway/cp_entry_server.hpp
@@ -41,6 +41,7 @@
 private:
     [[nodiscard]] bool isReady() const;
     void takeNews(const NewsReply &news);
+    void takeList(const NewsReply &news);
     void keepTelling();
     void tellIfChanged();
     boost::asio::awaitable<void> accept();
@@ -49,6 +50,7 @@
 
     Parts parts_;
     LedgerClient ledger_;
+    BackendBuckets buckets_;
     BackendPool pool_;
     Forwarder forwarder_;
     HttpServer ready_;
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -113,8 +113,10 @@
     if (!client) {
         return;
     }
-    NewsRequest request = known_;
-    request.waitMs = 0;
+    // Guards the leader's memory: this is asked ten times a second of all, and a list of thousands of servers in each
+    // answer, to hundreds of entries, ended one leader after the other. The next question gets the news themselves.
+    NewsRequest request;
+    request.wantsContent = false;
     client->request(request, searchTimeout, [this, peer](Result<FrameBody> reply, bool) {
         const NewsReply *news = reply ? std::get_if<NewsReply>(&reply.value()) : nullptr;
         if (news == nullptr) {
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -94,10 +94,11 @@
     void tellPresence(bool isReady);
 
     //! What the next NewsRequest says is known already.
-    void setKnown(std::uint64_t documentVersion, BackendListVersion list)
+    void setKnown(std::uint64_t documentVersion, BackendListVersion list, BackendBuckets::Digests listDigests)
     {
         known_.documentVersion = documentVersion;
         known_.list = list;
+        known_.listDigests = std::move(listDigests);
     }
     //! Time since a leader last answered.
     [[nodiscard]] Milliseconds newsAge() const;
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -16,6 +16,11 @@
 constexpr std::size_t maxAppendsInFlight = 16;
 // As long as an entry leaves out a server that it could not reach.
 constexpr Milliseconds avoidFor {1000};
+// Lists and documents that entries are sent, all of them together.
+constexpr double newsBytesPerSecond = 24.0 * (1U << 20U);
+constexpr double newsBurstBytes = 4.0 * (1U << 20U);
+// An entry whose news can't be afforded hears in time that the leader is there.
+constexpr Milliseconds shortestNewsWait {300};
 constexpr LogIndex foundingIndex = 1;
 constexpr Term foundingTerm = 1;
 
@@ -281,14 +286,49 @@
 
 void LedgerService::onNews(const NewsRequest &request, const Replier &replier)
 {
-    if (!leads() || request.waitMs == 0 || hasNews(request)) {
-        replyNews(request, replier);
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (!leads() || !request.wantsContent) {
+        replyNews(request, replier, false);
+        return;
+    }
+    const bool isDue = hasNews(request);
+    if (isDue && mayAffordNews(now)) {
+        replyNews(request, replier, true);
+        return;
+    }
+    if (!isDue && request.waitMs == 0) {
+        replyNews(request, replier, false);
         return;
     }
-    waiters_.push_back({request, replier, std::chrono::steady_clock::now() + Milliseconds(request.waitMs)});
+    waiters_.push_back({request, replier, now + std::max(shortestNewsWait, Milliseconds(request.waitMs))});
 }
 
-void LedgerService::replyNews(const NewsRequest &request, const Replier &replier)
+bool LedgerService::mayAffordNews(TimePoint now)
+{
+    // Guards the leader's memory and link: after a start or a change of everything, hundreds of entries want the same
+    // hundreds of kilobytes at one moment. They get them one after the other, within a second or two.
+    const double earned = std::chrono::duration<double>(now - newsEarnedAt_).count() * newsBytesPerSecond;
+    newsBudget_ = std::min(newsBurstBytes, newsBudget_ + earned);
+    newsEarnedAt_ = now;
+    return newsBudget_ > 0;
+}
+
+void LedgerService::addContent(const NewsRequest &request, NewsReply &reply)
+{
+    if (request.documentVersion < state_.documentVersion()) {
+        reply.document = state_.document();
+    }
+    reply.hasList = backends_.version.term != 0 && request.list < backends_.version;
+    if (reply.hasList) {
+        reply.buckets = buckets_.differing(request.listDigests);
+    }
+    newsBudget_ -= static_cast<double>(reply.document.size());
+    for (const BackendBucket &bucket : reply.buckets) {
+        newsBudget_ -= static_cast<double>(bucket.bytes.size());
+    }
+}
+
+void LedgerService::replyNews(const NewsRequest &request, const Replier &replier, bool withContent)
 {
     NewsReply reply;
     reply.isLeader = leads();
@@ -304,16 +344,12 @@
     if (reply.isLeader) {
         reply.term = driver_.node().term();
         reply.documentVersion = state_.documentVersion();
-        if (request.documentVersion < state_.documentVersion()) {
-            reply.document = state_.document();
-        }
-        reply.hasList = backends_.version.term != 0 && request.list < backends_.version;
-        reply.list.version = backends_.version;
-        if (reply.hasList) {
-            reply.list = backends_;
-        }
+        reply.list = backends_.version;
         reply.listAgeMs = static_cast<std::uint32_t>(toMs(std::chrono::steady_clock::now() - listReadAt_));
     }
+    if (reply.isLeader && withContent) {
+        addContent(request, reply);
+    }
     replier->reply(std::move(reply));
 }
 
@@ -323,8 +359,9 @@
     const bool isLeader = leads();
     std::vector<NewsWaiter> kept;
     for (NewsWaiter &waiter : std::exchange(waiters_, {})) {
-        if (all || !isLeader || now >= waiter.deadline || hasNews(waiter.request)) {
-            replyNews(waiter.request, waiter.replier);
+        const bool isServed = isLeader && hasNews(waiter.request) && mayAffordNews(now);
+        if (isServed || all || !isLeader || now >= waiter.deadline) {
+            replyNews(waiter.request, waiter.replier, isServed);
         } else {
             kept.push_back(std::move(waiter));
         }
@@ -341,6 +378,7 @@
     }
     const std::uint64_t sequence = backends_.version.term == term ? backends_.version.sequence + 1 : 1;
     backends_ = {{term, sequence}, std::move(servers)};
+    buckets_.setServers(backends_.servers);
     placement_.setServers(backends_.servers, listReadAt_);
     std::size_t leaving = 0;
     for (const BackendServer &server : backends_.servers) {
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -134,7 +134,10 @@
     void commitBegin(const std::shared_ptr<Begin> &begun);
     void onDecided(Begin &begun, TurnBeginStatus status);
     [[nodiscard]] bool hasNews(const NewsRequest &request) const;
-    void replyNews(const NewsRequest &request, const Replier &replier);
+    void replyNews(const NewsRequest &request, const Replier &replier, bool withContent);
+    void addContent(const NewsRequest &request, NewsReply &reply);
+    //! Adds what was earned since. \returns true while news may be sent
+    [[nodiscard]] bool mayAffordNews(TimePoint now);
     void answerWaiters(bool all);
     void planMembers();
     [[nodiscard]] MemberCandidates candidates() const;
@@ -170,6 +173,10 @@
     std::unordered_map<VmName, LogIndex> holdsUpTo_;
     std::vector<NewsWaiter> waiters_;
     BackendList backends_;
+    BackendBuckets buckets_;
+    //! Bytes of news that may be sent now; below 0 while earlier ones are paid off.
+    double newsBudget_ = 0;
+    TimePoint newsEarnedAt_ {};
     TimePoint listReadAt_ {};
     TimePoint nextPlan_ {};
     bool wasLeader_ = false;
