Let every ledger VM show operators the way to the leader

Cause: any VM that serves control may be asked. Ruled out: entries or operators learning the members (operators pick from their own list).

--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -332,7 +332,7 @@
 {
     NewsReply reply;
     reply.isLeader = leads();
-    reply.leader = driver_.leader();
+    reply.leader = leader();
     // All ledger VMs, members or not: each answers the directory, so each has to hear from the entries.
     for (const auto &[vm, record] : state_.vms()) {
         reply.members.push_back(record.peer);
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -76,9 +76,10 @@
     {
         return driver_.isSettledLeader();
     }
+    //! Empty while none is known. A VM outside of the group knows the one that it last asked to be taken in.
     [[nodiscard]] VmName leader() const
     {
-        return driver_.leader();
+        return driver_.leader().empty() && leaderHint_ != self_ ? leaderHint_ : driver_.leader();
     }
     void handOver()
     {
--- a/tests/platform/cp_platform_faults.tests.cpp
+++ b/tests/platform/cp_platform_faults.tests.cpp
@@ -199,6 +199,24 @@
     BOOST_TEST(isServed(late, "/more-350/x"));
 }
 
+// Of three hundred VMs only a few hold the ledger, and operators ask any of those that serve control. One that never
+// became a member knew no leader and refused for good: configurations took seconds to be acknowledged, and at the end
+// of a day nobody could read back the one in force.
+BOOST_AUTO_TEST_CASE(a_ledger_vm_outside_of_the_group_shows_operators_the_way)
+{
+    System system;
+    system.putDocument(3);
+    system.addLedger();
+    const Address outside = system.ledgers.back().control;
+    HttpResponse answer;
+    BOOST_TEST(System::eventually([&] {
+        answer = system.stage.call(outside, "GET", "/cardamompost/configuration");
+        return answer.status == 307;
+    }));
+    const std::string to(answer.header("Location"));
+    BOOST_TEST(to.find("/cardamompost/configuration") != std::string::npos);
+}
+
 // Whoever looks at the numbers of a bad minute has to find the change of leaders, and the turns that were refused.
 BOOST_AUTO_TEST_CASE(changes_of_leaders_and_refused_turns_are_counted)
 {
