--- a/tests/platform/cp_platform_faults.tests.cpp
+++ b/tests/platform/cp_platform_faults.tests.cpp
@@ -199,6 +199,45 @@
     BOOST_TEST(isServed(late, "/more-350/x"));
 }
 
+// The links between the VMs lose packets, or a ledger VM runs slowly: every third piece comes 120 ms late. Elections
+// may come and go, begins and ends are sent again. A program of ten turns goes on meanwhile: each turn runs at most
+// once, with its whole history, and the budget holds over all that was sent again.
+BOOST_AUTO_TEST_CASE(a_program_goes_on_while_links_between_vms_lose_packets)
+{
+    constexpr int turns = 10;
+    constexpr int tokensOfTurn = 20;
+    constexpr int mostOfTurn = 50;
+    constexpr int amply = 10'000;
+    System system;
+    system.putDocument(3);
+    const Address entry = system.addEntry(system.seeds());
+    system.link.holdUp(Milliseconds(120));
+    std::string previous;
+    std::string history;
+    int allTries = 0;
+    for (int i = 0; i < turns; ++i) {
+        // A turn that got no whole answer is sent again under another id, as callers do.
+        std::string id;
+        int tries = 0;
+        BOOST_REQUIRE(System::eventually([&] {
+            id = "l" + std::to_string(i) + "-" + std::to_string(++tries);
+            ++allTries;
+            const unsigned status = system.turn(entry, id, previous, amply).status;
+            BOOST_TEST(status != 404U);
+            BOOST_TEST(system.stage.runsOf(id) <= 1U);
+            return status == 200;
+        }));
+        BOOST_TEST(system.stage.bodyOf(id) == history + "in-" + id + ";");
+        history += "in-" + id + ";a-" + id + "\nb-" + id + "\n";
+        previous = id;
+    }
+    system.link.holdUp(Milliseconds(0));
+    BOOST_TEST(system.turn(entry, "l-spent", previous, turns * tokensOfTurn).status == 402U);
+    const int spentAtMost = allTries * tokensOfTurn;
+    BOOST_TEST(System::eventually(
+        [&] { return system.turn(entry, "l-last", previous, spentAtMost + mostOfTurn).status == 200; }));
+}
+
 // Of three hundred VMs only a few hold the ledger, and operators ask any of those that serve control. One that never
 // became a member knew no leader and refused for good: configurations took seconds to be acknowledged, and at the end
 // of a day nobody could read back the one in force.
--- a/tests/support/cp_forgetful_link.hpp
+++ b/tests/support/cp_forgetful_link.hpp
@@ -2,6 +2,7 @@
 #define CARDAMOMPOST_TESTS_CP_FORGETFUL_LINK_HPP_INCLUDED
 
 #include <cardamompost/config/cp_section_reader.hpp>
+#include <cardamompost/core/cp_time.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -9,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -21,7 +23,8 @@
 {
 
 //! Passes connections on to other addresses, and can forget those that are open: they stay open and nothing passes any
-//! more, in neither way, while new ones work. So does something between two ends that has lost track of them.
+//! more, in neither way, while new ones work. So does something between two ends that has lost track of them. It can
+//! also hold pieces up, as lost packets do until they are sent again.
 class ForgetfulLink
 {
 public:
@@ -54,10 +57,17 @@
         });
     }
 
+    //! From now on every third piece is held up for so long, and all behind it on its connection.
+    void holdUp(Milliseconds time)
+    {
+        boost::asio::post(io_, [this, time] { *heldUp_ = time; });
+    }
+
 private:
     using Socket = boost::asio::ip::tcp::socket;
     using Acceptor = boost::asio::ip::tcp::acceptor;
     static constexpr auto asTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+    static constexpr unsigned heldUpEvery = 3;
 
     static boost::asio::ip::tcp::endpoint endpoint(const Address &address)
     {
@@ -76,14 +86,16 @@
                 continue;
             }
             const std::shared_ptr<bool> remembered = remembered_;
-            boost::asio::co_spawn(io_, pipe(one, other, remembered), boost::asio::detached);
-            boost::asio::co_spawn(io_, pipe(other, one, remembered), boost::asio::detached);
+            boost::asio::co_spawn(io_, pipe(one, other, remembered, heldUp_), boost::asio::detached);
+            boost::asio::co_spawn(io_, pipe(other, one, remembered, heldUp_), boost::asio::detached);
         }
     }
 
     static boost::asio::awaitable<void> pipe(std::shared_ptr<Socket> from, std::shared_ptr<Socket> to,
-                                             std::shared_ptr<bool> remembered)
+                                             std::shared_ptr<bool> remembered, std::shared_ptr<Milliseconds> heldUp)
     {
+        boost::asio::steady_timer timer(from->get_executor());
+        unsigned pieces = 0;
         std::array<char, 16U << 10U> space {};
         for (;;) {
             const auto [error, got] = co_await from->async_read_some(boost::asio::buffer(space), asTuple);
@@ -98,6 +110,10 @@
                 to->close(ignored);
                 co_return;
             }
+            if (++pieces % heldUpEvery == 0 && heldUp->count() > 0) {
+                timer.expires_after(*heldUp);
+                co_await timer.async_wait(asTuple);
+            }
             co_await boost::asio::async_write(*to, boost::asio::buffer(space, got), asTuple);
         }
     }
@@ -105,6 +121,7 @@
     boost::asio::io_context io_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_ {io_.get_executor()};
     std::shared_ptr<bool> remembered_ = std::make_shared<bool>(true);
+    std::shared_ptr<Milliseconds> heldUp_ = std::make_shared<Milliseconds>(0);
     std::list<Acceptor> acceptors_;
     std::thread thread_;
 };
