--- a/src/cardamompost/net/cp_http_server.cpp
+++ b/src/cardamompost/net/cp_http_server.cpp
@@ -144,8 +144,8 @@
     return request;
 }
 
-//! Counts a connection while it is open. Shares the count: a connection that is still open when its server is taken down
-//! ends with the io_context, after the server.
+//! Counts a connection while it is open. Shares the count: a connection that is still open when its server is taken
+//! down ends with the io_context, after the server.
 class CountGuard
 {
 public:
