--- a/tools/check.sh
+++ b/tools/check.sh
@@ -15,6 +15,9 @@
 cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=Release -DCMAKE_CXX_COMPILER_LAUNCHER=ccache -DCARDAMOMPOST_TESTS=ON >/dev/null
 ninja -C build | tail -n 1
 
+step "the build for the users' machines"
+tools/scripts/check_deploy_build.sh build/deploy-check
+
 step "schema: the committed code is what the schema says"
 mkdir -p build/schema
 capnp compile -oc++:build/schema --src-prefix=schema schema/cardamompost.capnp
