--- a/src/gateway/cp_request_report.cpp
+++ b/src/gateway/cp_request_report.cpp
@@ -62,6 +62,9 @@
             line["placed_by"] = request.isPlacedByLeader ? "leader" : "entry";
             line["waited_ms"] = request.waited.count();
         }
+        if (request.facts.programTimeLeft) {
+            line["left_ms"] = request.facts.programTimeLeft->count();
+        }
         line["sends"] = request.sends;
         line["runs"] = request.runs;
         line["list"] = fmt::format("{}.{}", parts_.pool.version().term, parts_.pool.version().sequence);
