Notice a lost leader in a tenth of a second, and keep callers from asking a dark directory again and again

Change: election timeouts between 100 and 300 ms from observed gaps (ContactGaps); members tell entries themselves when they lead (a question that waits), so turns are asked for again at once; ledger VMs tell each other that they are there, and answers for callers near a dark one live for 5 s.

--- a/include/cardamompost/consensus/cp_raft_node.hpp
+++ b/include/cardamompost/consensus/cp_raft_node.hpp
@@ -5,6 +5,7 @@
 #include <cardamompost/consensus/cp_raft_message.hpp>
 #include <cardamompost/core/cp_error.hpp>
 #include <cardamompost/core/cp_time.hpp>
+#include <cardamompost/liveness/cp_contact_gaps.hpp>
 
 #include <map>
 #include <random>
@@ -17,6 +18,9 @@
     VmName self;
     //! A follower starts an election after 1 to 2 times this without a leader.
     Milliseconds electionTimeout {400};
+    //! Shorter election timeouts are taken, down to this, where the leader's contacts are dense (ContactGaps); 0 for
+    //! none.
+    Milliseconds shortestElectionTimeout {0};
     //! The same for the first time after a start; 0 for no difference. Shorter, a group whose members all start
     //! together has its leader sooner; a member that starts alone disturbs nobody, since a pre-vote against a leader
     //! fails.
@@ -200,6 +204,7 @@
     [[nodiscard]] std::set<VmName> peers() const;
     [[nodiscard]] bool isVoter(const VmName &name) const;
     [[nodiscard]] bool hasRecentLeader() const;
+    void noteLeaderContact(const VmName &leader);
 
     RaftOptions options_;
     std::mt19937_64 random_;
@@ -216,6 +221,9 @@
     TimePoint now_ {};
     TimePoint electionDeadline_ {};
     TimePoint leaderContact_ {};
+    //! Whose contacts are in leaderGaps_.
+    VmName gapsOf_;
+    ContactGaps leaderGaps_;
     TimePoint nextHeartbeat_ {};
     std::set<VmName> votes_;
     std::map<VmName, Progress> progress_;
--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -150,12 +150,23 @@
     std::vector<TurnText> texts;
 };
 
-//! Tells a directory that an entry takes requests; counts for a few seconds.
+//! Where callers reach an entry that takes requests.
+struct EntryPlace {
+    std::string address;
+    std::string failureDomain;
+
+    friend auto operator<=>(const EntryPlace &, const EntryPlace &) = default;
+};
+
+//! Tells a directory that an entry takes requests, or another directory answers; counts for a few seconds.
 struct Presence {
     VmName vm;
     std::string address;
     std::string failureDomain;
+    //! An entry takes requests.
     bool isReady = false;
+    //! It is a directory and not an entry.
+    bool isDirectory = false;
 };
 
 } // namespace cardamompost
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -299,6 +299,7 @@
   address @1 :Text;
   failureDomain @2 :Text;
   isReady @3 :Bool;
+  isDirectory @4 :Bool;
 }
 
 struct TurnText {
--- a/src/cardamompost/consensus/cp_raft_election.cpp
+++ b/src/cardamompost/consensus/cp_raft_election.cpp
@@ -6,8 +6,21 @@
 
 void RaftNode::resetElectionDeadline()
 {
-    std::uniform_int_distribution<std::int64_t> spread(0, options_.electionTimeout.count());
-    electionDeadline_ = now_ + options_.electionTimeout + Milliseconds(spread(random_));
+    const Milliseconds timeout = leaderGaps_.suspectAfter();
+    std::uniform_int_distribution<std::int64_t> spread(0, timeout.count());
+    electionDeadline_ = now_ + timeout + Milliseconds(spread(random_));
+}
+
+void RaftNode::noteLeaderContact(const VmName &leader)
+{
+    leaderContact_ = now_;
+    if (gapsOf_ != leader) {
+        gapsOf_ = leader;
+        leaderGaps_.restart(now_);
+    } else {
+        leaderGaps_.observe(now_);
+    }
+    resetElectionDeadline();
 }
 
 bool RaftNode::hasRecentLeader() const
@@ -15,7 +28,7 @@
     if (role_ == RaftRole::Leader) {
         return true;
     }
-    return !leader_.empty() && now_ - leaderContact_ < options_.electionTimeout;
+    return !leader_.empty() && now_ - leaderContact_ < leaderGaps_.suspectAfter();
 }
 
 void RaftNode::becomeFollower(Term term, const VmName &leader)
--- a/src/cardamompost/consensus/cp_raft_replication.cpp
+++ b/src/cardamompost/consensus/cp_raft_replication.cpp
@@ -139,8 +139,7 @@
     if (role_ != RaftRole::Follower || leader_ != message.from) {
         becomeFollower(message.term, message.from);
     }
-    leaderContact_ = now_;
-    resetElectionDeadline();
+    noteLeaderContact(message.from);
     RaftMessage reply = makeMessage(RaftMessageType::AppendReply, message.from);
     reply.round = message.round;
     const std::optional<Term> ownTerm = log_.termAt(message.index);
@@ -223,8 +222,7 @@
     if (role_ != RaftRole::Follower || leader_ != message.from) {
         becomeFollower(message.term, message.from);
     }
-    leaderContact_ = now_;
-    resetElectionDeadline();
+    noteLeaderContact(message.from);
     RaftMessage reply = makeMessage(RaftMessageType::SnapshotReply, message.from);
     reply.round = message.round;
     reply.snapshot.index = message.snapshot.index;
--- a/src/cardamompost/net/cp_frame_encoder.cpp
+++ b/src/cardamompost/net/cp_frame_encoder.cpp
@@ -314,6 +314,7 @@
         message.setAddress(toText(in.address));
         message.setFailureDomain(toText(in.failureDomain));
         message.setIsReady(in.isReady);
+        message.setIsDirectory(in.isDirectory);
     }
 
     void operator()(const TurnTextsRequest &in)
--- a/src/gateway/cp_consensus_driver.cpp
+++ b/src/gateway/cp_consensus_driver.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-constexpr Milliseconds tickInterval {40};
+constexpr Milliseconds tickInterval {10};
 constexpr Milliseconds proposalTimeout {2500};
 // Shortest time between two rounds of a leader.
 constexpr Milliseconds leaderPace {4};
--- /dev/null
+++ b/src/gateway/cp_directory_server.cpp
@@ -0,0 +1,65 @@
+#include "cp_directory_server.hpp"
+
+#include "cp_own_responses.hpp"
+
+namespace cardamompost
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::size_t maxAddresses = 64;
+
+} // namespace
+
+DirectoryServer::DirectoryServer(Parts parts)
+    : parts_(parts)
+    , server_(
+          parts.io.get_executor(), HttpLimits {},
+          [this](HttpRequest &request, IHttpResponder &responder) { return onRequest(request, responder); },
+          errorResponse)
+{
+}
+
+Result<void> DirectoryServer::listen()
+{
+    return server_.listen(parts_.settings.directory);
+}
+
+void DirectoryServer::stop()
+{
+    server_.stopAccepting();
+}
+
+HttpResponse DirectoryServer::answerFrom(const HttpRequest &request) const
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    const auto zone = request.query.find("zone");
+    const std::string domain = zone == request.query.end() ? std::string() : zone->second;
+    const std::vector<std::string> addresses = addressesFor(domain, parts_.presence.ready(now), maxAddresses);
+    if (addresses.empty()) {
+        return unavailableResponse("no entry is known to take requests now");
+    }
+    // Guards callers near a directory that is frozen: a look-up there costs them a second before they ask here, which
+    // shows as pauses of a second, again and again, of all programs of a failure domain. They ask seldom then.
+    const bool isDark = parts_.presence.hasDarkDirectory(domain, now);
+    const Milliseconds lifetime
+        = isDark ? parts_.settings.directoryLifetimeDark : parts_.settings.directoryLifetime;
+    return jsonResponse(statusOk, parts_.dialect.writeDirectory(addresses, lifetime));
+}
+
+asio::awaitable<void> DirectoryServer::onRequest(HttpRequest &request, IHttpResponder &responder)
+{
+    HttpResponse response = failureResponse(statusNotFound, "no such path");
+    if (request.path == parts_.dialect.paths().directory) {
+        response = answerFrom(request);
+    } else if (request.path == "/metrics") {
+        response = HttpResponse {statusOk, {}, parts_.metrics.text()};
+        response.headers["Content-Type"] = "text/plain; version=0.0.4";
+    }
+    co_await responder.respond(std::move(response));
+}
+
+} // namespace cardamompost
--- a/src/gateway/cp_entry_server.cpp
+++ b/src/gateway/cp_entry_server.cpp
@@ -152,6 +152,15 @@
     tellIfChanged();
 }
 
+void EntryServer::stopAccepting()
+{
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    for (const auto &caller : std::exchange(idle_, {})) {
+        caller->stream().cancel();
+    }
+}
+
 asio::awaitable<void> EntryServer::onReady(HttpRequest &request, IHttpResponder &responder)
 {
     HttpResponse response;
@@ -188,7 +197,9 @@
         const CallerBounds bounds = forwarder_.table() ? forwarder_.table()->bounds() : CallerBounds {};
         if (buffer.size() == 0) {
             stream.expires_after(bounds.idleTimeout);
+            idle_.insert(caller);
             const auto [error, got] = co_await stream.async_read_some(buffer.prepare(firstReadBytes), asTuple);
+            idle_.erase(caller);
             if (error) {
                 break;
             }
--- a/src/gateway/cp_entry_server.hpp
+++ b/src/gateway/cp_entry_server.hpp
@@ -28,6 +28,8 @@
     Result<void> start();
     //! Leaves the directory and goes on serving whoever still comes.
     void drain();
+    //! Takes no more connections, and closes those on which no request is under way.
+    void stopAccepting();
     //! True once no request is under way.
     [[nodiscard]] bool isIdle() const
     {
@@ -56,6 +58,8 @@
     HttpServer ready_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer timer_;
+    //! Connections that wait for their next request.
+    std::set<std::shared_ptr<CallerConnection>> idle_;
     bool isDraining_ = false;
     bool wasReady_ = false;
 };
--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -100,7 +100,7 @@
     BOOST_OUTCOME_TRYV(opened);
     ledger_ = std::make_unique<LedgerService>(LedgerService::Parts {io_, settings_, *disk_, peers_, log_, metrics_});
     api_ = std::make_unique<LedgerApi>(
-        LedgerApi::Parts {io_, settings_, *dialect_, *ledger_, presence_, log_, metrics_});
+        LedgerApi::Parts {io_, settings_, *dialect_, *ledger_, log_, metrics_});
     listReader_ = std::make_unique<ListReader>(ListReader::Parts {io_, settings_, *dialect_, *ledger_, log_, metrics_});
     peerServer_
         = std::make_unique<PeerServer>(io_.get_executor(), nullptr, traffic_,
@@ -109,6 +109,9 @@
                                        });
     BOOST_OUTCOME_TRYV(peerServer_->listen(settings_.peerListen));
     BOOST_OUTCOME_TRYV(api_->listen());
+    directory_ = std::make_unique<DirectoryServer>(
+        DirectoryServer::Parts {io_, settings_, *dialect_, ledger_->presence(), metrics_});
+    BOOST_OUTCOME_TRYV(directory_->listen());
     BOOST_OUTCOME_TRYV(ledger_->start());
     listReader_->start();
     return boost::outcome_v2::success();
@@ -169,9 +172,7 @@
         return;
     }
     if (const auto *presence = std::get_if<Presence>(&body)) {
-        if (presence_.note(*presence, std::chrono::steady_clock::now())) {
-            log_.info("entry.presence", {{"entry", presence->vm}, {"ready", presence->isReady}});
-        }
+        ledger_->onPresence(*presence);
         return;
     }
     if (!replier) {
@@ -268,6 +269,11 @@
     while (!isOver) {
         co_await sleepFor(drainPoll);
         const auto since = std::chrono::steady_clock::now() - begun;
+        if (since >= serveAtLeast) {
+            // Guards the requests of callers whose answer of the directory lives longer: what comes shortly before the
+            // end of the grace period would be cut. A connection that is refused costs them a moment.
+            entry_->stopAccepting();
+        }
         isOver = (since >= serveAtLeast && entry_->isIdle()) || since >= settings_.grace - graceMargin;
     }
     log_.info("process.stopped", {{"idle", entry_->isIdle()}});
@@ -284,6 +290,7 @@
     ledger_->handOver();
     co_await sleepFor(handOverTime);
     api_->stop();
+    directory_->stop();
     listReader_->stop();
     ledger_->stop();
     log_.info("process.stopped", {{"idle", true}});
--- a/src/gateway/cp_gateway.hpp
+++ b/src/gateway/cp_gateway.hpp
@@ -1,6 +1,7 @@
 #ifndef CARDAMOMPOST_CP_GATEWAY_HPP_INCLUDED
 #define CARDAMOMPOST_CP_GATEWAY_HPP_INCLUDED
 
+#include "cp_directory_server.hpp"
 #include "cp_entry_server.hpp"
 #include "cp_ledger_api.hpp"
 #include "cp_list_reader.hpp"
@@ -75,10 +76,10 @@
     PeerTraffic traffic_;
     PeerClients peers_;
     std::unique_ptr<PeerServer> peerServer_;
-    PresenceTable presence_;
     std::unique_ptr<DiskThread> disk_;
     std::unique_ptr<LedgerService> ledger_;
     std::unique_ptr<LedgerApi> api_;
+    std::unique_ptr<DirectoryServer> directory_;
     std::unique_ptr<ListReader> listReader_;
     std::unique_ptr<EntryServer> entry_;
     bool isDraining_ = false;
--- a/src/gateway/cp_gateway_settings.cpp
+++ b/src/gateway/cp_gateway_settings.cpp
@@ -11,6 +11,7 @@
 constexpr std::int64_t maxLosses = 4;
 constexpr std::int64_t defaultGraceMs = 8000;
 constexpr std::int64_t defaultLifetimeMs = 300;
+constexpr std::int64_t defaultLifetimeDarkMs = 5000;
 constexpr std::int64_t defaultListIntervalMs = 800;
 constexpr std::int64_t maxTimeMs = 600'000;
 constexpr std::int64_t defaultMemoryMb = 128;
@@ -56,6 +57,7 @@
         = static_cast<std::size_t>(reader.integer("memory_mb", defaultMemoryMb, minMemoryMb, maxMemoryMb)) << 20U;
     settings.grace = time("grace_ms", defaultGraceMs);
     settings.directoryLifetime = time("directory_lifetime_ms", defaultLifetimeMs);
+    settings.directoryLifetimeDark = time("directory_lifetime_dark_ms", defaultLifetimeDarkMs);
     settings.listInterval = time("list_interval_ms", defaultListIntervalMs);
     settings.logFile = reader.text("log_file", "-");
     settings.logLevel = reader.text("log_level", "info");
--- a/src/gateway/cp_gateway_settings.hpp
+++ b/src/gateway/cp_gateway_settings.hpp
@@ -51,6 +51,8 @@
     Milliseconds grace {0};
     //! How long callers may keep an answer of the directory.
     Milliseconds directoryLifetime {0};
+    //! The same while a directory near those callers is dark.
+    Milliseconds directoryLifetimeDark {0};
     //! "-" for standard output.
     std::string logFile = "-";
     std::string logLevel;
--- a/src/gateway/cp_ledger_api.cpp
+++ b/src/gateway/cp_ledger_api.cpp
@@ -1,5 +1,7 @@
 #include "cp_ledger_api.hpp"
 
+#include "cp_own_responses.hpp"
+
 #include <cardamompost/net/cp_await.hpp>
 
 #include <fmt/format.h>
@@ -14,36 +16,12 @@
 
 using OrderResult = LedgerService::OrderResult;
 
-constexpr unsigned statusOk = 200;
 constexpr unsigned statusRedirect = 307;
 constexpr unsigned statusInvalid = 400;
-constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusWrongMethod = 405;
 constexpr unsigned statusConflict = 409;
-constexpr unsigned statusUnavailable = 503;
-constexpr std::size_t maxAddresses = 64;
 constexpr std::uint64_t maxDocumentBytes = 32U << 20U;
-
-HttpResponse jsonAnswer(unsigned status, std::string body)
-{
-    HttpResponse response;
-    response.status = status;
-    response.headers["Content-Type"] = "application/json";
-    response.body = std::move(body);
-    return response;
-}
-
-HttpResponse failure(unsigned status, std::string_view message)
-{
-    return jsonAnswer(status, fmt::format("{{\"error\":\"{}\"}}", message));
-}
-
-HttpResponse unavailable()
-{
-    HttpResponse response = failure(statusUnavailable, "no member can be sure now");
-    response.headers["Retry-After"] = "0.3";
-    return response;
-}
+constexpr std::string_view notSure = "no member can be sure now";
 
 HttpLimits controlLimits()
 {
@@ -52,11 +30,6 @@
     return limits;
 }
 
-HttpServer::ErrorHandler errorHandler()
-{
-    return [](const Error &error) { return failure(answerFor(error.kind).status, error.message); };
-}
-
 } // namespace
 
 LedgerApi::LedgerApi(Parts parts)
@@ -64,58 +37,30 @@
     , control_(
           parts.io.get_executor(), controlLimits(),
           [this](HttpRequest &request, IHttpResponder &responder) { return onControl(request, responder); },
-          errorHandler())
-    , directory_(
-          parts.io.get_executor(), HttpLimits {},
-          [this](HttpRequest &request, IHttpResponder &responder) { return onDirectory(request, responder); },
-          errorHandler())
+          errorResponse)
 {
 }
 
 Result<void> LedgerApi::listen()
 {
-    BOOST_OUTCOME_TRYV(control_.listen(parts_.settings.control));
-    return directory_.listen(parts_.settings.directory);
+    return control_.listen(parts_.settings.control);
 }
 
 void LedgerApi::stop()
 {
     control_.stopAccepting();
-    directory_.stopAccepting();
-}
-
-asio::awaitable<void> LedgerApi::onDirectory(HttpRequest &request, IHttpResponder &responder)
-{
-    HttpResponse response = failure(statusNotFound, "no such path");
-    if (request.path == parts_.dialect.paths().directory) {
-        const auto zone = request.query.find("zone");
-        const std::string domain = zone == request.query.end() ? std::string() : zone->second;
-        const std::vector<std::string> addresses
-            = parts_.presence.ready(domain, std::chrono::steady_clock::now(), maxAddresses);
-        if (addresses.empty()) {
-            response = unavailable();
-        } else {
-            response
-                = jsonAnswer(statusOk, parts_.dialect.writeDirectory(addresses, parts_.settings.directoryLifetime));
-        }
-    }
-    if (request.path == "/metrics") {
-        response = HttpResponse {statusOk, {}, parts_.metrics.text()};
-        response.headers["Content-Type"] = "text/plain; version=0.0.4";
-    }
-    co_await responder.respond(std::move(response));
 }
 
 asio::awaitable<void> LedgerApi::onControl(HttpRequest &request, IHttpResponder &responder)
 {
     const PathNames &paths = parts_.dialect.paths();
-    HttpResponse response = failure(statusNotFound, "no such path");
+    HttpResponse response = failureResponse(statusNotFound, "no such path");
     if (request.path == paths.document && request.method == "PUT") {
         response = co_await putDocument(request);
     } else if (request.path == paths.document && request.method == "GET") {
         response = co_await getDocument(request);
     } else if (request.path == paths.document) {
-        response = failure(statusWrongMethod, "PUT and GET only");
+        response = failureResponse(statusWrongMethod, "PUT and GET only");
     } else if (request.path.starts_with(paths.retire)) {
         response = co_await retire(request);
     }
@@ -129,7 +74,7 @@
     const Result<void> checked = document ? checkRouteDocument(document.value()) : Result<void>(document.error());
     if (!checked) {
         parts_.log.info("document.refused", {{"error", checked.error().message}});
-        co_return failure(statusInvalid, checked.error().message);
+        co_return failureResponse(statusInvalid, checked.error().message);
     }
     const std::uint64_t version = document.value().version;
     auto put = [this, version, body = std::move(request.body)](std::function<void(OrderResult)> done) mutable {
@@ -148,7 +93,7 @@
     auto confirm = [this](std::function<void(OrderResult)> done) { parts_.service.confirm(std::move(done)); };
     const OrderResult result = co_await awaitCallback<OrderResult>(std::move(confirm));
     if (result == OrderResult::Done && parts_.service.state().document().empty()) {
-        co_return unavailable();
+        co_return unavailableResponse(notSure);
     }
     co_return answer(result, request, parts_.service.state().document());
 }
@@ -158,7 +103,7 @@
     const VmName vm = request.path.substr(parts_.dialect.paths().retire.size());
     const bool isOrder = request.method == "POST";
     if (!isOrder && request.method != "GET") {
-        co_return failure(statusWrongMethod, "POST and GET only");
+        co_return failureResponse(statusWrongMethod, "POST and GET only");
     }
     auto ask = [this, vm, isOrder](std::function<void(OrderResult)> done) {
         if (isOrder) {
@@ -177,26 +122,26 @@
     switch (result) {
     case OrderResult::Done:
     case OrderResult::Running:
-        return jsonAnswer(statusOk, std::move(body));
+        return jsonResponse(statusOk, std::move(body));
     case OrderResult::NotFound:
-        return failure(statusNotFound, "no such VM");
+        return failureResponse(statusNotFound, "no such VM");
     case OrderResult::TooFewLeft:
-        return failure(statusConflict, "too few VMs would be left");
+        return failureResponse(statusConflict, "too few VMs would be left");
     case OrderResult::NotLeader:
         return redirect(request);
     case OrderResult::Unknown:
         break;
     }
-    return unavailable();
+    return unavailableResponse(notSure);
 }
 
 HttpResponse LedgerApi::redirect(const HttpRequest &request) const
 {
     const std::optional<Address> leader = parseAddress(parts_.service.leader());
     if (!leader || *leader == parts_.settings.peer) {
-        return unavailable();
+        return unavailableResponse(notSure);
     }
-    HttpResponse response = failure(statusRedirect, "another member leads");
+    HttpResponse response = failureResponse(statusRedirect, "another member leads");
     const Address control {leader->host, parts_.settings.control.port};
     response.headers["Location"] = fmt::format("http://{}{}", control.toString(), request.path);
     return response;
--- a/src/gateway/cp_ledger_api.hpp
+++ b/src/gateway/cp_ledger_api.hpp
@@ -2,7 +2,6 @@
 #define CARDAMOMPOST_CP_LEDGER_API_HPP_INCLUDED
 
 #include "cp_ledger_service.hpp"
-#include "cp_presence_table.hpp"
 
 #include <cardamompost/edge/cp_idialect.hpp>
 #include <cardamompost/net/cp_http_server.hpp>
@@ -10,7 +9,7 @@
 namespace cardamompost
 {
 
-//! What a ledger VM answers over HTTP: operators' orders, and callers who ask for entries.
+//! What a ledger VM answers to operators' orders over HTTP.
 class LedgerApi
 {
 public:
@@ -19,7 +18,6 @@
         const GatewaySettings &settings;
         const IDialect &dialect;
         LedgerService &service;
-        PresenceTable &presence;
         EventLog &log;
         MetricRegistry &metrics;
     };
@@ -32,7 +30,6 @@
 
 private:
     boost::asio::awaitable<void> onControl(HttpRequest &request, IHttpResponder &responder);
-    boost::asio::awaitable<void> onDirectory(HttpRequest &request, IHttpResponder &responder);
     boost::asio::awaitable<HttpResponse> putDocument(HttpRequest &request);
     boost::asio::awaitable<HttpResponse> getDocument(const HttpRequest &request);
     boost::asio::awaitable<HttpResponse> retire(const HttpRequest &request);
@@ -42,7 +39,6 @@
 
     Parts parts_;
     HttpServer control_;
-    HttpServer directory_;
 };
 
 } // namespace cardamompost
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -16,11 +16,14 @@
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 constexpr Milliseconds tryTimeout {400};
-constexpr Milliseconds retryPause {25};
+constexpr Milliseconds retryPause {10};
 constexpr Milliseconds newsWait {500};
 constexpr Milliseconds newsTimeout {900};
 constexpr Milliseconds searchTimeout {300};
 constexpr Milliseconds searchInterval {100};
+// How long a member keeps a question for when it will lead, and how much longer its answer may take.
+constexpr Milliseconds watchWait {2000};
+constexpr Milliseconds watchMargin {500};
 
 TimePoint timeNow()
 {
@@ -126,9 +129,7 @@
         // the leader that replaced it has a higher term, and whichever of the two answers later, that one is kept.
         const bool isNewer = leader_.empty() ? news->term >= leaderTerm_ : news->term > leaderTerm_;
         if (news->isLeader && isNewer) {
-            leader_ = peer;
-            takeNews(*news);
-            found_.cancel();
+            follow(peer, *news);
         }
         if (news->isLeader || !leader_.empty()) {
             return;
@@ -142,6 +143,47 @@
     });
 }
 
+void LedgerClient::follow(const VmName &peer, const NewsReply &news)
+{
+    const VmName before = std::exchange(leader_, peer);
+    takeNews(news);
+    found_.cancel();
+    if (!before.empty() && before != peer) {
+        // Guards the turns that wait for an answer of the leader before, which may be frozen or gone: they are asked
+        // for again at this one now and not after their time-out.
+        parts_.peers.reconnect(before);
+    }
+}
+
+void LedgerClient::watchMembers()
+{
+    for (const VmName &peer : everyone()) {
+        if (peer != leader_ && watched_.insert(peer).second) {
+            watch(peer);
+        }
+    }
+}
+
+void LedgerClient::watch(const VmName &peer)
+{
+    const auto client = parts_.peers.client(peer);
+    if (!client) {
+        watched_.erase(peer);
+        return;
+    }
+    NewsRequest request;
+    request.wantsContent = false;
+    request.waitMs = static_cast<std::uint32_t>(watchWait.count());
+    client->request(request, watchWait + watchMargin, [this, peer](Result<FrameBody> reply, bool) {
+        // The next one is sent by watchMembers(), so that a VM that answers at once is not asked in a loop.
+        watched_.erase(peer);
+        const NewsReply *news = reply ? std::get_if<NewsReply>(&reply.value()) : nullptr;
+        if (news != nullptr && news->isLeader && news->term > leaderTerm_) {
+            follow(peer, *news);
+        }
+    });
+}
+
 std::shared_ptr<PendingBegin> LedgerClient::begin(TurnBegin begin, TimePoint until)
 {
     auto attempt = std::make_shared<BeginTry>();
@@ -273,6 +315,7 @@
 
 void LedgerClient::tellPresence(bool isReady)
 {
+    watchMembers();
     const Presence presence {parts_.settings.vm, parts_.settings.front.toString(), parts_.settings.failureDomain,
                              isReady};
     for (const VmName &peer : everyone()) {
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -125,6 +125,10 @@
     //! Asks all members at once, again and again, until one says that it leads.
     boost::asio::awaitable<void> search();
     void askWhoLeads(const VmName &peer);
+    //! Keeps a question at each member but the leader that is answered at once when that member becomes the leader.
+    void watchMembers();
+    void watch(const VmName &peer);
+    void follow(const VmName &peer, const NewsReply &news);
     void loseLeader(const VmName &asked, const std::string &reason);
     [[nodiscard]] std::set<VmName> everyone() const;
 
@@ -136,6 +140,8 @@
     Term leaderTerm_ = 0;
     bool isSearching_ = false;
     boost::asio::steady_timer found_;
+    //! Members with a watch() under way.
+    std::set<VmName> watched_;
     NewsRequest known_;
     NewsHandler onNews_;
     TimePoint lastNews_ {};
--- a/src/gateway/cp_ledger_members.cpp
+++ b/src/gateway/cp_ledger_members.cpp
@@ -11,6 +11,8 @@
 constexpr Milliseconds blankJoinInterval {120};
 constexpr Milliseconds joinTimeout {400};
 constexpr Milliseconds planInterval {200};
+// Often enough that a lost message makes nobody dark (PresenceTable::darkAfter).
+constexpr Milliseconds tellInterval {250};
 // A member that was silent for so long may be replaced, if there is another VM to take its place.
 constexpr Milliseconds lostAfter {1500};
 // A VM outside the group counts as live when it has asked to join within this time.
@@ -62,6 +64,28 @@
     });
 }
 
+void LedgerService::keepTelling()
+{
+    const Presence presence {parts_.settings.vm, parts_.settings.directory.toString(), parts_.settings.failureDomain,
+                             false, true};
+    std::set<VmName> others;
+    for (const auto &[vm, record] : state_.vms()) {
+        others.insert(record.peer);
+    }
+    others.erase(self_);
+    for (const VmName &other : others) {
+        if (const auto client = parts_.peers.client(other)) {
+            client->notify(presence);
+        }
+    }
+    tellTimer_.expires_after(tellInterval);
+    tellTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            keepTelling();
+        }
+    });
+}
+
 void LedgerService::askToJoin()
 {
     // The leader learns each VM's name and address from this, members' too, and that those outside are live.
--- a/src/gateway/cp_ledger_news.cpp
+++ b/src/gateway/cp_ledger_news.cpp
@@ -20,9 +20,21 @@
         || (backends_.version.term != 0 && request.list < backends_.version);
 }
 
+void LedgerService::onPresence(const Presence &presence)
+{
+    if (presence_.note(presence, std::chrono::steady_clock::now())) {
+        parts_.log.info("entry.presence", {{"entry", presence.vm}, {"ready", presence.isReady}});
+    }
+}
+
 void LedgerService::onNews(const NewsRequest &request, const Replier &replier)
 {
     const TimePoint now = std::chrono::steady_clock::now();
+    const bool isWatch = !request.wantsContent && request.waitMs != 0;
+    if (isWatch && !leads()) {
+        watchers_.push_back({request, replier, now + Milliseconds(request.waitMs)});
+        return;
+    }
     if (!leads() || !request.wantsContent) {
         replyNews(request, replier, false);
         return;
@@ -105,6 +117,19 @@
     waiters_.insert(waiters_.end(), std::make_move_iterator(kept.begin()), std::make_move_iterator(kept.end()));
 }
 
+void LedgerService::answerWatchers(bool all)
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    const bool isLeader = leads();
+    for (NewsWaiter &watcher : std::exchange(watchers_, {})) {
+        if (all || isLeader || now >= watcher.deadline) {
+            replyNews(watcher.request, watcher.replier, false);
+        } else {
+            watchers_.push_back(std::move(watcher));
+        }
+    }
+}
+
 void LedgerService::setBackends(std::vector<BackendServer> servers)
 {
     listReadAt_ = std::chrono::steady_clock::now();
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -9,8 +9,10 @@
 {
 
 constexpr Milliseconds electionTimeout {300};
+// Three heartbeats and more; below it, a leader whose share of a processor is used up would be replaced for it.
+constexpr Milliseconds shortestElectionTimeout {100};
 constexpr Milliseconds firstElectionTimeout {60};
-constexpr Milliseconds heartbeatInterval {100};
+constexpr Milliseconds heartbeatInterval {30};
 // What a member that catches up may have on its way bounds the leader's memory on small VMs.
 constexpr std::size_t maxAppendBytes = 256U << 10U;
 constexpr std::size_t maxAppendsInFlight = 16;
@@ -28,6 +30,7 @@
               [this]() -> TurnTexts & { return state_.texts(); }, [this] { return otherMembers(); }})
     , driver_({parts.io, parts.disk, parts.peers, parts.log, parts.metrics}, *this)
     , joinTimer_(parts.io)
+    , tellTimer_(parts.io)
     , placement_(randomIdentity())
     , placeSeconds_(parts.metrics.histogram("cardamompost_turn_place_seconds"))
     , takeovers_(parts.metrics.counter("cardamompost_ledger_takeovers_total"))
@@ -67,6 +70,7 @@
         parts_.log.warn("ledger.blank", {{"self", self_}});
     }
     keepJoining();
+    keepTelling();
     return boost::outcome_v2::success();
 }
 
@@ -75,6 +79,7 @@
     RaftOptions options;
     options.self = self_;
     options.electionTimeout = electionTimeout;
+    options.shortestElectionTimeout = shortestElectionTimeout;
     options.firstElectionTimeout = firstElectionTimeout;
     options.heartbeatInterval = heartbeatInterval;
     options.maxAppendBytes = maxAppendBytes;
@@ -89,8 +94,10 @@
 void LedgerService::stop()
 {
     joinTimer_.cancel();
+    tellTimer_.cancel();
     texts_.stop();
     answerWaiters(true);
+    answerWatchers(true);
     driver_.stop();
 }
 
@@ -319,6 +326,9 @@
     if (!waiters_.empty()) {
         answerWaiters(false);
     }
+    if (!watchers_.empty()) {
+        answerWatchers(false);
+    }
     planMembers();
 }
 
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -3,6 +3,7 @@
 
 #include "cp_consensus_driver.hpp"
 #include "cp_gateway_settings.hpp"
+#include "cp_presence_table.hpp"
 #include "cp_turn_text_store.hpp"
 
 #include <cardamompost/ledger/cp_ledger_clock.hpp>
@@ -53,6 +54,7 @@
     void onBegin(TurnBegin begin, const Replier &replier);
     void onFinish(TurnFinish finish, const Replier &replier);
     void onNews(const NewsRequest &request, const Replier &replier);
+    void onPresence(const Presence &presence);
     void onTurnTexts(const TurnTextsRequest &request, const Replier &replier)
     {
         texts_.onRequest(request, replier);
@@ -68,6 +70,10 @@
     void retire(const VmName &vm, OrderDone done);
     void retirement(const VmName &vm, OrderDone done);
 
+    [[nodiscard]] const PresenceTable &presence() const
+    {
+        return presence_;
+    }
     [[nodiscard]] const LedgerState &state() const
     {
         return state_;
@@ -140,6 +146,8 @@
     //! Adds what was earned since. \returns true while news may be sent
     [[nodiscard]] bool mayAffordNews(TimePoint now);
     void answerWaiters(bool all);
+    //! Tells those that wait for a leader: that it is this VM, or that their time is over.
+    void answerWatchers(bool all);
     void planMembers();
     [[nodiscard]] MemberCandidates candidates() const;
     [[nodiscard]] std::size_t desiredVoters() const
@@ -148,6 +156,8 @@
     }
     void logRole();
     [[nodiscard]] std::vector<VmName> knownPeers() const;
+    //! Says to all ledger VMs that this one answers callers.
+    void keepTelling();
     //! The other members, the leader last.
     [[nodiscard]] std::vector<VmName> otherMembers() const;
 
@@ -160,6 +170,7 @@
     TurnTextStore texts_;
     ConsensusDriver driver_;
     boost::asio::steady_timer joinTimer_;
+    boost::asio::steady_timer tellTimer_;
     std::size_t nextAsked_ = 0;
     VmName leaderHint_;
     std::unordered_map<std::string, std::int64_t> pendingTokens_;
@@ -173,8 +184,11 @@
     //! As each VM told when it asked to join.
     std::unordered_map<VmName, LogIndex> holdsUpTo_;
     std::vector<NewsWaiter> waiters_;
+    //! Entries that want to hear at once if this VM becomes the leader.
+    std::vector<NewsWaiter> watchers_;
     BackendList backends_;
     BackendBuckets buckets_;
+    PresenceTable presence_;
     //! Bytes of news that may be sent now; below 0 while earlier ones are paid off.
     double newsBudget_ = 0;
     TimePoint newsEarnedAt_ {};
--- /dev/null
+++ b/src/gateway/cp_own_responses.hpp
@@ -0,0 +1,46 @@
+#ifndef CARDAMOMPOST_CP_OWN_RESPONSES_HPP_INCLUDED
+#define CARDAMOMPOST_CP_OWN_RESPONSES_HPP_INCLUDED
+
+#include <cardamompost/core/cp_error.hpp>
+#include <cardamompost/net/cp_http_message.hpp>
+
+#include <fmt/format.h>
+
+namespace cardamompost
+{
+
+inline constexpr unsigned statusOk = 200;
+inline constexpr unsigned statusNotFound = 404;
+
+//! Answers that the gateway's own HTTP interfaces have in common.
+inline HttpResponse jsonResponse(unsigned status, std::string body)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers["Content-Type"] = "application/json";
+    response.body = std::move(body);
+    return response;
+}
+
+inline HttpResponse failureResponse(unsigned status, std::string_view message)
+{
+    return jsonResponse(status, fmt::format("{{\"error\":\"{}\"}}", message));
+}
+
+inline HttpResponse errorResponse(const Error &error)
+{
+    return failureResponse(answerFor(error.kind).status, error.message);
+}
+
+//! What can't be told now can be asked for again soon.
+inline HttpResponse unavailableResponse(std::string_view message)
+{
+    constexpr unsigned statusUnavailable = 503;
+    HttpResponse response = failureResponse(statusUnavailable, message);
+    response.headers["Retry-After"] = "0.3";
+    return response;
+}
+
+} // namespace cardamompost
+
+#endif // CARDAMOMPOST_CP_OWN_RESPONSES_HPP_INCLUDED
--- a/tests/gateway/cp_presence_table.tests.cpp
+++ b/tests/gateway/cp_presence_table.tests.cpp
@@ -26,8 +26,9 @@
     PresenceTable table;
     table.note(presence("a", "apapa"), now);
     table.note(presence("b", "onne"), now);
-    BOOST_TEST((table.ready("onne", now, many) == std::vector<std::string> {"b:80", "a:80"}));
-    BOOST_TEST(table.ready("onne", now, 1).size() == 1U);
+    const std::vector<EntryPlace> entries = table.ready(now);
+    BOOST_TEST((addressesFor("onne", entries, many) == std::vector<std::string> {"b:80", "a:80"}));
+    BOOST_TEST(addressesFor("onne", entries, 1).size() == 1U);
 }
 
 // An entry is killed without a word, another says that it drains. Callers who ask now would connect to nothing, or have
@@ -39,8 +40,8 @@
     BOOST_TEST(!table.note(presence("a", "apapa"), now));
     BOOST_TEST(table.note(presence("b", "apapa"), now));
     BOOST_TEST(table.note(presence("b", "apapa", false), now));
-    BOOST_TEST((table.ready("apapa", now, many) == std::vector<std::string> {"a:80"}));
-    BOOST_TEST(table.ready("apapa", now + PresenceTable::freshFor, many).empty());
+    BOOST_TEST((addressesFor("apapa", table.ready(now), many) == std::vector<std::string> {"a:80"}));
+    BOOST_TEST(table.ready(now + PresenceTable::freshFor).empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tools/what_binds.py
+++ b/tools/what_binds.py
@@ -22,6 +22,8 @@
 LEAST_LOSS_MS = 30
 # How far around an interval a notice in the logs still explains it.
 NOTICE_MARGIN_MS = 400
+# An entry without news for longer has only just started.
+LONGEST_WITHOUT_LEADER_MS = 20_000
 # Most of the entries silent at once: everything was off.
 ALL_OFF_SHARE = 0.6
 
@@ -75,10 +77,10 @@
             event["from"] = event["at"] - event["ms"]
             event["due"] = event["from"] + event["left_ms"]
             self.programs[event["program"]].append(event)
-        elif kind == "ledger.lost":
-            self.ledger.append([event["at"] - event.get("news_age_ms", 0), event["at"]])
-        elif kind == "ledger.found":
-            self.ledger.append([event["at"] - event.get("news_age_ms", 0), event["at"]])
+        elif kind in ("ledger.lost", "ledger.found"):
+            # A process that has just started counts its news from long before; it had lost nobody.
+            age = event.get("news_age_ms", 0)
+            self.ledger.append([event["at"] - (age if age < LONGEST_WITHOUT_LEADER_MS else 0), event["at"]])
         elif kind == "process.stalled":
             self.stalls[event["vm"]].append((event["at"] - event["ms"], event["at"]))
         elif kind == "ledger.leader" and event.get("self_leads"):
