--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -154,8 +154,6 @@
 struct EntryPlace {
     std::string address;
     std::string failureDomain;
-
-    friend auto operator<=>(const EntryPlace &, const EntryPlace &) = default;
 };
 
 //! Tells a directory that an entry takes requests, or another directory answers; counts for a few seconds.
--- a/src/gateway/cp_presence_table.cpp
+++ b/src/gateway/cp_presence_table.cpp
@@ -35,7 +35,8 @@
             places.push_back({item.presence.address, item.presence.failureDomain});
         }
     }
-    std::sort(places.begin(), places.end());
+    std::sort(places.begin(), places.end(),
+              [](const EntryPlace &left, const EntryPlace &right) { return left.address < right.address; });
     return places;
 }
 
