Bound what entries tell ledger VMs to some twenty messages a second

Cause: with seven ledger VMs an entry would have sent forty messages of some hundred bytes a second, over the 3 KB a second that the size to design for allows for control.

--- a/src/gateway/cp_entry_server.cpp
+++ b/src/gateway/cp_entry_server.cpp
@@ -21,9 +21,9 @@
 {
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
-// How often the ledger VMs hear from an entry; the more they are, the seldomer, so that an entry sends some forty such
-// messages a second at most.
-constexpr Milliseconds tellIntervalAVm {25};
+// How often the ledger VMs hear from an entry; the more they are, the seldomer, so that an entry sends some twenty such
+// messages a second: with one of some hundred bytes each it stays within 3 KB a second for control.
+constexpr Milliseconds tellIntervalAVm {45};
 constexpr Milliseconds shortestTellInterval {100};
 constexpr Milliseconds longestTellInterval {300};
 constexpr Milliseconds acceptPause {20};
