--- a/src/cardamompost/consensus/cp_raft_node.cpp
+++ b/src/cardamompost/consensus/cp_raft_node.cpp
@@ -17,9 +17,9 @@
     , unstableFrom_(log_.lastIndex() + 1)
     , stableIndex_(log_.lastIndex())
     , now_(now)
-    , leaderGaps_({options_.shortestElectionTimeout.count() != 0 ? options_.shortestElectionTimeout
-                                                                 : options_.electionTimeout,
-                   options_.electionTimeout})
+    , leaderGaps_(
+          {options_.shortestElectionTimeout.count() != 0 ? options_.shortestElectionTimeout : options_.electionTimeout,
+           options_.electionTimeout})
 {
     resetElectionDeadline();
     if (options_.firstElectionTimeout.count() != 0) {
--- a/src/cardamompost/net/cp_frame_decoder.cpp
+++ b/src/cardamompost/net/cp_frame_decoder.cpp
@@ -166,8 +166,7 @@
     case Body::PRESENCE: {
         const auto presence = in.getPresence();
         return Presence {fromText(presence.getVm()), fromText(presence.getAddress()),
-                         fromText(presence.getFailureDomain()), presence.getIsReady(),
-                         presence.getIsDirectory()};
+                         fromText(presence.getFailureDomain()), presence.getIsReady(), presence.getIsDirectory()};
     }
     case Body::TURN_TEXTS: {
         TurnTextsRequest request;
