Log and count what tells the hypotheses of the late documents apart

Cause: the logs could not tell a document's size, that an entry knows itself to be behind and for how long, that the leader put an answer off for its bound on bytes, or that a document was unreadable. Ruled out: nothing yet. Change: document.behind, document.unreadable, bytes and behind_ms in document.in_force; cardamompost_document_behind_seconds, cardamompost_news_put_off_total, cardamompost_peer_bytes. No change of logic.

--- a/src/gateway/cp_entry_server.cpp
+++ b/src/gateway/cp_entry_server.cpp
@@ -27,6 +27,8 @@
 constexpr Milliseconds shortestTellInterval {100};
 constexpr Milliseconds longestTellInterval {300};
 constexpr Milliseconds acceptPause {20};
+// A newer document is in force everywhere within a second or two; an entry that needs longer says so.
+constexpr Milliseconds longBehind {1000};
 constexpr std::size_t firstReadBytes = 8U << 10U;
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusInvalid = 400;
@@ -73,6 +75,9 @@
     , acceptor_(parts.io)
     , timer_(parts.io)
 {
+    parts.metrics.gauge("cardamompost_document_behind_seconds", {}, [this] {
+        return std::chrono::duration<double>(lag_.behindFor(std::chrono::steady_clock::now())).count();
+    });
 }
 
 Result<void> EntryServer::start()
@@ -92,20 +97,44 @@
 
 void EntryServer::takeNews(const NewsReply &news)
 {
-    const std::uint64_t known = forwarder_.table() ? forwarder_.table()->version() : 0;
-    // An entry never goes back: whoever answers, an older version than the one in force is not taken.
-    if (!news.document.empty() && news.documentVersion > known) {
-        Result<RouteDocument> document = parts_.dialect.readDocument(news.document);
-        if (document) {
-            forwarder_.setTable(std::make_shared<const RouteTable>(std::move(document.value())));
-            parts_.log.info("document.in_force", {{"version", news.documentVersion}, {"before", known}});
-        }
-    }
+    lag_.noteNewest(news.documentVersion, std::chrono::steady_clock::now());
+    takeDocument(news);
     takeList(news);
+    noteBehind();
     ledger_.setKnown(forwarder_.table() ? forwarder_.table()->version() : 0, pool_.version(), buckets_.digests());
     tellIfChanged();
 }
 
+void EntryServer::takeDocument(const NewsReply &news)
+{
+    const std::uint64_t known = forwarder_.table() ? forwarder_.table()->version() : 0;
+    // An entry never goes back: whoever answers, an older version than the one in force is not taken.
+    if (news.document.empty() || news.documentVersion <= known) {
+        return;
+    }
+    Result<RouteDocument> document = parts_.dialect.readDocument(news.document);
+    if (!document) {
+        parts_.log.write(LogLevel::Error, "document.unreadable",
+                         {{"version", news.documentVersion}, {"error", document.error().message}});
+        return;
+    }
+    forwarder_.setTable(std::make_shared<const RouteTable>(std::move(document.value())));
+    const Milliseconds behind = lag_.behindFor(std::chrono::steady_clock::now());
+    lag_.noteInForce(news.documentVersion);
+    parts_.log.info("document.in_force",
+                    {{"version", news.documentVersion}, {"before", known}, {"behind_ms", behind.count()}});
+}
+
+void EntryServer::noteBehind()
+{
+    const Milliseconds behind = lag_.behindFor(std::chrono::steady_clock::now());
+    if (behind > longBehind && !hasToldBehind_) {
+        const std::uint64_t known = forwarder_.table() ? forwarder_.table()->version() : 0;
+        parts_.log.warn("document.behind", {{"version", known}, {"newest", lag_.newest()}, {"ms", behind.count()}});
+    }
+    hasToldBehind_ = behind > longBehind;
+}
+
 void EntryServer::takeList(const NewsReply &news)
 {
     if (!news.hasList || news.list <= pool_.version()) {
--- a/src/gateway/cp_entry_server.hpp
+++ b/src/gateway/cp_entry_server.hpp
@@ -1,6 +1,7 @@
 #ifndef CARDAMOMPOST_CP_ENTRY_SERVER_HPP_INCLUDED
 #define CARDAMOMPOST_CP_ENTRY_SERVER_HPP_INCLUDED
 
+#include "cp_document_lag.hpp"
 #include "cp_forwarder.hpp"
 #include "cp_gateway_settings.hpp"
 
@@ -43,7 +44,10 @@
 private:
     [[nodiscard]] bool isReady() const;
     void takeNews(const NewsReply &news);
+    void takeDocument(const NewsReply &news);
     void takeList(const NewsReply &news);
+    //! Says so, once, when this entry has gone by an old document for long.
+    void noteBehind();
     void keepTelling();
     void tellIfChanged();
     boost::asio::awaitable<void> accept();
@@ -53,6 +57,8 @@
     Parts parts_;
     LedgerClient ledger_;
     BackendBuckets buckets_;
+    DocumentLag lag_;
+    bool hasToldBehind_ = false;
     BackendPool pool_;
     Forwarder forwarder_;
     HttpServer ready_;
--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -72,6 +72,9 @@
               {{"role", nameOf(gatewayRoleNames, settings_.role)},
                {"first_start", settings_.isFirstStart},
                {"seeds", settings_.seeds.size()}});
+    metrics_.gauge("cardamompost_peer_bytes", {{"way", "sent"}}, [this] { return static_cast<double>(traffic_.sent); });
+    metrics_.gauge("cardamompost_peer_bytes", {{"way", "received"}},
+                   [this] { return static_cast<double>(traffic_.received); });
     metrics_.gauge("cardamompost_log_lines_dropped", {}, [this] { return static_cast<double>(log_.dropped()); });
     waitForSignal();
     keepFlushing();
--- a/src/gateway/cp_ledger_news.cpp
+++ b/src/gateway/cp_ledger_news.cpp
@@ -44,6 +44,9 @@
         replyNews(request, replier, true);
         return;
     }
+    if (isDue) {
+        newsPutOff_.add();
+    }
     if (!isDue && request.waitMs == 0) {
         replyNews(request, replier, false);
         return;
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -32,6 +32,7 @@
     , joinTimer_(parts.io)
     , tellTimer_(parts.io)
     , placement_(randomIdentity())
+    , newsPutOff_(parts.metrics.counter("cardamompost_news_put_off_total"))
     , placeSeconds_(parts.metrics.histogram("cardamompost_turn_place_seconds"))
     , takeovers_(parts.metrics.counter("cardamompost_ledger_takeovers_total"))
     , spentTurns_(parts.metrics.counter("cardamompost_turns_refused_total", {{"reason", "spent"}}))
@@ -125,7 +126,9 @@
     const std::uint64_t before = state_.documentVersion();
     lastApplied_ = state_.apply(command.value(), entry.index);
     if (state_.documentVersion() != before) {
-        parts_.log.info("document.in_force", {{"version", state_.documentVersion()}, {"before", before}});
+        parts_.log.info(
+            "document.in_force",
+            {{"version", state_.documentVersion()}, {"before", before}, {"bytes", state_.document().size()}});
         answerWaiters(false);
     }
 }
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -175,6 +175,7 @@
     VmName leaderHint_;
     std::unordered_map<std::string, std::int64_t> pendingTokens_;
     TurnPlacement placement_;
+    Counter &newsPutOff_;
     Histogram &placeSeconds_;
     Counter &takeovers_;
     Counter &spentTurns_;
