--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -3,7 +3,9 @@
 
 #include <cardamompost/core/cp_ids.hpp>
 #include <cardamompost/routing/cp_backend_buckets.hpp>
+#include <cardamompost/routing/cp_document_buckets.hpp>
 
+#include <optional>
 #include <vector>
 
 namespace cardamompost
@@ -107,10 +109,14 @@
 
 //! Asks the leader for what has changed since the versions known.
 struct NewsRequest {
+    //! Of the document in force.
     std::uint64_t documentVersion = 0;
     BackendListVersion list;
-    //! Of the list that is held.
+    //! Of what is held, also of a newer document or list of which only a part has come so far.
+    DocumentBuckets::Digests documentDigests;
     BackendBuckets::Digests listDigests;
+    //! Since when the entry knows that it lacks something; 0 when it knows of nothing.
+    std::uint32_t behindMs = 0;
     //! How long the leader may wait for a change before it answers.
     std::uint32_t waitMs = 0;
     //! False for a question that is only after who leads.
@@ -125,12 +131,10 @@
     //! Addresses of all ledger VMs, whether they are members now or not.
     std::vector<VmName> members;
     std::uint64_t documentVersion = 0;
-    //! Empty when nothing newer is known.
-    std::string document;
-    bool hasList = false;
     BackendListVersion list;
-    //! Those that differ from the digests in the request.
-    std::vector<BackendBucket> buckets;
+    //! What the digests in the request lack; nothing when nothing newer may be sent.
+    std::optional<ContentDelta> documentDelta;
+    std::optional<ContentDelta> listDelta;
     //! Time since the list was read, in milliseconds.
     std::uint32_t listAgeMs = 0;
 };
--- /dev/null
+++ b/include/cardamompost/routing/cp_document_buckets.hpp
@@ -0,0 +1,24 @@
+#ifndef CARDAMOMPOST_CP_DOCUMENT_BUCKETS_HPP_INCLUDED
+#define CARDAMOMPOST_CP_DOCUMENT_BUCKETS_HPP_INCLUDED
+
+#include <cardamompost/routing/cp_content_buckets.hpp>
+#include <cardamompost/routing/cp_route_document.hpp>
+
+namespace cardamompost
+{
+
+//! Routes lie in buckets by host and prefix, services by their names, and the bounds on callers in one of them. The
+//! document's version is told beside them: it changes with every document.
+struct DocumentBucketCodec {
+    using Content = RouteDocument;
+
+    [[nodiscard]] static BucketBytes::All encode(const Content &document);
+    //! Errors: InvalidRequest.
+    static Result<void> decode(const std::string &bytes, Content &document);
+};
+
+using DocumentBuckets = ContentBuckets<DocumentBucketCodec>;
+
+} // namespace cardamompost
+
+#endif // CARDAMOMPOST_CP_DOCUMENT_BUCKETS_HPP_INCLUDED
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -267,6 +267,60 @@
   servers @0 :List(BackendServer);
 }
 
+struct RouteShare {
+  service @0 :Text;
+  weight @1 :UInt32;
+}
+
+struct Route {
+  name @0 :Text;
+  host @1 :Text;
+  prefix @2 :Text;
+  kind @3 :UInt8;
+  timeoutMs @4 :Int64;
+  targetLatencyMs @5 :Int64;
+  rank @6 :UInt32;
+  shares @7 :List(RouteShare);
+  maxAttempts @8 :UInt32;
+  keepsHistory @9 :Bool;
+  retentionMs @10 :Int64;
+  isSticky @11 :Bool;
+  isResumable @12 :Bool;
+}
+
+struct RoutedService {
+  name @0 :Text;
+  maxConnections @1 :UInt32;
+  isEngine @2 :Bool;
+  slots @3 :UInt32;
+  cacheTokens @4 :UInt64;
+  tokensPerEvent @5 :UInt32;
+}
+
+struct CallerBounds {
+  headerBytes @0 :UInt32;
+  bodyBytes @1 :UInt64;
+  headerTimeoutMs @2 :Int64;
+  idleTimeoutMs @3 :Int64;
+}
+
+struct DocumentBucket {
+  routes @0 :List(Route);
+  services @1 :List(RoutedService);
+  bounds @2 :CallerBounds;
+}
+
+struct ContentDelta {
+  buckets @0 :List(Bucket);
+  rest @1 :UInt32;
+  checksum @2 :UInt64;
+  struct Bucket {
+    number @0 :UInt32;
+    # A ServerBucket or a DocumentBucket, packed.
+    bytes @1 :Data;
+  }
+}
+
 struct NewsRequest {
   documentVersion @0 :UInt64;
   listTerm @1 :UInt64;
@@ -274,6 +328,8 @@
   waitMs @3 :UInt32;
   wantsContent @4 :Bool;
   listDigests @5 :List(UInt32);
+  documentDigests @6 :List(UInt32);
+  behindMs @7 :UInt32;
 }
 
 struct NewsReply {
@@ -281,18 +337,12 @@
   leader @1 :Text;
   members @2 :List(Text);
   documentVersion @3 :UInt64;
-  document @4 :Data;
-  listTerm @5 :UInt64;
-  listSequence @6 :UInt64;
-  hasList @7 :Bool;
-  buckets @8 :List(Bucket);
-  listAgeMs @9 :UInt32;
-  term @10 :UInt64;
-  struct Bucket {
-    number @0 :UInt32;
-    # A ServerBucket, packed.
-    bytes @1 :Data;
-  }
+  listTerm @4 :UInt64;
+  listSequence @5 :UInt64;
+  listAgeMs @6 :UInt32;
+  term @7 :UInt64;
+  document @8 :ContentDelta;
+  list @9 :ContentDelta;
 }
 
 struct Presence {
--- a/src/cardamompost/net/cp_frame_decoder.cpp
+++ b/src/cardamompost/net/cp_frame_decoder.cpp
@@ -149,18 +149,8 @@
         return decodeTurnFinish(in.getTurnFinish());
     case Body::TURN_FINISH_REPLY:
         return TurnFinishReply {in.getTurnFinishReply().getIsDurable(), fromText(in.getTurnFinishReply().getLeader())};
-    case Body::NEWS: {
-        const auto news = in.getNews();
-        NewsRequest request {news.getDocumentVersion(),
-                             {news.getListTerm(), news.getListSequence()},
-                             {},
-                             news.getWaitMs(),
-                             news.getWantsContent()};
-        for (const std::uint32_t digest : news.getListDigests()) {
-            request.listDigests.push_back(digest);
-        }
-        return request;
-    }
+    case Body::NEWS:
+        return decodeNewsRequest(in.getNews());
     case Body::NEWS_REPLY:
         return decodeNewsReply(in.getNewsReply());
     case Body::PRESENCE: {
--- a/src/cardamompost/net/cp_frame_encoder.cpp
+++ b/src/cardamompost/net/cp_frame_encoder.cpp
@@ -290,16 +290,7 @@
 
     void operator()(const NewsRequest &in)
     {
-        auto message = out.initNews();
-        message.setDocumentVersion(in.documentVersion);
-        message.setListTerm(in.list.term);
-        message.setListSequence(in.list.sequence);
-        message.setWaitMs(in.waitMs);
-        message.setWantsContent(in.wantsContent);
-        auto digests = message.initListDigests(static_cast<unsigned>(in.listDigests.size()));
-        for (unsigned i = 0; i < digests.size(); ++i) {
-            digests.set(i, in.listDigests[i]);
-        }
+        encodeNewsRequest(in, out.initNews());
     }
 
     void operator()(const NewsReply &in)
--- a/src/cardamompost/net/cp_ledger_schema.cpp
+++ b/src/cardamompost/net/cp_ledger_schema.cpp
@@ -33,6 +33,42 @@
     return wish;
 }
 
+void encodeDelta(const ContentDelta &in, schema::ContentDelta::Builder out)
+{
+    out.setRest(in.rest);
+    out.setChecksum(in.checksum);
+    auto buckets = out.initBuckets(static_cast<unsigned>(in.buckets.size()));
+    for (unsigned i = 0; i < buckets.size(); ++i) {
+        buckets[i].setNumber(in.buckets[i].number);
+        buckets[i].setBytes(toData(in.buckets[i].bytes));
+    }
+}
+
+ContentDelta decodeDelta(schema::ContentDelta::Reader in)
+{
+    ContentDelta delta {{}, in.getRest(), in.getChecksum()};
+    for (const auto bucket : in.getBuckets()) {
+        delta.buckets.push_back({bucket.getNumber(), fromData(bucket.getBytes())});
+    }
+    return delta;
+}
+
+void encodeDigests(const BucketBytes::Digests &in, capnp::List<std::uint32_t>::Builder out)
+{
+    for (unsigned i = 0; i < out.size(); ++i) {
+        out.set(i, in[i]);
+    }
+}
+
+BucketBytes::Digests decodeDigests(capnp::List<std::uint32_t>::Reader in)
+{
+    BucketBytes::Digests digests;
+    for (const std::uint32_t digest : in) {
+        digests.push_back(digest);
+    }
+    return digests;
+}
+
 } // namespace
 
 void encodeTurnBegin(const TurnBegin &in, schema::TurnBegin::Builder out)
@@ -85,6 +121,31 @@
             fromData(in.getOutput())};
 }
 
+void encodeNewsRequest(const NewsRequest &in, schema::NewsRequest::Builder out)
+{
+    out.setDocumentVersion(in.documentVersion);
+    out.setListTerm(in.list.term);
+    out.setListSequence(in.list.sequence);
+    out.setWaitMs(in.waitMs);
+    out.setWantsContent(in.wantsContent);
+    out.setBehindMs(in.behindMs);
+    encodeDigests(in.documentDigests, out.initDocumentDigests(static_cast<unsigned>(in.documentDigests.size())));
+    encodeDigests(in.listDigests, out.initListDigests(static_cast<unsigned>(in.listDigests.size())));
+}
+
+NewsRequest decodeNewsRequest(schema::NewsRequest::Reader in)
+{
+    NewsRequest request;
+    request.documentVersion = in.getDocumentVersion();
+    request.list = {in.getListTerm(), in.getListSequence()};
+    request.documentDigests = decodeDigests(in.getDocumentDigests());
+    request.listDigests = decodeDigests(in.getListDigests());
+    request.behindMs = in.getBehindMs();
+    request.waitMs = in.getWaitMs();
+    request.wantsContent = in.getWantsContent();
+    return request;
+}
+
 void encodeNewsReply(const NewsReply &in, schema::NewsReply::Builder out)
 {
     out.setIsLeader(in.isLeader);
@@ -95,15 +156,14 @@
         members.set(i, toText(in.members[i]));
     }
     out.setDocumentVersion(in.documentVersion);
-    out.setDocument(toData(in.document));
-    out.setHasList(in.hasList);
     out.setListTerm(in.list.term);
     out.setListSequence(in.list.sequence);
     out.setListAgeMs(in.listAgeMs);
-    auto buckets = out.initBuckets(static_cast<unsigned>(in.buckets.size()));
-    for (unsigned i = 0; i < buckets.size(); ++i) {
-        buckets[i].setNumber(in.buckets[i].number);
-        buckets[i].setBytes(toData(in.buckets[i].bytes));
+    if (in.documentDelta) {
+        encodeDelta(*in.documentDelta, out.initDocument());
+    }
+    if (in.listDelta) {
+        encodeDelta(*in.listDelta, out.initList());
     }
 }
 
@@ -117,12 +177,13 @@
         reply.members.push_back(fromText(member));
     }
     reply.documentVersion = in.getDocumentVersion();
-    reply.document = fromData(in.getDocument());
-    reply.hasList = in.getHasList();
     reply.list = {in.getListTerm(), in.getListSequence()};
     reply.listAgeMs = in.getListAgeMs();
-    for (const auto bucket : in.getBuckets()) {
-        reply.buckets.push_back({bucket.getNumber(), fromData(bucket.getBytes())});
+    if (in.hasDocument()) {
+        reply.documentDelta = decodeDelta(in.getDocument());
+    }
+    if (in.hasList()) {
+        reply.listDelta = decodeDelta(in.getList());
     }
     return reply;
 }
--- a/src/cardamompost/net/cp_ledger_schema.hpp
+++ b/src/cardamompost/net/cp_ledger_schema.hpp
@@ -14,6 +14,8 @@
 void encodeTurnFinish(const TurnFinish &in, schema::TurnFinish::Builder out);
 [[nodiscard]] TurnFinish decodeTurnFinish(schema::TurnFinish::Reader in);
 
+void encodeNewsRequest(const NewsRequest &in, schema::NewsRequest::Builder out);
+[[nodiscard]] NewsRequest decodeNewsRequest(schema::NewsRequest::Reader in);
 void encodeNewsReply(const NewsReply &in, schema::NewsReply::Builder out);
 [[nodiscard]] NewsReply decodeNewsReply(schema::NewsReply::Reader in);
 
--- a/src/cardamompost/routing/cp_backend_buckets.cpp
+++ b/src/cardamompost/routing/cp_backend_buckets.cpp
@@ -1,6 +1,5 @@
-#include "../net/cp_schema_codec.hpp"
+#include "cp_bucket_codec.hpp"
 
-#include <cardamompost/core/cp_ids.hpp>
 #include <cardamompost/routing/cp_backend_buckets.hpp>
 
 #include <algorithm>
@@ -11,14 +10,9 @@
 namespace
 {
 
-std::uint32_t digestOf(const std::string &bytes)
-{
-    // 0 is that of an empty bucket alone.
-    return bytes.empty() ? 0 : static_cast<std::uint32_t>(stableHash(bytes)) | 1U;
-}
+using Part = std::vector<const BackendServer *>;
 
-//! Nothing for an empty bucket. Equal servers make equal bytes, whoever encodes them.
-std::string encode(std::vector<const BackendServer *> servers)
+std::string encodePart(Part servers)
 {
     if (servers.empty()) {
         return {};
@@ -40,74 +34,28 @@
     return toPackedBytes(message);
 }
 
-//! Throws kj::Exception for other bytes.
-void decode(const std::string &bytes, std::vector<BackendServer> &servers)
-{
-    if (bytes.empty()) {
-        return;
-    }
-    kj::ArrayInputStream input({reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()});
-    capnp::PackedMessageReader reader(input, readerOptions());
-    for (const auto in : reader.getRoot<schema::ServerBucket>().getServers()) {
-        const Address address = parseAddress(fromText(in.getAddress())).value_or(Address {});
-        servers.push_back({fromText(in.getId()), fromText(in.getService()), address, fromText(in.getFailureDomain()),
-                           in.getSlots(), in.getIsLeaving(), in.getBorn()});
-    }
-}
-
 } // namespace
 
-void BackendBuckets::setServers(const std::vector<BackendServer> &servers)
+BucketBytes::All BackendBucketCodec::encode(const Content &servers)
 {
-    std::array<std::vector<const BackendServer *>, count> parts;
+    std::array<Part, BucketBytes::count> parts;
     for (const BackendServer &server : servers) {
-        parts[stableHash(server.id) % count].push_back(&server);
-    }
-    for (std::size_t i = 0; i < count; ++i) {
-        bytes_[i] = encode(std::move(parts[i]));
-        digests_[i] = digestOf(bytes_[i]);
+        parts[bucketOf(server.id)].push_back(&server);
     }
+    BucketBytes::All all;
+    std::transform(parts.begin(), parts.end(), all.begin(), encodePart);
+    return all;
 }
 
-std::vector<BackendBucket> BackendBuckets::differing(const Digests &held) const
+Result<void> BackendBucketCodec::decode(const std::string &bytes, Content &servers)
 {
-    std::vector<BackendBucket> buckets;
-    for (std::uint32_t i = 0; i < count; ++i) {
-        const std::uint32_t other = i < held.size() ? held[i] : 0;
-        if (other != digests_[i]) {
-            buckets.push_back({i, bytes_[i]});
+    return readBucket<schema::ServerBucket>(bytes, [&](schema::ServerBucket::Reader bucket) {
+        for (const auto in : bucket.getServers()) {
+            const Address address = parseAddress(fromText(in.getAddress())).value_or(Address {});
+            servers.push_back({fromText(in.getId()), fromText(in.getService()), address,
+                               fromText(in.getFailureDomain()), in.getSlots(), in.getIsLeaving(), in.getBorn()});
         }
-    }
-    return buckets;
-}
-
-Result<void> BackendBuckets::take(std::vector<BackendBucket> buckets)
-{
-    std::vector<BackendServer> checked;
-    try {
-        for (const BackendBucket &bucket : buckets) {
-            if (bucket.number >= count) {
-                return makeError(ErrorKind::InvalidRequest, "no bucket of servers has this number");
-            }
-            decode(bucket.bytes, checked);
-        }
-    } catch (const kj::Exception &) {
-        return makeError(ErrorKind::InvalidRequest, "the bytes are not a bucket of servers");
-    }
-    for (BackendBucket &bucket : buckets) {
-        digests_[bucket.number] = digestOf(bucket.bytes);
-        bytes_[bucket.number] = std::move(bucket.bytes);
-    }
-    return boost::outcome_v2::success();
-}
-
-std::vector<BackendServer> BackendBuckets::servers() const
-{
-    std::vector<BackendServer> servers;
-    for (const std::string &bytes : bytes_) {
-        decode(bytes, servers);
-    }
-    return servers;
+    });
 }
 
 } // namespace cardamompost
--- /dev/null
+++ b/src/cardamompost/routing/cp_bucket_codec.hpp
@@ -0,0 +1,37 @@
+#ifndef CARDAMOMPOST_CP_BUCKET_CODEC_HPP_INCLUDED
+#define CARDAMOMPOST_CP_BUCKET_CODEC_HPP_INCLUDED
+
+#include "../net/cp_schema_codec.hpp"
+
+#include <cardamompost/core/cp_ids.hpp>
+#include <cardamompost/routing/cp_content_buckets.hpp>
+
+namespace cardamompost
+{
+
+//! The bucket of an item with this name, the same in every process and release.
+[[nodiscard]] inline std::size_t bucketOf(std::string_view name)
+{
+    return stableHash(name) % BucketBytes::count;
+}
+
+//! Reads a bucket's packed message; an empty one holds nothing. Errors: InvalidRequest for other bytes.
+template<typename Root, typename Reader>
+Result<void> readBucket(const std::string &bytes, Reader read)
+{
+    if (bytes.empty()) {
+        return boost::outcome_v2::success();
+    }
+    try {
+        kj::ArrayInputStream input({reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()});
+        capnp::PackedMessageReader message(input, readerOptions());
+        read(message.getRoot<Root>());
+    } catch (const kj::Exception &) {
+        return makeError(ErrorKind::InvalidRequest, "the bytes are not a bucket of this kind");
+    }
+    return boost::outcome_v2::success();
+}
+
+} // namespace cardamompost
+
+#endif // CARDAMOMPOST_CP_BUCKET_CODEC_HPP_INCLUDED
--- /dev/null
+++ b/src/cardamompost/routing/cp_document_buckets.cpp
@@ -0,0 +1,164 @@
+#include "cp_bucket_codec.hpp"
+
+#include <cardamompost/routing/cp_document_buckets.hpp>
+
+#include <algorithm>
+
+namespace cardamompost
+{
+
+namespace
+{
+
+//! The bucket that has the bounds on callers.
+constexpr std::size_t boundsBucket = 0;
+
+//! What of a document lies in one bucket.
+struct Part {
+    std::vector<const Route *> routes;
+    std::vector<const BackendService *> services;
+    const CallerBounds *bounds = nullptr;
+};
+
+void encodeRoute(const Route &route, schema::Route::Builder out)
+{
+    out.setName(toText(route.name));
+    out.setHost(toText(route.host));
+    out.setPrefix(toText(route.prefix));
+    out.setKind(static_cast<std::uint8_t>(route.kind));
+    out.setTimeoutMs(route.timeout.count());
+    out.setTargetLatencyMs(route.targetLatency.count());
+    out.setRank(route.rank);
+    out.setMaxAttempts(route.maxAttempts);
+    out.setKeepsHistory(route.keepsHistory);
+    out.setRetentionMs(route.retention.count());
+    out.setIsSticky(route.isSticky);
+    out.setIsResumable(route.isResumable);
+    auto shares = out.initShares(static_cast<unsigned>(route.shares.size()));
+    for (unsigned i = 0; i < shares.size(); ++i) {
+        shares[i].setService(toText(route.shares[i].service));
+        shares[i].setWeight(route.shares[i].weight);
+    }
+}
+
+Route decodeRoute(schema::Route::Reader in)
+{
+    Route route;
+    route.name = fromText(in.getName());
+    route.host = fromText(in.getHost());
+    route.prefix = fromText(in.getPrefix());
+    // Of a kind that this build does not know nothing may be repeated.
+    route.kind = in.getKind() <= static_cast<std::uint8_t>(RouteKind::Streaming) ? static_cast<RouteKind>(in.getKind())
+                                                                                 : RouteKind::Unsafe;
+    route.timeout = Milliseconds(in.getTimeoutMs());
+    route.targetLatency = Milliseconds(in.getTargetLatencyMs());
+    route.rank = in.getRank();
+    route.maxAttempts = in.getMaxAttempts();
+    route.keepsHistory = in.getKeepsHistory();
+    route.retention = Milliseconds(in.getRetentionMs());
+    route.isSticky = in.getIsSticky();
+    route.isResumable = in.getIsResumable();
+    for (const auto share : in.getShares()) {
+        route.shares.push_back({fromText(share.getService()), share.getWeight()});
+    }
+    return route;
+}
+
+void encodeService(const BackendService &service, schema::RoutedService::Builder out)
+{
+    out.setName(toText(service.name));
+    out.setMaxConnections(service.maxConnections);
+    out.setIsEngine(service.isEngine);
+    out.setSlots(service.engine.slots);
+    out.setCacheTokens(service.engine.cacheTokens);
+    out.setTokensPerEvent(service.engine.tokensPerEvent);
+}
+
+BackendService decodeService(schema::RoutedService::Reader in)
+{
+    return {fromText(in.getName()),
+            in.getMaxConnections(),
+            in.getIsEngine(),
+            {in.getSlots(), in.getCacheTokens(), in.getTokensPerEvent()}};
+}
+
+void encodeBounds(const CallerBounds &bounds, schema::CallerBounds::Builder out)
+{
+    out.setHeaderBytes(bounds.headerBytes);
+    out.setBodyBytes(bounds.bodyBytes);
+    out.setHeaderTimeoutMs(bounds.headerTimeout.count());
+    out.setIdleTimeoutMs(bounds.idleTimeout.count());
+}
+
+CallerBounds decodeBounds(schema::CallerBounds::Reader in)
+{
+    return {in.getHeaderBytes(), in.getBodyBytes(), Milliseconds(in.getHeaderTimeoutMs()),
+            Milliseconds(in.getIdleTimeoutMs())};
+}
+
+//! Items in an order that follows from their names, whatever order the operator's document has.
+void sortByName(Part &part)
+{
+    std::sort(part.routes.begin(), part.routes.end(), [](const Route *left, const Route *right) {
+        return std::tie(left->host, left->prefix) < std::tie(right->host, right->prefix);
+    });
+    // Of two services with one name the first counts, also after this.
+    std::stable_sort(part.services.begin(), part.services.end(),
+                     [](const BackendService *left, const BackendService *right) { return left->name < right->name; });
+}
+
+std::string encodePart(Part part)
+{
+    if (part.routes.empty() && part.services.empty() && part.bounds == nullptr) {
+        return {};
+    }
+    sortByName(part);
+    capnp::MallocMessageBuilder message;
+    auto out = message.initRoot<schema::DocumentBucket>();
+    auto routes = out.initRoutes(static_cast<unsigned>(part.routes.size()));
+    for (unsigned i = 0; i < routes.size(); ++i) {
+        encodeRoute(*part.routes[i], routes[i]);
+    }
+    auto services = out.initServices(static_cast<unsigned>(part.services.size()));
+    for (unsigned i = 0; i < services.size(); ++i) {
+        encodeService(*part.services[i], services[i]);
+    }
+    if (part.bounds != nullptr) {
+        encodeBounds(*part.bounds, out.initBounds());
+    }
+    return toPackedBytes(message);
+}
+
+} // namespace
+
+BucketBytes::All DocumentBucketCodec::encode(const Content &document)
+{
+    std::array<Part, BucketBytes::count> parts;
+    for (const Route &route : document.routes) {
+        parts[bucketOf(route.host + route.prefix)].routes.push_back(&route);
+    }
+    for (const BackendService &service : document.services) {
+        parts[bucketOf(service.name)].services.push_back(&service);
+    }
+    parts[boundsBucket].bounds = &document.bounds;
+    BucketBytes::All all;
+    std::transform(parts.begin(), parts.end(), all.begin(), encodePart);
+    return all;
+}
+
+Result<void> DocumentBucketCodec::decode(const std::string &bytes, Content &document)
+{
+    return readBucket<schema::DocumentBucket>(bytes, [&](schema::DocumentBucket::Reader bucket) {
+        for (const auto route : bucket.getRoutes()) {
+            document.routes.push_back(decodeRoute(route));
+        }
+        for (const auto service : bucket.getServices()) {
+            document.services.push_back(decodeService(service));
+        }
+        if (bucket.hasBounds()) {
+            document.bounds = decodeBounds(bucket.getBounds());
+        }
+    });
+}
+
+} // namespace cardamompost
--- a/src/gateway/cp_entry_server.cpp
+++ b/src/gateway/cp_entry_server.cpp
@@ -27,8 +27,6 @@
 constexpr Milliseconds shortestTellInterval {100};
 constexpr Milliseconds longestTellInterval {300};
 constexpr Milliseconds acceptPause {20};
-// A newer document is in force everywhere within a second or two; an entry that needs longer says so.
-constexpr Milliseconds longBehind {1000};
 constexpr std::size_t firstReadBytes = 8U << 10U;
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusInvalid = 400;
@@ -64,6 +62,7 @@
     , ledger_({parts.io, parts.settings, parts.peers, parts.log, parts.metrics})
     , pool_(parts.settings.vm, parts.settings.failureDomain, parts.metrics)
     , forwarder_({parts.io, parts.dialect, pool_, ledger_, parts.log, parts.metrics})
+    , news_({forwarder_, pool_, ledger_, parts.log})
     , ready_(
           parts.io.get_executor(), HttpLimits {},
           [this](HttpRequest &request, IHttpResponder &responder) { return onReady(request, responder); },
@@ -75,9 +74,6 @@
     , acceptor_(parts.io)
     , timer_(parts.io)
 {
-    parts.metrics.gauge("cardamompost_document_behind_seconds", {}, [this] {
-        return std::chrono::duration<double>(lag_.behindFor(std::chrono::steady_clock::now())).count();
-    });
 }
 
 Result<void> EntryServer::start()
@@ -85,76 +81,17 @@
     BOOST_OUTCOME_TRYV(openAcceptor(acceptor_, parts_.settings.front));
     BOOST_OUTCOME_TRYV(ready_.listen(parts_.settings.ready));
     asio::co_spawn(parts_.io, accept(), asio::detached);
-    ledger_.start([this](const NewsReply &news) { takeNews(news); });
+    ledger_.start([this](const NewsReply &news) {
+        news_.take(news);
+        tellIfChanged();
+    });
     keepTelling();
     return boost::outcome_v2::success();
 }
 
 bool EntryServer::isReady() const
 {
-    return !isDraining_ && forwarder_.table() != nullptr && pool_.version().term != 0;
-}
-
-void EntryServer::takeNews(const NewsReply &news)
-{
-    lag_.noteNewest(news.documentVersion, std::chrono::steady_clock::now());
-    takeDocument(news);
-    takeList(news);
-    noteBehind();
-    ledger_.setKnown(forwarder_.table() ? forwarder_.table()->version() : 0, pool_.version(), buckets_.digests());
-    tellIfChanged();
-}
-
-void EntryServer::takeDocument(const NewsReply &news)
-{
-    const std::uint64_t known = forwarder_.table() ? forwarder_.table()->version() : 0;
-    // An entry never goes back: whoever answers, an older version than the one in force is not taken.
-    if (news.document.empty() || news.documentVersion <= known) {
-        return;
-    }
-    Result<RouteDocument> document = parts_.dialect.readDocument(news.document);
-    if (!document) {
-        parts_.log.write(LogLevel::Error, "document.unreadable",
-                         {{"version", news.documentVersion}, {"error", document.error().message}});
-        return;
-    }
-    forwarder_.setTable(std::make_shared<const RouteTable>(std::move(document.value())));
-    const Milliseconds behind = lag_.behindFor(std::chrono::steady_clock::now());
-    lag_.noteInForce(news.documentVersion);
-    parts_.log.info("document.in_force",
-                    {{"version", news.documentVersion}, {"before", known}, {"behind_ms", behind.count()}});
-}
-
-void EntryServer::noteBehind()
-{
-    const Milliseconds behind = lag_.behindFor(std::chrono::steady_clock::now());
-    if (behind > longBehind && !hasToldBehind_) {
-        const std::uint64_t known = forwarder_.table() ? forwarder_.table()->version() : 0;
-        parts_.log.warn("document.behind", {{"version", known}, {"newest", lag_.newest()}, {"ms", behind.count()}});
-    }
-    hasToldBehind_ = behind > longBehind;
-}
-
-void EntryServer::takeList(const NewsReply &news)
-{
-    if (!news.hasList || news.list <= pool_.version()) {
-        return;
-    }
-    const Result<void> taken = buckets_.take(news.buckets);
-    if (!taken) {
-        // Everything is asked for anew.
-        buckets_ = {};
-        parts_.log.warn("backends.unreadable", {{"error", taken.error().message}});
-        return;
-    }
-    const std::vector<BackendServer> servers = buckets_.servers();
-    pool_.setList({news.list, servers});
-    parts_.log.info("backends.taken",
-                    {{"term", news.list.term},
-                     {"sequence", news.list.sequence},
-                     {"servers", servers.size()},
-                     {"buckets", news.buckets.size()},
-                     {"age_ms", news.listAgeMs}});
+    return !isDraining_ && news_.isComplete();
 }
 
 void EntryServer::tellIfChanged()
--- a/src/gateway/cp_entry_server.hpp
+++ b/src/gateway/cp_entry_server.hpp
@@ -1,8 +1,7 @@
 #ifndef CARDAMOMPOST_CP_ENTRY_SERVER_HPP_INCLUDED
 #define CARDAMOMPOST_CP_ENTRY_SERVER_HPP_INCLUDED
 
-#include "cp_document_lag.hpp"
-#include "cp_forwarder.hpp"
+#include "cp_entry_news.hpp"
 #include "cp_gateway_settings.hpp"
 
 #include <cardamompost/net/cp_http_server.hpp>
@@ -43,11 +42,6 @@
 
 private:
     [[nodiscard]] bool isReady() const;
-    void takeNews(const NewsReply &news);
-    void takeDocument(const NewsReply &news);
-    void takeList(const NewsReply &news);
-    //! Says so, once, when this entry has gone by an old document for long.
-    void noteBehind();
     void keepTelling();
     void tellIfChanged();
     boost::asio::awaitable<void> accept();
@@ -56,11 +50,9 @@
 
     Parts parts_;
     LedgerClient ledger_;
-    BackendBuckets buckets_;
-    DocumentLag lag_;
-    bool hasToldBehind_ = false;
     BackendPool pool_;
     Forwarder forwarder_;
+    EntryNews news_;
     HttpServer ready_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer timer_;
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -122,6 +122,16 @@
     return true;
 }
 
+OwnAnswer Forwarder::noRoute() const
+{
+    if (parts_.ledger.hasNewestDocument()) {
+        return {statusNotFound, "no route for this host and path", Milliseconds(0)};
+    }
+    // Guards callers of a route that was added a moment ago: a 404 is final for them, and an entry that is cut off, or
+    // to which the newest document is still on its way, can't know that there is no such route.
+    return {statusUnavailable, "no route is known, and the document may be old", comeBackSoon};
+}
+
 asio::awaitable<void> Forwarder::run(ForwardedRequest &request)
 {
     // Before anything is decided: a request that is refused at once is looked for by its id too.
@@ -130,7 +140,7 @@
     if (!request.table) {
         refusal = {statusUnavailable, "no configuration is known yet", comeBackLater};
     } else if (!findRoute(request)) {
-        refusal = {statusNotFound, "no route for this host and path", Milliseconds(0)};
+        refusal = noRoute();
     }
     if (!refusal.reason.empty()) {
         request.status = refusal.status;
--- a/src/gateway/cp_forwarder.hpp
+++ b/src/gateway/cp_forwarder.hpp
@@ -57,6 +57,8 @@
     [[nodiscard]] Repeats *repeatsOf(const ForwardedRequest &request);
     boost::asio::awaitable<void> run(ForwardedRequest &request);
     [[nodiscard]] bool findRoute(ForwardedRequest &request);
+    //! The answer to a request without a route.
+    [[nodiscard]] OwnAnswer noRoute() const;
     [[nodiscard]] PlacementWish wishOf(const ForwardedRequest &request) const;
     //! The next server to send to; null when there is none, or no time.
     [[nodiscard]] std::shared_ptr<BackendState> choose(ForwardedRequest &request);
--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -101,7 +101,8 @@
         return boost::outcome_v2::success();
     }
     BOOST_OUTCOME_TRYV(opened);
-    ledger_ = std::make_unique<LedgerService>(LedgerService::Parts {io_, settings_, *disk_, peers_, log_, metrics_});
+    ledger_ = std::make_unique<LedgerService>(
+        LedgerService::Parts {io_, settings_, *dialect_, *disk_, peers_, log_, metrics_});
     api_ = std::make_unique<LedgerApi>(LedgerApi::Parts {io_, settings_, *dialect_, *ledger_, log_, metrics_});
     listReader_ = std::make_unique<ListReader>(ListReader::Parts {io_, settings_, *dialect_, *ledger_, log_, metrics_});
     peerServer_
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -60,6 +60,8 @@
     , toldBySuccessor_(parts.metrics.counter("cardamompost_ledger_told_by_successor_total"))
     , finishRetries_(parts.metrics.counter("cardamompost_ledger_finish_retries_total"))
 {
+    parts.metrics.gauge("cardamompost_document_behind_seconds", {},
+                        [this] { return std::chrono::duration<double>(lag_.behindFor(timeNow())).count(); });
 }
 
 void LedgerClient::start(NewsHandler onNews)
@@ -291,6 +293,7 @@
             continue;
         }
         known_.waitMs = static_cast<std::uint32_t>(newsWait.count());
+        known_.behindMs = lacksSince_ ? static_cast<std::uint32_t>(toMs(timeNow() - *lacksSince_)) : 0;
         FrameBody body = known_;
         const Result<FrameBody> reply = co_await client->call(std::move(body), newsTimeout);
         const NewsReply *news = reply ? std::get_if<NewsReply>(&reply.value()) : nullptr;
@@ -312,7 +315,23 @@
         hasLeader_ = true;
         parts_.log.info("ledger.found", {{"leader", leader_}, {"news_age_ms", age.count()}});
     }
+    lag_.noteNewest(news.documentVersion, lastNews_);
     onNews_(news);
+    const bool lacksList = known_.list < news.list;
+    if (!lag_.isBehind() && !lacksList) {
+        lacksSince_.reset();
+    } else if (!lacksSince_) {
+        lacksSince_ = lastNews_;
+    }
+}
+
+void LedgerClient::setKnown(Known known)
+{
+    known_.documentVersion = known.documentVersion;
+    known_.list = known.list;
+    known_.documentDigests = std::move(known.documentDigests);
+    known_.listDigests = std::move(known.listDigests);
+    lag_.noteInForce(known.documentVersion);
 }
 
 void LedgerClient::tellPresence(bool isReady)
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -1,6 +1,7 @@
 #ifndef CARDAMOMPOST_CP_LEDGER_CLIENT_HPP_INCLUDED
 #define CARDAMOMPOST_CP_LEDGER_CLIENT_HPP_INCLUDED
 
+#include "cp_document_lag.hpp"
 #include "cp_gateway_settings.hpp"
 #include "cp_peer_clients.hpp"
 
@@ -93,13 +94,14 @@
     //! Says to all members whether this entry takes requests.
     void tellPresence(bool isReady);
 
-    //! What the next NewsRequest says is known already.
-    void setKnown(std::uint64_t documentVersion, BackendListVersion list, BackendBuckets::Digests listDigests)
-    {
-        known_.documentVersion = documentVersion;
-        known_.list = list;
-        known_.listDigests = std::move(listDigests);
-    }
+    //! What an entry holds, as the next question for news says it.
+    struct Known {
+        std::uint64_t documentVersion = 0;
+        BackendListVersion list;
+        DocumentBuckets::Digests documentDigests;
+        BackendBuckets::Digests listDigests;
+    };
+    void setKnown(Known known);
     //! Ledger VMs that are known.
     [[nodiscard]] std::size_t memberCount() const
     {
@@ -107,6 +109,17 @@
     }
     //! Time since a leader last answered.
     [[nodiscard]] Milliseconds newsAge() const;
+    [[nodiscard]] const DocumentLag &lag() const
+    {
+        return lag_;
+    }
+    //! News come at least twice a second; what is decided by older ones may be wrong by now.
+    static constexpr Milliseconds oldNews {1000};
+    //! A leader has just said so: the document that this entry goes by is the newest one.
+    [[nodiscard]] bool hasNewestDocument() const
+    {
+        return newsAge() <= oldNews && !lag_.isBehind();
+    }
     void setSeeds(std::vector<VmName> seeds)
     {
         seeds_ = std::move(seeds);
@@ -148,6 +161,9 @@
     //! Members with a watch() under way.
     std::set<VmName> watched_;
     NewsRequest known_;
+    DocumentLag lag_;
+    //! Since when the leader has a newer document or list; nothing when this entry holds the newest.
+    std::optional<TimePoint> lacksSince_;
     NewsHandler onNews_;
     TimePoint lastNews_ {};
     bool isStopped_ = false;
--- a/src/gateway/cp_ledger_news.cpp
+++ b/src/gateway/cp_ledger_news.cpp
@@ -6,18 +6,38 @@
 namespace
 {
 
-// Lists and documents that entries are sent, all of them together.
-constexpr double newsBytesPerSecond = 24.0 * (1U << 20U);
-constexpr double newsBurstBytes = 4.0 * (1U << 20U);
+// Most that one answer brings: on a way that carries 3 Mbit/s it takes a third of a second, well within the time that
+// an entry waits for it.
+constexpr std::size_t mostNewsBytes = 128U << 10U;
 // An entry whose news can't be afforded hears in time that the leader is there.
 constexpr Milliseconds shortestNewsWait {300};
 
+std::size_t bytesOf(const std::optional<ContentDelta> &delta)
+{
+    std::size_t bytes = 0;
+    if (delta) {
+        for (const ContentBucket &bucket : delta->buckets) {
+            bytes += bucket.bytes.size();
+        }
+    }
+    return bytes;
+}
+
 } // namespace
 
-bool LedgerService::hasNews(const NewsRequest &request) const
+bool LedgerService::hasNewDocument(const NewsRequest &request) const
+{
+    return request.documentVersion < offeredVersion_;
+}
+
+bool LedgerService::hasNewList(const NewsRequest &request) const
 {
-    return request.documentVersion < state_.documentVersion()
-        || (backends_.version.term != 0 && request.list < backends_.version);
+    return backends_.version.term != 0 && request.list < backends_.version;
+}
+
+bool LedgerService::isDue(const NewsRequest &request) const
+{
+    return hasNewDocument(request) || hasNewList(request);
 }
 
 void LedgerService::onPresence(const Presence &presence)
@@ -39,47 +59,54 @@
         replyNews(request, replier, false);
         return;
     }
-    const bool isDue = hasNews(request);
-    if (isDue && mayAffordNews(now)) {
-        replyNews(request, replier, true);
+    const Milliseconds wait(request.waitMs);
+    news_.add(request, replier, now, isDue(request) ? std::max(shortestNewsWait, wait) : wait);
+    serveNews();
+}
+
+void LedgerService::offerDocument()
+{
+    if (triedVersion_ == state_.documentVersion()) {
         return;
     }
-    if (isDue) {
-        newsPutOff_.add();
-    }
-    if (!isDue && request.waitMs == 0) {
-        replyNews(request, replier, false);
+    triedVersion_ = state_.documentVersion();
+    const Result<RouteDocument> document = parts_.dialect.readDocument(state_.document());
+    if (!document) {
+        // It was read when it was put, by this build or another one. Entries go on by what they have, and know that
+        // they are behind.
+        parts_.log.write(LogLevel::Error, "document.unreadable",
+                         {{"version", triedVersion_}, {"error", document.error().message}});
         return;
     }
-    waiters_.push_back({request, replier, now + std::max(shortestNewsWait, Milliseconds(request.waitMs))});
+    documents_.set(document.value());
+    offeredVersion_ = triedVersion_;
 }
 
-bool LedgerService::mayAffordNews(TimePoint now)
+void LedgerService::serveNews()
 {
-    // Guards the leader's memory and link: after a start or a change of everything, hundreds of entries want the same
-    // hundreds of kilobytes at one moment. They get them one after the other, within a second or two.
-    const double earned = std::chrono::duration<double>(now - newsEarnedAt_).count() * newsBytesPerSecond;
-    newsBudget_ = std::min(newsBurstBytes, newsBudget_ + earned);
-    newsEarnedAt_ = now;
-    return newsBudget_ > 0;
-}
-
-void LedgerService::addContent(const NewsRequest &request, NewsReply &reply)
-{
-    if (request.documentVersion < state_.documentVersion()) {
-        reply.document = state_.document();
+    if (news_.isEmpty()) {
+        return;
     }
-    reply.hasList = backends_.version.term != 0 && request.list < backends_.version;
-    if (reply.hasList) {
-        reply.buckets = buckets_.differing(request.listDigests);
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (!leads()) {
+        for (const NewsQuestions::Question &question : news_.takeAll()) {
+            replyNews(question.request, question.replier, false);
+        }
+        return;
     }
-    newsBudget_ -= static_cast<double>(reply.document.size());
-    for (const BackendBucket &bucket : reply.buckets) {
-        newsBudget_ -= static_cast<double>(bucket.bytes.size());
+    offerDocument();
+    news_.serve(
+        now, [this](const NewsRequest &request) { return isDue(request); },
+        [this](const NewsQuestions::Question &question) {
+            return replyNews(question.request, question.replier, true);
+        });
+    for (const NewsQuestions::Question &question : news_.takeExpired(now)) {
+        newsPutOff_.add(isDue(question.request) ? 1 : 0);
+        replyNews(question.request, question.replier, false);
     }
 }
 
-void LedgerService::replyNews(const NewsRequest &request, const Replier &replier, bool withContent)
+std::size_t LedgerService::replyNews(const NewsRequest &request, const Replier &replier, bool withContent)
 {
     NewsReply reply;
     reply.isLeader = leads();
@@ -98,33 +125,23 @@
         reply.list = backends_.version;
         reply.listAgeMs = static_cast<std::uint32_t>(toMs(std::chrono::steady_clock::now() - listReadAt_));
     }
-    if (reply.isLeader && withContent) {
-        addContent(request, reply);
+    if (reply.isLeader && withContent && hasNewList(request)) {
+        reply.listDelta = buckets_.differing(request.listDigests, mostNewsBytes);
     }
-    replier->reply(std::move(reply));
-}
-
-void LedgerService::answerWaiters(bool all)
-{
-    const TimePoint now = std::chrono::steady_clock::now();
-    const bool isLeader = leads();
-    std::vector<NewsWaiter> kept;
-    for (NewsWaiter &waiter : std::exchange(waiters_, {})) {
-        const bool isServed = isLeader && hasNews(waiter.request) && mayAffordNews(now);
-        if (isServed || all || !isLeader || now >= waiter.deadline) {
-            replyNews(waiter.request, waiter.replier, isServed);
-        } else {
-            kept.push_back(std::move(waiter));
-        }
+    if (reply.isLeader && withContent && hasNewDocument(request)) {
+        reply.documentVersion = offeredVersion_;
+        reply.documentDelta = documents_.differing(request.documentDigests, mostNewsBytes);
     }
-    waiters_.insert(waiters_.end(), std::make_move_iterator(kept.begin()), std::make_move_iterator(kept.end()));
+    const std::size_t bytes = bytesOf(reply.listDelta) + bytesOf(reply.documentDelta);
+    replier->reply(std::move(reply));
+    return bytes;
 }
 
 void LedgerService::answerWatchers(bool all)
 {
     const TimePoint now = std::chrono::steady_clock::now();
     const bool isLeader = leads();
-    for (NewsWaiter &watcher : std::exchange(watchers_, {})) {
+    for (Watcher &watcher : std::exchange(watchers_, {})) {
         if (all || isLeader || now >= watcher.deadline) {
             replyNews(watcher.request, watcher.replier, false);
         } else {
@@ -142,7 +159,7 @@
     }
     const std::uint64_t sequence = backends_.version.term == term ? backends_.version.sequence + 1 : 1;
     backends_ = {{term, sequence}, std::move(servers)};
-    buckets_.setServers(backends_.servers);
+    buckets_.set(backends_.servers);
     placement_.setServers(backends_.servers, listReadAt_);
     std::size_t leaving = 0;
     for (const BackendServer &server : backends_.servers) {
@@ -151,7 +168,7 @@
     parts_.log.info(
         "backends.changed",
         {{"term", term}, {"sequence", sequence}, {"servers", backends_.servers.size()}, {"leaving", leaving}});
-    answerWaiters(false);
+    serveNews();
 }
 
 } // namespace cardamompost
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -18,6 +18,10 @@
 constexpr std::size_t maxAppendsInFlight = 16;
 // As long as an entry leaves out a server that it could not reach.
 constexpr Milliseconds avoidFor {1000};
+// Lists and documents that entries are sent, all of them together: a third of a ledger VM's link, and what its memory
+// holds of answers that are on their way.
+constexpr double newsBytesPerSecond = 24.0 * (1U << 20U);
+constexpr double newsBurstBytes = 4.0 * (1U << 20U);
 constexpr LogIndex foundingIndex = 1;
 constexpr Term foundingTerm = 1;
 
@@ -32,6 +36,7 @@
     , joinTimer_(parts.io)
     , tellTimer_(parts.io)
     , placement_(randomIdentity())
+    , news_({newsBytesPerSecond, newsBurstBytes})
     , newsPutOff_(parts.metrics.counter("cardamompost_news_put_off_total"))
     , placeSeconds_(parts.metrics.histogram("cardamompost_turn_place_seconds"))
     , takeovers_(parts.metrics.counter("cardamompost_ledger_takeovers_total"))
@@ -101,7 +106,9 @@
     joinTimer_.cancel();
     tellTimer_.cancel();
     texts_.stop();
-    answerWaiters(true);
+    for (const NewsQuestions::Question &question : news_.takeAll()) {
+        replyNews(question.request, question.replier, false);
+    }
     answerWatchers(true);
     driver_.stop();
 }
@@ -129,7 +136,7 @@
         parts_.log.info(
             "document.in_force",
             {{"version", state_.documentVersion()}, {"before", before}, {"bytes", state_.document().size()}});
-        answerWaiters(false);
+        serveNews();
     }
 }
 
@@ -330,9 +337,7 @@
         wasLeader_ = isLeader;
         logRole();
     }
-    if (!waiters_.empty()) {
-        answerWaiters(false);
-    }
+    serveNews();
     if (!watchers_.empty()) {
         answerWatchers(false);
     }
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -6,9 +6,11 @@
 #include "cp_presence_table.hpp"
 #include "cp_turn_text_store.hpp"
 
+#include <cardamompost/edge/cp_idialect.hpp>
 #include <cardamompost/ledger/cp_ledger_clock.hpp>
 #include <cardamompost/ledger/cp_ledger_state.hpp>
 #include <cardamompost/ledger/cp_member_planner.hpp>
+#include <cardamompost/ledger/cp_news_queue.hpp>
 #include <cardamompost/net/cp_peer_server.hpp>
 #include <cardamompost/policy/cp_turn_placement.hpp>
 
@@ -23,6 +25,7 @@
     struct Parts {
         boost::asio::io_context &io;
         const GatewaySettings &settings;
+        const IDialect &dialect;
         DiskThread &disk;
         PeerClients &peers;
         EventLog &log;
@@ -120,7 +123,8 @@
         //! What the quorum decided; nothing yet.
         std::optional<TurnBeginStatus> decided;
     };
-    struct NewsWaiter {
+    using NewsQuestions = NewsQueue<Replier>;
+    struct Watcher {
         NewsRequest request;
         Replier replier;
         TimePoint deadline;
@@ -140,12 +144,16 @@
     void onPlaced(Begin &begun, const std::string &backend);
     void commitBegin(const std::shared_ptr<Begin> &begun);
     void onDecided(Begin &begun, TurnBeginStatus status);
-    [[nodiscard]] bool hasNews(const NewsRequest &request) const;
-    void replyNews(const NewsRequest &request, const Replier &replier, bool withContent);
-    void addContent(const NewsRequest &request, NewsReply &reply);
-    //! Adds what was earned since. \returns true while news may be sent
-    [[nodiscard]] bool mayAffordNews(TimePoint now);
-    void answerWaiters(bool all);
+    [[nodiscard]] bool hasNewDocument(const NewsRequest &request) const;
+    [[nodiscard]] bool hasNewList(const NewsRequest &request) const;
+    //! There is something new to answer with.
+    [[nodiscard]] bool isDue(const NewsRequest &request) const;
+    //! Makes the document in force ready to be sent in buckets.
+    void offerDocument();
+    //! Answers entries that wait for news: with what is new, or that there is nothing yet, or that another VM leads.
+    void serveNews();
+    //! \returns the bytes of what is new in the answer
+    std::size_t replyNews(const NewsRequest &request, const Replier &replier, bool withContent);
     //! Tells those that wait for a leader: that it is this VM, or that their time is over.
     void answerWatchers(bool all);
     void planMembers();
@@ -175,6 +183,7 @@
     VmName leaderHint_;
     std::unordered_map<std::string, std::int64_t> pendingTokens_;
     TurnPlacement placement_;
+    NewsQuestions news_;
     Counter &newsPutOff_;
     Histogram &placeSeconds_;
     Counter &takeovers_;
@@ -184,15 +193,16 @@
     std::unordered_map<VmName, TimePoint> lastJoin_;
     //! As each VM told when it asked to join.
     std::unordered_map<VmName, LogIndex> holdsUpTo_;
-    std::vector<NewsWaiter> waiters_;
     //! Entries that want to hear at once if this VM becomes the leader.
-    std::vector<NewsWaiter> watchers_;
+    std::vector<Watcher> watchers_;
+    DocumentBuckets documents_;
+    //! Of the document in the buckets.
+    std::uint64_t offeredVersion_ = 0;
+    //! The last one that was to be put there, readable or not.
+    std::uint64_t triedVersion_ = 0;
     BackendList backends_;
     BackendBuckets buckets_;
     PresenceTable presence_;
-    //! Bytes of news that may be sent now; below 0 while earlier ones are paid off.
-    double newsBudget_ = 0;
-    TimePoint newsEarnedAt_ {};
     TimePoint listReadAt_ {};
     TimePoint nextPlan_ {};
     bool wasLeader_ = false;
--- a/src/gateway/cp_request_report.cpp
+++ b/src/gateway/cp_request_report.cpp
@@ -12,8 +12,6 @@
 constexpr std::size_t logLineBytes = 4096;
 constexpr std::size_t logLineFields = 20;
 constexpr unsigned firstServerError = 500;
-// News of the ledger's leader come at least twice a second; what is decided by older ones may be wrong by now.
-constexpr Milliseconds oldNews {1000};
 
 //! What is known of whether a request ran, for the metrics.
 std::string_view outcomeOf(const ForwardedRequest &request)
@@ -73,7 +71,7 @@
     if (!request.detail.empty()) {
         line["detail"] = request.detail;
     }
-    if (parts_.ledger.newsAge() > oldNews) {
+    if (parts_.ledger.newsAge() > LedgerClient::oldNews) {
         onOldNews_.add();
     }
     // Guards the lines that somebody will look for: a warning is written at once, so that it outlives a process that is
--- a/tests/platform/cp_platform_path.tests.cpp
+++ b/tests/platform/cp_platform_path.tests.cpp
@@ -123,6 +123,10 @@
         system.explainEnd("d2").cause.find("spent 20 and reserved 0 for turns under way of its budget of 60 tokens")
         != std::string::npos);
 
+    // Refused before a route was known: it was logged without its id.
+    BOOST_TEST(system.stage.call(entry, "POST", "/nowhere", System::headers("g1"), "x").status == 404U);
+    BOOST_TEST(system.explainEnd("g1").cause.find("no route for this host and path") != std::string::npos);
+
     system.running[leader].reset();
     system.running[(leader + 1) % system.running.size()].reset();
     BOOST_TEST(system.turn(entry, "e1", {}).status == 503U);
@@ -133,9 +137,9 @@
     BOOST_TEST(std::any_of(refused.surroundings.begin(), refused.surroundings.end(), isLost));
     BOOST_TEST(!system.explain("nobody").missing.empty());
 
-    // Refused before a route was known: it was logged without its id.
-    BOOST_TEST(system.stage.call(entry, "POST", "/nowhere", System::headers("g1"), "x").status == 404U);
-    BOOST_TEST(system.explainEnd("g1").cause.find("no route for this host and path") != std::string::npos);
+    // No route is known either, but without the ledger nobody can know that there is none.
+    BOOST_TEST(system.stage.call(entry, "POST", "/nowhere", System::headers("g2"), "x").status == 503U);
+    BOOST_TEST(system.explainEnd("g2").cause.find("the document may be old") != std::string::npos);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/routing/cp_backend_buckets.tests.cpp
+++ b/tests/routing/cp_backend_buckets.tests.cpp
@@ -25,10 +25,10 @@
     return list;
 }
 
-std::size_t bytesOf(const std::vector<BackendBucket> &buckets)
+std::size_t bytesOf(const ContentDelta &delta)
 {
     std::size_t bytes = 0;
-    for (const BackendBucket &bucket : buckets) {
+    for (const ContentBucket &bucket : delta.buckets) {
         bytes += bucket.bytes.size();
     }
     return bytes;
@@ -46,10 +46,10 @@
 BOOST_AUTO_TEST_CASE(whoever_holds_nothing_gets_everything)
 {
     BackendBuckets leader;
-    leader.setServers(servers(manyServers));
+    leader.set(servers(manyServers));
     BackendBuckets entry;
-    BOOST_REQUIRE(entry.take(leader.differing({})).has_value());
-    std::vector<BackendServer> got = entry.servers();
+    BOOST_REQUIRE(entry.take(leader.differing({}).buckets).has_value());
+    std::vector<BackendServer> got = entry.content();
     std::vector<BackendServer> sent = servers(manyServers);
     sort(got);
     sort(sent);
@@ -63,21 +63,21 @@
 {
     std::vector<BackendServer> list = servers(manyServers);
     BackendBuckets first;
-    first.setServers(list);
+    first.set(list);
     BackendBuckets entry;
-    BOOST_REQUIRE(entry.take(first.differing(entry.digests())).has_value());
+    BOOST_REQUIRE(entry.take(first.differing(entry.digests()).buckets).has_value());
     std::reverse(list.begin(), list.end());
     BackendBuckets second;
-    second.setServers(list);
-    BOOST_TEST(second.differing(entry.digests()).empty());
+    second.set(list);
+    BOOST_TEST(second.differing(entry.digests()).buckets.empty());
     list.front().isLeaving = true;
     list.pop_back();
-    second.setServers(list);
-    const std::vector<BackendBucket> changed = second.differing(entry.digests());
-    BOOST_TEST(changed.size() <= 2U);
+    second.set(list);
+    const ContentDelta changed = second.differing(entry.digests());
+    BOOST_TEST(changed.buckets.size() <= 2U);
     BOOST_TEST(bytesOf(changed) * 10 < bytesOf(second.differing({})));
-    BOOST_REQUIRE(entry.take(changed).has_value());
-    std::vector<BackendServer> got = entry.servers();
+    BOOST_REQUIRE(entry.take(changed.buckets).has_value());
+    std::vector<BackendServer> got = entry.content();
     sort(got);
     sort(list);
     BOOST_TEST((got == list));
@@ -86,23 +86,23 @@
 BOOST_AUTO_TEST_CASE(a_bucket_whose_servers_are_all_gone_is_emptied)
 {
     BackendBuckets leader;
-    leader.setServers(servers(1));
+    leader.set(servers(1));
     BackendBuckets entry;
-    BOOST_REQUIRE(entry.take(leader.differing(entry.digests())).has_value());
-    leader.setServers({});
-    BOOST_REQUIRE(entry.take(leader.differing(entry.digests())).has_value());
-    BOOST_TEST(entry.servers().empty());
+    BOOST_REQUIRE(entry.take(leader.differing(entry.digests()).buckets).has_value());
+    leader.set({});
+    BOOST_REQUIRE(entry.take(leader.differing(entry.digests()).buckets).has_value());
+    BOOST_TEST(entry.content().empty());
 }
 
 BOOST_AUTO_TEST_CASE(other_bytes_change_nothing)
 {
     BackendBuckets entry;
     BackendBuckets leader;
-    leader.setServers(servers(10));
-    BOOST_REQUIRE(entry.take(leader.differing({})).has_value());
+    leader.set(servers(10));
+    BOOST_REQUIRE(entry.take(leader.differing({}).buckets).has_value());
     BOOST_TEST(!entry.take({{3, "nonsense that is no message"}}).has_value());
     BOOST_TEST(!entry.take({{BackendBuckets::count, {}}}).has_value());
-    BOOST_TEST(entry.servers().size() == 10U);
+    BOOST_TEST(entry.content().size() == 10U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
