Keep a list that lags from making a server new twice, by one rule where lists come in

Cause: the placement of turns took an earlier incarnation from a list that was behind, and then took the later one for new: the engine was forgotten with the turns that ran there, and was given as many again. The pool had a rule of its own against it. Ruled out: nothing else decides by the time of a server's start. Change: latestIncarnations takes the list before, too; the ledger's leader and the pool go by it, and the pool's own rule is gone.

--- a/include/cardamompost/routing/cp_backend_list.hpp
+++ b/include/cardamompost/routing/cp_backend_list.hpp
@@ -25,9 +25,11 @@
 
 //! Keeps one entry of each id: that of the latest incarnation, and of two alike the last one.
 //!
-//! Guards against a list that lags and shows a server before and after its restart: the earlier entry would bring a
-//! server back that is gone, with what was known of it.
-[[nodiscard]] std::vector<BackendServer> latestIncarnations(std::vector<BackendServer> servers);
+//! Guards against a list that lags and shows a server as it was before its restart, in the same list or a later one:
+//! that entry would bring a server back that is gone, and what is known of the one that runs would be forgotten. \param
+//! before  the list that these servers take the place of; of a server in both the later incarnation stays
+[[nodiscard]] std::vector<BackendServer> latestIncarnations(std::vector<BackendServer> servers,
+                                                            const std::vector<BackendServer> &before = {});
 
 //! Which of two lists is newer: that of the reader with the higher term, then the later one of the same reader.
 struct BackendListVersion {
--- a/src/cardamompost/routing/cp_backend_list.cpp
+++ b/src/cardamompost/routing/cp_backend_list.cpp
@@ -5,7 +5,8 @@
 namespace cardamompost
 {
 
-std::vector<BackendServer> latestIncarnations(std::vector<BackendServer> servers)
+std::vector<BackendServer> latestIncarnations(std::vector<BackendServer> servers,
+                                              const std::vector<BackendServer> &before)
 {
     std::vector<BackendServer> kept;
     std::unordered_map<std::string, std::size_t> places;
@@ -17,6 +18,12 @@
             kept[place->second] = std::move(server);
         }
     }
+    for (const BackendServer &server : before) {
+        const auto place = places.find(server.id);
+        if (place != places.end() && server.born > kept[place->second].born) {
+            kept[place->second] = server;
+        }
+    }
     return kept;
 }
 
--- a/src/gateway/cp_backend_pool.cpp
+++ b/src/gateway/cp_backend_pool.cpp
@@ -94,6 +94,15 @@
 {
 }
 
+std::vector<BackendServer> BackendPool::servers() const
+{
+    std::vector<BackendServer> servers;
+    for (const auto &[id, state] : byId_) {
+        servers.push_back(state->server_);
+    }
+    return servers;
+}
+
 bool BackendPool::setList(const BackendList &list)
 {
     if (list.version <= version_) {
@@ -102,17 +111,10 @@
     version_ = list.version;
     std::map<std::string, std::shared_ptr<BackendState>> byId;
     byService_.clear();
-    for (const BackendServer &server : list.servers) {
+    // Also here, and not at the list's reader only: a new leader has no list before its first one.
+    for (const BackendServer &server : latestIncarnations(list.servers, servers())) {
         const auto known = byId_.find(server.id);
-        const bool isKnown = known != byId_.end() && known->second->server_.born >= server.born;
-        if (isKnown && known->second->server_.born > server.born) {
-            // Of a list that is behind: this incarnation is over.
-            byId.emplace(server.id, known->second);
-            if (!known->second->server_.isLeaving) {
-                byService_[server.service].push_back(known->second);
-            }
-            continue;
-        }
+        const bool isKnown = known != byId_.end() && known->second->server_.born == server.born;
         // Guards against what was known of the incarnation before: its connections are dead, its load is gone, and
         // what it lost says nothing of the one that runs now.
         auto state = isKnown ? known->second : std::make_shared<BackendState>(server);
--- a/src/gateway/cp_backend_pool.hpp
+++ b/src/gateway/cp_backend_pool.hpp
@@ -147,6 +147,8 @@
     void closeIdle(TimePoint now);
 
 private:
+    //! As the list in force has them.
+    [[nodiscard]] std::vector<BackendServer> servers() const;
     [[nodiscard]] std::shared_ptr<BackendState> pickSticky(const std::vector<std::shared_ptr<BackendState>> &usable,
                                                            std::uint64_t point, TimePoint now) const;
     [[nodiscard]] std::shared_ptr<BackendState>
--- a/src/gateway/cp_ledger_news.cpp
+++ b/src/gateway/cp_ledger_news.cpp
@@ -154,6 +154,7 @@
 {
     listReadAt_ = std::chrono::steady_clock::now();
     const std::uint64_t term = driver_.node().term();
+    servers = latestIncarnations(std::move(servers), backends_.servers);
     if (backends_.version.term == term && backends_.servers == servers) {
         return;
     }
