Refuse numbers in headers that can't be read by the header's name, and reports of load that make no sense

Cause: a number was read as far as it went and anything else stood for a default: a budget in words was no bound at all, a turn that said it costs less than no tokens gave back what others had reserved, a server that reported -3 running requests looked as busy as can be for good, and a Keep-Alive beyond bounds overflowed. Ruled out: headers with a fraction, which are read as before; Retry-After, which we only write. Change: readNumber reads all of the text or nothing; a fault in a deadline, time left, budget or token usage is answered 400 with the header's name; readLoad and readKeepAlive stand beside it and have tests.

--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -251,12 +251,8 @@
     if (found == parser_->get().end()) {
         return;
     }
-    const std::string_view text = view(found->value());
-    const std::size_t comma = text.find(',');
-    const auto running = readNumber(text);
-    const auto waiting = comma == std::string_view::npos ? std::nullopt : readNumber(text.substr(comma + 1));
-    if (running && waiting) {
-        backend_->report(static_cast<unsigned>(*running), static_cast<unsigned>(*waiting), timeNow());
+    if (const std::optional<LoadReport> load = readLoad(view(found->value()))) {
+        backend_->report(load->running, load->waiting, timeNow());
     }
 }
 
@@ -271,11 +267,8 @@
     Milliseconds keptFor = defaultKeepAlive;
     const auto keepAlive = parser_->get().find(http::field::keep_alive);
     if (keepAlive != parser_->get().end()) {
-        const std::string_view text = view(keepAlive->value());
-        const std::size_t at = text.find("timeout=");
-        if (at != std::string_view::npos) {
-            const auto seconds = readNumber(text.substr(at + std::string_view("timeout=").size()));
-            keptFor = Milliseconds(seconds.value_or(0) * 1000 * keepAliveShareOf10 / 10);
+        if (const std::optional<Milliseconds> stated = readKeepAlive(view(keepAlive->value()))) {
+            keptFor = *stated * keepAliveShareOf10 / 10;
         }
     }
     const TimePoint now = timeNow();
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -13,6 +13,7 @@
 namespace
 {
 
+constexpr unsigned statusInvalid = 400;
 constexpr unsigned statusSpent = 402;
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusBadGateway = 502;
@@ -136,8 +137,11 @@
 {
     // Before anything is decided: a request that is refused at once is looked for by its id too.
     request.facts = readFacts(request.message, parts_.dialect.headers());
+    const std::string unreadable = "the header '" + request.facts.fault + "' can't be read";
     OwnAnswer refusal;
-    if (!request.table) {
+    if (!request.facts.fault.empty()) {
+        refusal = {statusInvalid, unreadable, Milliseconds(0)};
+    } else if (!request.table) {
         refusal = {statusUnavailable, "no configuration is known yet", comeBackLater};
     } else if (!findRoute(request)) {
         refusal = noRoute();
--- a/src/gateway/cp_request_head.cpp
+++ b/src/gateway/cp_request_head.cpp
@@ -82,6 +82,62 @@
     text += "\r\n";
 }
 
+// Of milliseconds or tokens; sums of many stay far from where numbers end.
+constexpr std::int64_t mostOfANumber = 1'000'000'000'000;
+// Requests that one server can run or queue; a report of more is none.
+constexpr std::int64_t mostRequests = 1'000'000;
+// Seconds; no connection rests longer, whatever a server says.
+constexpr std::int64_t longestKeepAlive = 3600;
+
+//! A header's number; nothing when there is no such header, or it can't be read, which is noted.
+template<typename Fields>
+std::optional<std::int64_t> headerNumber(const Fields &fields, const std::string &name, RequestFacts &facts)
+{
+    if (fields.find(name) == fields.end()) {
+        return std::nullopt;
+    }
+    const std::optional<std::int64_t> number = readNumber(headerValue(fields, name));
+    if (!number) {
+        facts.fault = name;
+    }
+    return number;
+}
+
+void readTimes(const CallerRequest &request, const HeaderNames &names, RequestFacts &facts)
+{
+    if (const auto patience = headerNumber(request, names.deadline, facts)) {
+        facts.patience = Milliseconds(std::max<std::int64_t>(*patience, 0));
+    }
+    if (const auto left = headerNumber(request, names.programTimeLeft, facts)) {
+        facts.programTimeLeft = Milliseconds(*left);
+    }
+}
+
+//! Guards the budgets: what can't be read must not stand for "no bound" or "costs nothing", and a turn that costs less
+//! than nothing would give back what others have reserved.
+void readTokens(const CallerRequest &request, const HeaderNames &names, RequestFacts &facts)
+{
+    if (const auto budget = headerNumber(request, names.tokenBudget, facts)) {
+        facts.budget = *budget;
+        if (*budget < 0) {
+            facts.fault = names.tokenBudget;
+        }
+    }
+    if (request.find(names.tokenUsage) == request.end()) {
+        return;
+    }
+    const std::string_view usage = headerValue(request, names.tokenUsage);
+    const std::size_t comma = usage.find(',');
+    const auto in = readNumber(usage.substr(0, comma));
+    const auto out = comma == std::string_view::npos ? std::nullopt : readNumber(usage.substr(comma + 1));
+    if (!in || !out || *in < 0 || *out < 0) {
+        facts.fault = names.tokenUsage;
+        return;
+    }
+    facts.tokensIn = *in;
+    facts.tokensOutAtMost = *out;
+}
+
 } // namespace
 
 std::optional<std::int64_t> readNumber(std::string_view text)
@@ -89,12 +145,48 @@
     while (text.starts_with(' ')) {
         text.remove_prefix(1);
     }
+    while (text.ends_with(' ')) {
+        text.remove_suffix(1);
+    }
     std::int64_t number = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (error != std::errc() || end == text.data()) {
+    const char *last = text.data() + text.size();
+    auto [end, error] = std::from_chars(text.data(), last, number);
+    if (error != std::errc() || number > mostOfANumber || number < -mostOfANumber) {
         return std::nullopt;
     }
-    return number;
+    if (end != last && *end == '.') {
+        end = std::find_if(end + 1, last, [](char c) { return c < '0' || c > '9'; });
+    }
+    return end == last ? std::optional(number) : std::nullopt;
+}
+
+std::optional<LoadReport> readLoad(std::string_view text)
+{
+    const std::vector<std::string> counts = splitList(text);
+    if (counts.size() < 2) {
+        return std::nullopt;
+    }
+    // Guards against a server that reports nonsense: below 0, it would look as busy as can be and get nothing any more.
+    const auto isSound
+        = [](std::optional<std::int64_t> count) { return count && *count >= 0 && *count <= mostRequests; };
+    const auto running = readNumber(counts[0]);
+    const auto waiting = readNumber(counts[1]);
+    if (!isSound(running) || !isSound(waiting)) {
+        return std::nullopt;
+    }
+    return LoadReport {static_cast<unsigned>(*running), static_cast<unsigned>(*waiting)};
+}
+
+std::optional<Milliseconds> readKeepAlive(std::string_view text)
+{
+    constexpr std::string_view key = "timeout=";
+    const std::size_t at = text.find(key);
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view value = text.substr(at + key.size());
+    const auto seconds = readNumber(value.substr(0, value.find_first_of(", ")));
+    return std::chrono::seconds(std::clamp<std::int64_t>(seconds.value_or(0), 0, longestKeepAlive));
 }
 
 RequestFacts readFacts(const CallerRequest &request, const HeaderNames &names)
@@ -105,18 +197,8 @@
     facts.session = headerValue(request, names.session);
     facts.previousTurn = headerValue(request, names.previousTurn);
     facts.lastEventId = headerValue(request, names.lastEventId);
-    if (const auto patience = readNumber(headerValue(request, names.deadline))) {
-        facts.patience = Milliseconds(std::max<std::int64_t>(*patience, 0));
-    }
-    if (const auto left = readNumber(headerValue(request, names.programTimeLeft))) {
-        facts.programTimeLeft = Milliseconds(*left);
-    }
-    facts.budget = readNumber(headerValue(request, names.tokenBudget)).value_or(-1);
-    const std::string_view usage = headerValue(request, names.tokenUsage);
-    if (const std::size_t comma = usage.find(','); comma != std::string_view::npos) {
-        facts.tokensIn = readNumber(usage.substr(0, comma)).value_or(0);
-        facts.tokensOutAtMost = readNumber(usage.substr(comma + 1)).value_or(0);
-    }
+    readTimes(request, names, facts);
+    readTokens(request, names, facts);
     return facts;
 }
 
--- a/src/gateway/cp_request_head.hpp
+++ b/src/gateway/cp_request_head.hpp
@@ -27,6 +27,8 @@
     std::int64_t tokensIn = 0;
     std::int64_t tokensOutAtMost = 0;
     std::string lastEventId;
+    //! The name of a header that can't be read; empty when all can.
+    std::string fault;
 };
 
 [[nodiscard]] RequestFacts readFacts(const CallerRequest &request, const HeaderNames &names);
@@ -57,9 +59,23 @@
 [[nodiscard]] std::string makeCallerHead(const boost::beast::http::response_header<> &header, const HeaderNames &names,
                                          const BodyFraming &framing);
 
-//! A whole number; nothing for any other text.
+//! A number, without its fraction; nothing for any other text, as one with anything behind the number, and for numbers
+//! that no header here can mean.
 [[nodiscard]] std::optional<std::int64_t> readNumber(std::string_view text);
 
+//! What a backend server says of itself beside an answer.
+struct LoadReport {
+    unsigned running = 0;
+    unsigned waiting = 0;
+};
+
+//! Reads "running,waiting" and whatever follows; nothing for other text, or counts that no server can have.
+[[nodiscard]] std::optional<LoadReport> readLoad(std::string_view text);
+
+//! For how long a Keep-Alive header says that an idle connection is kept; nothing when it does not say, 0 when that
+//! can't be read.
+[[nodiscard]] std::optional<Milliseconds> readKeepAlive(std::string_view text);
+
 } // namespace cardamompost
 
 #endif // CARDAMOMPOST_CP_REQUEST_HEAD_HPP_INCLUDED
--- a/tests/gateway/cp_request_head.tests.cpp
+++ b/tests/gateway/cp_request_head.tests.cpp
@@ -65,6 +65,56 @@
     BOOST_TEST(facts.previousTurn == "p");
 }
 
+// A number with something behind it, or none at all, was read as far as it went: a budget "ten" stood for no bound.
+BOOST_AUTO_TEST_CASE(a_number_is_read_whole_or_not_at_all)
+{
+    BOOST_TEST(readNumber("4000").value() == 4000);
+    BOOST_TEST(readNumber(" 4000 ").value() == 4000);
+    BOOST_TEST(readNumber("-50").value() == -50);
+    BOOST_TEST(readNumber("12.75").value() == 12);
+    for (const std::string_view text : {"", " ", "ten", "12x", "1.2.3", "0x10", "1e3", "99999999999999999999", "nan"}) {
+        BOOST_TEST(!readNumber(text).has_value(), text);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_header_that_cannot_be_read_is_named)
+{
+    const auto faultOf = [](const std::string &header) {
+        return readFacts(parse("POST /a/ HTTP/1.1\r\n" + header + "\r\n\r\n"), testNames()).fault;
+    };
+    BOOST_TEST(faultOf("X-Budget: 10").empty());
+    BOOST_TEST(faultOf("X-Budget: ten") == "X-Budget");
+    BOOST_TEST(faultOf("X-Budget: -1") == "X-Budget");
+    BOOST_TEST(faultOf("X-Usage: 1460") == "X-Usage");
+    BOOST_TEST(faultOf("X-Usage: 1460,-80") == "X-Usage");
+    BOOST_TEST(faultOf("X-Deadline: soon") == "X-Deadline");
+    BOOST_TEST(faultOf("X-Left: -50").empty());
+    BOOST_TEST(faultOf("X-Left: late") == "X-Left");
+}
+
+// A server reported "-3" running requests, and looked as busy as can be for good: it got no request any more.
+BOOST_AUTO_TEST_CASE(a_report_of_load_that_makes_no_sense_is_none)
+{
+    const std::optional<LoadReport> load = readLoad("3, 1, 8");
+    BOOST_REQUIRE(load.has_value());
+    BOOST_TEST(load->running == 3U);
+    BOOST_TEST(load->waiting == 1U);
+    for (const std::string_view text : {"", "3", "-3,0,8", "3,-1,8", "3x,0,8", "5000000000,0,8", "busy,0,8"}) {
+        BOOST_TEST(!readLoad(text).has_value(), text);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_time_for_which_connections_are_kept_is_never_out_of_bounds)
+{
+    BOOST_TEST(readKeepAlive("timeout=5, max=100")->count() == 5000);
+    BOOST_TEST(readKeepAlive("max=100, timeout=7")->count() == 7000);
+    BOOST_TEST(!readKeepAlive("max=100").has_value());
+    for (const std::string_view text : {"timeout=-5", "timeout=soon", "timeout=", "timeout=99999999999999999999"}) {
+        BOOST_TEST(readKeepAlive(text)->count() == 0, text);
+    }
+    BOOST_TEST(readKeepAlive("timeout=999999999")->count() == 3'600'000);
+}
+
 // A caller sets what only the system may set, by name or through its Connection header, and names a deadline that has
 // partly passed: a replica would run the request under another's reservation, or work longer than anybody waits.
 BOOST_AUTO_TEST_CASE(headers_that_are_the_systems_or_one_connections_are_not_passed_on)
--- a/tests/platform/cp_platform_path.tests.cpp
+++ b/tests/platform/cp_platform_path.tests.cpp
@@ -103,6 +103,36 @@
     BOOST_TEST(isRefused);
 }
 
+// A caller's library writes a budget in words, or asks for less than no tokens. The first ran without any bound, and
+// the second gave back what other turns of the program had reserved. Neither may run; the refusal names the header.
+BOOST_AUTO_TEST_CASE(a_budget_that_cannot_be_read_is_refused_by_the_name_of_its_header)
+{
+    System system;
+    system.putDocument(3);
+    const Address entry = system.addEntry(system.seeds());
+    const auto ask = [&](const std::string &id, const std::string &header, const std::string &value) {
+        HttpHeaders headers = System::headers(id);
+        headers["Program"] = "p1";
+        headers["Token-Usage"] = "100,50";
+        headers["Token-Budget"] = "1000";
+        headers[header] = value;
+        return system.stage.call(entry, "POST", "/plans/1", headers, "in");
+    };
+    const std::vector<std::pair<std::string, std::string>> faults {
+        {"Token-Budget", "ten"}, {"Token-Budget", "-5"},  {"Token-Budget", "99999999999999999999"},
+        {"Token-Usage", "100"},  {"Token-Usage", "1,-5"}, {"Deadline-Milliseconds", "4000x"},
+    };
+    int number = 0;
+    for (const auto &[header, value] : faults) {
+        const std::string id = "b" + std::to_string(++number);
+        const HttpResponse refused = ask(id, header, value);
+        BOOST_TEST(refused.status == 400U);
+        BOOST_TEST(refused.body.find(header) != std::string::npos);
+        BOOST_TEST(system.stage.runsOf(id) == 0U);
+    }
+    BOOST_TEST(ask("b-sound", "Deadline-Milliseconds", "4000.5").status == 200U);
+}
+
 // Three users complain: a plan review that was refused, a cargo declaration without an answer, a program that was
 // stopped. All that is left are the logs; docs/OPERATIONS.md tells how to go from the request's id to the cause.
 BOOST_AUTO_TEST_CASE(three_failed_requests_are_explained_by_their_logs)
