Say what the bound on an answer is for, and list the daemon's like fault

Cause: the comment named one bound where document and list have one each; the same cause elsewhere had been looked for and not written down. Ruled out: no change of behaviour.

--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -115,7 +115,7 @@
     //! Of what is held, also of a newer document or list of which only a part has come so far.
     DocumentBuckets::Digests documentDigests;
     BackendBuckets::Digests listDigests;
-    //! Since when the entry knows that it lacks something; 0 when it knows of nothing.
+    //! For how long the entry has known that it lacks something; 0 when it knows of nothing.
     std::uint32_t behindMs = 0;
     //! How long the leader may wait for a change before it answers.
     std::uint32_t waitMs = 0;
--- a/src/gateway/cp_ledger_news.cpp
+++ b/src/gateway/cp_ledger_news.cpp
@@ -6,8 +6,8 @@
 namespace
 {
 
-// Most that one answer brings: on a way that carries 3 Mbit/s it takes a third of a second, well within the time that
-// an entry waits for it.
+// Most that one answer brings of the document, and of the list: on a way that carries 6 Mbit/s both together take a
+// third of a second, well within the time that an entry waits for them.
 constexpr std::size_t mostNewsBytes = 128U << 10U;
 // An entry whose news can't be afforded hears in time that the leader is there.
 constexpr Milliseconds shortestNewsWait {300};
