Let documents grow in the soak, and ask for routes that were served before

Cause: the soak put the same small document under ever higher versions, so no fault of how documents reach entries could show in it. Ruled out: a bound on the time until a document is in force: what the machine does would decide it. Change: each document has up to 150 routes more than the last; after each, both entries are asked for the newest route and for one that they had served: a 404 there is a document that went back. At the end both have to serve the newest.

--- a/tests/platform/gateway_soak.py
+++ b/tests/platform/gateway_soak.py
@@ -8,7 +8,8 @@
 silence, or pass one way only. Processes are killed, stopped for a while, wiped, and denied to write. Programs run all the while
 against a stand-in that is engine, service and list. Checked: a turn arrives with its whole history; nothing that must not be
 repeated runs twice; what was refused as not run has not run; no program gets more than its budget and one turn; a turn that was
-answered whole is never unknown; the newest acknowledged document is read back; service is back once all faults are over.
+answered whole is never unknown; the newest acknowledged document is read back; an entry that served a route of a document never
+says 404 to it again, while documents grow; service is back once all faults are over, of the newest routes too.
 """
 import argparse, asyncio, json, os, random, resource, shutil, signal, socket, sys, tempfile, time
 
@@ -22,6 +23,13 @@
     "limits": {"max-header-bytes": 16384, "max-body-bytes": 100000, "header-timeout-ms": 3000, "idle-timeout-ms": 15000}}
 
 
+def document(version, grown):
+    """With so many routes besides; later versions keep those of earlier ones."""
+    more = [{"name": f"grown-{i}", "host": "h.example", "path-prefix": f"/grown-{i}/", "kind": "unsafe", "timeout-ms": 3000,
+             "service": "e", "max-attempts": 1} for i in range(grown)]
+    return json.dumps({**DOCUMENT, "version": version, "routes": DOCUMENT["routes"] + more}).encode()
+
+
 async def read_head(reader):
     lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
     headers = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines[1:] if line)}
@@ -174,6 +182,8 @@
         self.folder = tempfile.mkdtemp(prefix="gateway-soak-")
         self.backend, self.forwarders, self.ledgers, self.entries = Backend(random.Random(seed + 1)), [], [], []
         self.acked, self.counts, self.serial = 0, {}, 0
+        # Routes of the last document that was put, and the last one that each entry has served.
+        self.grown, self.served = 1, {}
         self.next_port = os.getpid() * 211
 
     def fail(self, text):
@@ -224,9 +234,10 @@
 
     async def put_document(self, version, patience):
         until = time.monotonic() + patience
+        self.grown += self.random.randint(0, 150)
+        body = document(version, self.grown)
         while time.monotonic() < until:
             for control in self.controls:
-                body = json.dumps({"version": version, **DOCUMENT}).encode()
                 status, _ = await call(control, "PUT", "/cardamompost/configuration", None, body, 1.5)
                 if status == 200:
                     self.acked = max(self.acked, version)
@@ -241,6 +252,27 @@
             if status == 200 and json.loads(body)["version"] < before:
                 self.fail(f"document {json.loads(body)['version']} read after {before} was acknowledged")
 
+    async def ask_for_routes(self):
+        """Of the newest document, and of one that the entry went by before."""
+        for front in self.fronts:
+            served = self.served.get(front, 0)
+            for route in {self.grown - 1, self.random.randint(0, served)}:
+                self.serial += 1
+                headers = {"Host": "h.example", "Request-Id": f"g{self.seed}x{self.serial}"}
+                status, _ = await call(front, "POST", f"/grown-{route}/x", headers, b"x", 3.0)
+                if status == 200:
+                    self.served[front] = max(self.served.get(front, 0), route)
+                elif status == 404 and 0 <= route <= served and front in self.served:
+                    self.fail(f"route {route} was refused with 404 at {front}, which had served {served}")
+
+    async def serves_newest(self, front):
+        for _ in range(40):
+            await self.ask_for_routes()
+            if self.served.get(front) == self.grown - 1:
+                return True
+            await asyncio.sleep(0.1)
+        return False
+
     async def send(self, path, headers, body):
         self.serial += 1
         request = f"r{self.seed}x{self.serial}"
@@ -292,6 +324,7 @@
             version += self.random.randint(1, 3)
             await self.put_document(version, 1.0)
             await self.read_documents()
+            await self.ask_for_routes()
             await asyncio.sleep(0.4)
 
     async def fault(self):
@@ -353,6 +386,9 @@
         if not await self.put_document(self.acked + 1, 10):
             self.fail("no document is acknowledged after the faults are over")
         await self.read_documents()
+        for front in self.fronts:
+            if not await self.serves_newest(front):
+                self.fail(f"{front} does not serve the newest of {self.grown} routes")
         for request, status in self.refused:
             if request in self.backend.runs:
                 self.fail(f"{request} was refused with {status} and ran")
