Log whom an entry asks while it finds no leader

Cause: in the outage at size nothing told whom entries without a leader asked, nor that they did. Ruled out: a line for each question (ten a second an entry). Change: ledger.searching, a second after the search began and every 2 s, with the addresses known. Figures: none; a line every 2 s and process, only without a leader.

--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <fmt/ranges.h>
 
 namespace cardamompost
 {
@@ -21,6 +22,9 @@
 constexpr Milliseconds newsTimeout {900};
 constexpr Milliseconds searchTimeout {300};
 constexpr Milliseconds searchInterval {100};
+// Searches shorter than this are an ordinary change of leader.
+constexpr Milliseconds longSearch {1000};
+constexpr Milliseconds searchLogInterval {2000};
 // How long a member keeps a question for when it will lead, and how much longer its answer may take.
 constexpr Milliseconds watchWait {2000};
 constexpr Milliseconds watchMargin {500};
@@ -96,6 +100,7 @@
     }
     if (!isSearching_ && !isStopped_) {
         isSearching_ = true;
+        searchingSince_ = timeNow();
         asio::co_spawn(parts_.io, search(), asio::detached);
     }
 }
@@ -107,12 +112,25 @@
         for (const VmName &peer : everyone()) {
             askWhoLeads(peer);
         }
+        logSearch();
         found_.expires_after(searchInterval);
         co_await found_.async_wait(asTuple);
     }
     isSearching_ = false;
 }
 
+void LedgerClient::logSearch()
+{
+    const TimePoint now = timeNow();
+    if (now - searchingSince_ < longSearch || now - lastSearchLog_ < searchLogInterval) {
+        return;
+    }
+    lastSearchLog_ = now;
+    parts_.log.warn(
+        "ledger.searching",
+        {{"for_ms", toMs(now - searchingSince_)}, {"known", fmt::format("{}", fmt::join(everyone(), ","))}});
+}
+
 void LedgerClient::askWhoLeads(const VmName &peer)
 {
     const auto client = parts_.peers.client(peer);
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -120,6 +120,10 @@
     {
         return newsAge() <= oldNews && !lag_.isBehind();
     }
+    [[nodiscard]] bool hasLeader() const
+    {
+        return hasLeader_;
+    }
     void setSeeds(std::vector<VmName> seeds)
     {
         seeds_ = std::move(seeds);
@@ -143,6 +147,8 @@
     //! Asks all members at once, again and again, until one says that it leads.
     boost::asio::awaitable<void> search();
     void askWhoLeads(const VmName &peer);
+    //! Says in the logs whom this entry asks while it finds no leader.
+    void logSearch();
     //! Keeps a question at each member but the leader that is answered at once when that member becomes the leader.
     void watchMembers();
     void watch(const VmName &peer);
@@ -157,6 +163,8 @@
     VmName leader_;
     Term leaderTerm_ = 0;
     bool isSearching_ = false;
+    TimePoint searchingSince_ {};
+    TimePoint lastSearchLog_ {};
     boost::asio::steady_timer found_;
     //! Members with a watch() under way.
     std::set<VmName> watched_;
