Let the ledger's leader call whoever does not ask it, remember the way on disk, and spread the group over domains

Beside it: members were taken in by address, so four of five stood in one failure domain. Change: a leader sends LeaderNotice to those of its table and its settings' seeds that have not asked it for 1.2 s; each ledger VM keeps a PeerBook of the last confirmed leader and the members on its disk (GroupContacts); who searches names all it knows; settings are read again every second without a leader; planMembership takes the newcomer of the domain with the fewest voters, and moves one where another domain has two fewer, the leader last. One reader of messages in the ledger's codec instead of two.

--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -18,13 +18,31 @@
     std::string peer;
     //! All that the log up to here says is on its disk or in its memory, turns' texts too; 0 while any is missing.
     LogIndex holdsUpTo = 0;
+    std::string failureDomain;
+};
+
+//! Where the ledger's group is, as one of its VMs sees it.
+struct GroupSighting {
+    //! Empty while none is known.
+    VmName leader;
+    //! Of that leader; one with a higher term was elected later.
+    Term term = 0;
+    std::uint64_t documentVersion = 0;
+    //! Addresses of the group's members.
+    std::vector<VmName> members;
+
+    friend bool operator==(const GroupSighting &, const GroupSighting &) = default;
 };
 
 struct JoinReply {
     //! The leader has confirmed with its quorum that it leads; only then does the term count.
     bool isConfirmed = false;
-    VmName leader;
-    Term term = 0;
+    GroupSighting group;
+};
+
+//! A leader tells a VM that has not asked for it where it is. It is not confirmed: whoever gets it asks there.
+struct LeaderNotice {
+    GroupSighting group;
 };
 
 //! What decides at which engine a turn gets a place, and when. Not part of what is kept.
--- a/include/cardamompost/ledger/cp_member_planner.hpp
+++ b/include/cardamompost/ledger/cp_member_planner.hpp
@@ -16,12 +16,21 @@
     bool isRetiring = false;
     //! As a learner it holds all that is committed.
     bool isCaughtUp = false;
+    //! Empty while it is not known; such VMs count as one failure domain.
+    std::string failureDomain;
+    //! It leads the group; of two voters that could go, the other one goes.
+    bool isLeader = false;
 };
 
 //! By address, which is the name in the group.
 using MemberCandidates = std::map<VmName, MemberCandidate>;
 
-//! The next single step towards a group of live voters that are not to be emptied; nothing when there is none to take.
+//! The next single step towards a group of live voters that are not to be emptied and that lie in as many failure
+//! domains as there are; nothing when there is none to take.
+//!
+//! Guards against a group most of which stands in one failure domain, as when members are taken in by address: with
+//! that domain the quorum is lost, and everybody waits although most VMs run. A voter of the domain with the most makes
+//! room for a VM of a domain that has two fewer, so the spread can't be bettered by moving one to and fro.
 //!
 //! A voter is replaced only by a learner that has caught up, and is removed only after its successor votes, so no step
 //! leaves an entry on fewer disks than a quorum of the desired size.
--- a/include/cardamompost/net/cp_frame.hpp
+++ b/include/cardamompost/net/cp_frame.hpp
@@ -42,7 +42,7 @@
                    JournalReadReply, JournalForget, LeaseRequest, LeaseReply, ProposeRequest, ProposeReply, PullRequest,
                    PullReply, StatusRequest, StatusReply, ProbeRequest, ProbeReply, LimitRequest, LimitReply,
                    ApiRequest, ApiChunk, FailureReply, JoinRequest, JoinReply, TurnBegin, TurnBeginReply, TurnFinish,
-                   TurnFinishReply, NewsRequest, NewsReply, Presence, TurnTextsRequest, TurnTextsReply>;
+                   TurnFinishReply, NewsRequest, NewsReply, Presence, TurnTextsRequest, TurnTextsReply, LeaderNotice>;
 
 //! One message on a connection between two of the system's processes.
 struct Frame {
--- a/include/cardamompost/storage/cp_log_batch.hpp
+++ b/include/cardamompost/storage/cp_log_batch.hpp
@@ -14,6 +14,9 @@
 //! What turns said, beside the ledger's log: entries with holes, each by itself. No partition has this number.
 inline constexpr GroupId textGroup = 0xffff'ffff;
 
+//! The way to the ledger's group, as one snapshot. No partition has this number.
+inline constexpr GroupId contactsGroup = 0xffff'fffe;
+
 [[nodiscard]] constexpr GroupId journalGroup(PartitionId partition)
 {
     return partition + 1;
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -202,12 +202,22 @@
   vm @0 :Text;
   peer @1 :Text;
   holdsUpTo @2 :UInt64;
+  failureDomain @3 :Text;
 }
 
 struct JoinReply {
   isConfirmed @0 :Bool;
   leader @1 :Text;
   term @2 :UInt64;
+  documentVersion @3 :UInt64;
+  members @4 :List(Text);
+}
+
+struct GroupSighting {
+  leader @0 :Text;
+  term @1 :UInt64;
+  documentVersion @2 :UInt64;
+  members @3 :List(Text);
 }
 
 struct TurnBegin {
@@ -406,6 +416,7 @@
     presence @35 :Presence;
     turnTexts @36 :List(UInt64);
     turnTextsReply @37 :List(TurnText);
+    leaderNotice @38 :GroupSighting;
   }
 }
 
@@ -550,6 +561,13 @@
   }
 }
 
+# What a ledger VM keeps on its disk of the way to the group.
+struct StoredPeerBook {
+  writtenAtMs @0 :Int64;
+  last @1 :GroupSighting;
+  peers @2 :List(Text);
+}
+
 struct LedgerSnapshot {
   nowMs @0 :Int64;
   documentVersion @1 :UInt64;
--- a/src/cardamompost/ledger/cp_ledger_codec.cpp
+++ b/src/cardamompost/ledger/cp_ledger_codec.cpp
@@ -8,17 +8,6 @@
 namespace
 {
 
-template<typename Visitor>
-auto visitMessage(const std::string &bytes, Visitor visitor)
-{
-    // The reader wants whole, aligned words.
-    const std::size_t words = bytes.size() / sizeof(capnp::word);
-    auto aligned = kj::heapArray<capnp::word>(words);
-    std::memcpy(aligned.begin(), bytes.data(), words * sizeof(capnp::word));
-    capnp::FlatArrayMessageReader reader(aligned, readerOptions());
-    return visitor(reader);
-}
-
 void encodeVmRecord(const LedgerVm &in, schema::LedgerVm::Builder out)
 {
     out.setVm(toText(in.vm));
@@ -75,8 +64,8 @@
 Result<LedgerCommand> decodeLedgerCommand(const std::string &bytes)
 {
     try {
-        return visitMessage(bytes,
-                            [](auto &reader) { return readCommand(reader.template getRoot<schema::LedgerCommand>()); });
+        AlignedMessage message(bytes);
+        return readCommand(message.root<schema::LedgerCommand>());
     } catch (const kj::Exception &) {
         return makeError(ErrorKind::InvalidRequest, "the bytes are not a command of the ledger");
     }
@@ -164,9 +153,8 @@
 {
     LedgerState state;
     try {
-        visitMessage(bytes, [&](auto &reader) {
-            LedgerSnapshotCodec::decode(state, reader.template getRoot<schema::LedgerSnapshot>());
-        });
+        AlignedMessage message(bytes);
+        LedgerSnapshotCodec::decode(state, message.root<schema::LedgerSnapshot>());
     } catch (const kj::Exception &) {
         return makeError(ErrorKind::StorageCorrupt, "the bytes are not a snapshot of the ledger");
     }
--- a/src/cardamompost/net/cp_frame_decoder.cpp
+++ b/src/cardamompost/net/cp_frame_decoder.cpp
@@ -133,11 +133,11 @@
     switch (in.which()) {
     case Body::JOIN:
         return JoinRequest {fromText(in.getJoin().getVm()), fromText(in.getJoin().getPeer()),
-                            in.getJoin().getHoldsUpTo()};
-    case Body::JOIN_REPLY: {
-        const auto reply = in.getJoinReply();
-        return JoinReply {reply.getIsConfirmed(), fromText(reply.getLeader()), reply.getTerm()};
-    }
+                            in.getJoin().getHoldsUpTo(), fromText(in.getJoin().getFailureDomain())};
+    case Body::JOIN_REPLY:
+        return JoinReply {in.getJoinReply().getIsConfirmed(), decodeSighting(in.getJoinReply())};
+    case Body::LEADER_NOTICE:
+        return LeaderNotice {decodeSighting(in.getLeaderNotice())};
     case Body::TURN_BEGIN:
         return decodeTurnBegin(in.getTurnBegin());
     case Body::TURN_BEGIN_REPLY: {
--- a/src/cardamompost/net/cp_frame_encoder.cpp
+++ b/src/cardamompost/net/cp_frame_encoder.cpp
@@ -252,14 +252,19 @@
         message.setVm(toText(in.vm));
         message.setPeer(toText(in.peer));
         message.setHoldsUpTo(in.holdsUpTo);
+        message.setFailureDomain(toText(in.failureDomain));
     }
 
     void operator()(const JoinReply &in)
     {
         auto message = out.initJoinReply();
         message.setIsConfirmed(in.isConfirmed);
-        message.setLeader(toText(in.leader));
-        message.setTerm(in.term);
+        encodeSighting(in.group, message);
+    }
+
+    void operator()(const LeaderNotice &in)
+    {
+        encodeSighting(in.group, out.initLeaderNotice());
     }
 
     void operator()(const TurnBegin &in)
--- a/src/cardamompost/net/cp_ledger_schema.hpp
+++ b/src/cardamompost/net/cp_ledger_schema.hpp
@@ -8,6 +8,22 @@
 namespace cardamompost
 {
 
+//! Into a message that has a sighting's fields among its own.
+template<typename Builder>
+void encodeSighting(const GroupSighting &in, Builder out)
+{
+    out.setLeader(toText(in.leader));
+    out.setTerm(in.term);
+    out.setDocumentVersion(in.documentVersion);
+    encodeTexts(in.members, out.initMembers(static_cast<unsigned>(in.members.size())));
+}
+
+template<typename Reader>
+[[nodiscard]] GroupSighting decodeSighting(Reader in)
+{
+    return {fromText(in.getLeader()), in.getTerm(), in.getDocumentVersion(), decodeTexts(in.getMembers())};
+}
+
 void encodeTurnBegin(const TurnBegin &in, schema::TurnBegin::Builder out);
 [[nodiscard]] TurnBegin decodeTurnBegin(schema::TurnBegin::Reader in);
 
--- a/src/gateway/cp_entry_server.hpp
+++ b/src/gateway/cp_entry_server.hpp
@@ -35,6 +35,10 @@
     {
         return forwarder_.underWay() == 0;
     }
+    [[nodiscard]] bool hasLeader() const
+    {
+        return ledger_.hasLeader();
+    }
     void setSeeds(std::vector<VmName> seeds)
     {
         ledger_.setSeeds(std::move(seeds));
--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -26,6 +26,7 @@
 constexpr Milliseconds handOverTime {300};
 constexpr Milliseconds diskRetryInterval {300};
 constexpr Milliseconds flushInterval {200};
+constexpr Milliseconds rereadInterval {1000};
 // A process that was not run for so long explains requests that nobody answered meanwhile.
 constexpr Milliseconds stallAtLeast {800};
 
@@ -77,6 +78,7 @@
                    [this] { return static_cast<double>(traffic_.received); });
     metrics_.gauge("cardamompost_log_lines_dropped", {}, [this] { return static_cast<double>(log_.dropped()); });
     waitForSignal();
+    nextReread_ = std::chrono::steady_clock::now() + rereadInterval;
     keepFlushing();
     return settings_.role == GatewayRole::Entry ? startEntry() : startLedger();
 }
@@ -178,6 +180,10 @@
         ledger_->onPresence(*presence);
         return;
     }
+    if (const auto *notice = std::get_if<LeaderNotice>(&body)) {
+        ledger_->onLeaderNotice(*notice);
+        return;
+    }
     if (!replier) {
         return;
     }
@@ -220,6 +226,7 @@
 {
     noteStall();
     endIfDiskFailed();
+    rereadSeedsIfLost();
     log_.flush();
     flushTimer_.expires_after(flushInterval);
     flushTimer_.async_wait([this](const boost::system::error_code &error) {
@@ -251,13 +258,36 @@
     if (!fresh) {
         return;
     }
+    setSeeds(fresh->seeds);
+}
+
+void Gateway::setSeeds(std::vector<Address> seeds)
+{
     // Addresses and role are the process's own for its life; only where others are to be found may change.
-    settings_.seeds = fresh->seeds;
+    settings_.seeds = std::move(seeds);
     if (entry_) {
         entry_->setSeeds(settings_.seedPeers());
     }
 }
 
+void Gateway::rereadSeedsIfLost()
+{
+    const bool isLost = entry_ ? !entry_->hasLeader() : ledger_ && ledger_->leader().empty();
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (!isLost || now < nextReread_) {
+        nextReread_ = isLost ? nextReread_ : now + rereadInterval;
+        return;
+    }
+    // Guards against seeds that were exchanged without a signal, after which those known may all be gone: the process
+    // would ask them for good, although its settings name others.
+    nextReread_ = now + rereadInterval;
+    const std::optional<GatewaySettings> fresh = reload_();
+    if (fresh && fresh->seeds != settings_.seeds) {
+        log_.info("process.reload", {{"readable", true}});
+        setSeeds(fresh->seeds);
+    }
+}
+
 void Gateway::drain()
 {
     log_.info("process.stopping", {{"role", nameOf(gatewayRoleNames, settings_.role)}});
--- a/src/gateway/cp_gateway.hpp
+++ b/src/gateway/cp_gateway.hpp
@@ -58,6 +58,9 @@
     void noteStall();
     void onSignal(int signal);
     void reloadSettings();
+    //! Takes other seeds from settings that changed without a signal, while no leader is known.
+    void rereadSeedsIfLost();
+    void setSeeds(std::vector<Address> seeds);
     void drain();
     boost::asio::awaitable<void> drainEntry();
     boost::asio::awaitable<void> drainLedger();
@@ -85,6 +88,7 @@
     bool isDraining_ = false;
     int exitCode_ = 0;
     std::chrono::nanoseconds lastAwake_ {0};
+    TimePoint nextReread_ {};
 };
 
 } // namespace cardamompost
--- a/src/gateway/cp_ledger_members.cpp
+++ b/src/gateway/cp_ledger_members.cpp
@@ -1,5 +1,7 @@
 #include "cp_ledger_service.hpp"
 
+#include <fmt/ranges.h>
+
 namespace cardamompost
 {
 
@@ -19,18 +21,25 @@
 constexpr Milliseconds joinFreshFor {2500};
 // A new leader has not heard from anybody yet; it judges nobody before this.
 constexpr Milliseconds settlingTime {2000};
+// A VM that asks every joinInterval and was not heard for so long does not know this leader.
+constexpr Milliseconds callAfter {1200};
+// Searches shorter than this are an ordinary change of leader.
+constexpr Milliseconds longSearch {1000};
+constexpr Milliseconds searchLogInterval {2000};
 
 } // namespace
 
 std::vector<VmName> LedgerService::knownPeers() const
 {
-    std::vector<VmName> peers = parts_.settings.seedPeers();
+    std::set<VmName> known;
+    const auto add = [&known](const auto &names) { known.insert(names.begin(), names.end()); };
+    add(parts_.settings.seedPeers());
+    add(contacts_.peers());
     if (driver_.isStarted()) {
-        const Membership &members = driver_.node().membership();
-        peers.insert(peers.end(), members.voters.begin(), members.voters.end());
+        add(driver_.node().membership().voters);
     }
-    std::erase(peers, self_);
-    return peers;
+    known.erase(self_);
+    return {known.begin(), known.end()};
 }
 
 std::vector<VmName> LedgerService::otherMembers() const
@@ -78,6 +87,7 @@
             client->notify(presence);
         }
     }
+    callTheSilent();
     tellTimer_.expires_after(tellInterval);
     tellTimer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
@@ -86,46 +96,122 @@
     });
 }
 
+void LedgerService::callTheSilent()
+{
+    if (!leads()) {
+        return;
+    }
+    // Guards against a leader that nobody finds. After everything was off, VMs outside of the group know seeds that may
+    // be blank or strangers to the group, and entries know nobody else: all of them ask, and no one asked knows a
+    // member. The leader's table has the address of whoever once asked it, and its own settings name the seeds that
+    // strangers ask first; so it tells those of them that do not ask it.
+    const TimePoint now = std::chrono::steady_clock::now();
+    const LeaderNotice notice {sighting()};
+    const std::vector<VmName> peers = knownPeers();
+    std::set<VmName> known(peers.begin(), peers.end());
+    for (const auto &[vm, record] : state_.vms()) {
+        known.insert(record.peer);
+    }
+    known.erase(self_);
+    for (const VmName &peer : known) {
+        const auto asker = askers_.find(peer);
+        const bool isSilent = asker == askers_.end() || now - asker->second.at > callAfter;
+        const auto client = isSilent ? parts_.peers.client(peer) : nullptr;
+        if (client) {
+            client->notify(notice);
+        }
+    }
+}
+
+void LedgerService::onLeaderNotice(const LeaderNotice &notice)
+{
+    const bool isNews = contacts_.noteNotice(notice.group);
+    if (isNews && driver_.leader().empty()) {
+        parts_.log.info("ledger.called", {{"leader", notice.group.leader}, {"term", notice.group.term}});
+        askToJoin();
+    }
+}
+
+GroupSighting LedgerService::sighting() const
+{
+    GroupSighting group;
+    group.leader = leader();
+    group.documentVersion = state_.documentVersion();
+    // Seeds and those remembered: who asks this VM may ask them in turn.
+    group.members = knownPeers();
+    if (driver_.isStarted() && !driver_.leader().empty()) {
+        const Membership &members = driver_.node().membership();
+        group.term = driver_.node().term();
+        group.members.assign(members.voters.begin(), members.voters.end());
+    }
+    return group;
+}
+
+void LedgerService::logSearch(const VmName &asked, const std::vector<VmName> &peers)
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (!leader().empty()) {
+        searchingSince_.reset();
+        return;
+    }
+    searchingSince_ = searchingSince_.value_or(now);
+    if (now - *searchingSince_ < longSearch || now - lastSearchLog_ < searchLogInterval) {
+        return;
+    }
+    lastSearchLog_ = now;
+    parts_.log.warn("ledger.searching",
+                    {{"for_ms", toMs(now - *searchingSince_)},
+                     {"asked", asked},
+                     {"known", fmt::format("{}", fmt::join(peers, ","))}});
+}
+
 void LedgerService::askToJoin()
 {
     // The leader learns each VM's name and address from this, members' too, and that those outside are live.
     const LogIndex holdsUpTo = driver_.isStarted() && state_.texts().missing().empty() ? driver_.applied() : 0;
+    const JoinRequest request {parts_.settings.vm, self_, holdsUpTo, parts_.settings.failureDomain};
     if (leads()) {
-        const JoinRequest own {parts_.settings.vm, self_, holdsUpTo};
-        onJoin(own, nullptr);
+        onJoin(request, nullptr);
         return;
     }
-    const VmName known = driver_.leader().empty() ? leaderHint_ : driver_.leader();
     const std::vector<VmName> peers = knownPeers();
-    VmName target = known;
-    if (known.empty() && !peers.empty()) {
+    VmName target = leader();
+    if (target.empty() && !peers.empty()) {
         target = peers[nextAsked_++ % peers.size()];
     }
+    logSearch(target, peers);
     const auto client = target.empty() || target == self_ ? nullptr : parts_.peers.client(target);
     if (!client) {
-        leaderHint_.clear();
+        contacts_.forgetLeader();
         return;
     }
-    const JoinRequest request {parts_.settings.vm, self_, holdsUpTo};
-    client->request(request, joinTimeout, [this](Result<FrameBody> reply, bool) {
+    client->request(request, joinTimeout, [this, target](Result<FrameBody> reply, bool) {
         const JoinReply *joined = reply ? std::get_if<JoinReply>(&reply.value()) : nullptr;
         // Handlers come on the client's strand, which the one thread of this process runs.
-        onJoined(joined != nullptr ? *joined : JoinReply {});
+        onJoined(target, joined != nullptr ? *joined : JoinReply {});
     });
 }
 
-void LedgerService::onJoined(const JoinReply &reply)
+void LedgerService::onJoined(const VmName &asked, const JoinReply &reply)
 {
-    leaderHint_ = reply.leader;
-    if (driver_.isStarted() || !reply.isConfirmed) {
+    if (!reply.isConfirmed) {
+        // A notice that came meanwhile says more than the silence, or the ignorance, of the one that was asked before.
+        const bool isOld = contacts_.leader() != asked && !contacts_.leader().empty();
+        if (!isOld) {
+            contacts_.noteHint(reply.group.leader == asked ? GroupSighting {} : reply.group);
+        }
+        return;
+    }
+    contacts_.noteConfirmed(reply.group);
+    if (driver_.isStarted()) {
         return;
     }
     // Guards against a VM that comes back without its disk and follows a deposed leader as if it had never promised
     // anything: a leader that a quorum without this VM has just confirmed has a term that is not below any that
     // this VM ever voted in, since every quorum of such a term shares a member with the confirming one.
     RaftStoredState blank;
-    blank.hard = {reply.term, std::string(unknownVote)};
-    parts_.log.info("ledger.joining", {{"leader", reply.leader}, {"term", reply.term}});
+    blank.hard = {reply.group.term, std::string(unknownVote)};
+    parts_.log.info("ledger.joining", {{"leader", reply.group.leader}, {"term", reply.group.term}});
     static_cast<void>(startMember(std::move(blank)));
 }
 
@@ -133,12 +219,11 @@
 {
     if (!leads()) {
         if (replier) {
-            replier->reply(JoinReply {false, driver_.leader(), 0});
+            replier->reply(JoinReply {false, sighting()});
         }
         return;
     }
-    lastJoin_[request.peer] = std::chrono::steady_clock::now();
-    holdsUpTo_[request.peer] = request.holdsUpTo;
+    askers_[request.peer] = {std::chrono::steady_clock::now(), request.holdsUpTo, request.failureDomain};
     const auto known = state_.vms().find(request.vm);
     if (known == state_.vms().end() || known->second.peer != request.peer) {
         propose(LedgerVm {request.vm, request.peer, false}, [](bool) {});
@@ -146,9 +231,7 @@
     if (!replier) {
         return;
     }
-    driver_.confirmRead([this, replier](bool isConfirmed) {
-        replier->reply(JoinReply {isConfirmed, driver_.leader(), driver_.node().term()});
-    });
+    driver_.confirmRead([this, replier](bool isConfirmed) { replier->reply(JoinReply {isConfirmed, sighting()}); });
 }
 
 void LedgerService::retire(const VmName &vm, OrderDone done)
@@ -199,24 +282,24 @@
 {
     MemberCandidates result;
     const RaftNode &node = driver_.node();
-    const auto isFresh = [&](const VmName &peer) {
-        const auto found = lastJoin_.find(peer);
-        return found != lastJoin_.end() && std::chrono::steady_clock::now() - found->second < joinFreshFor;
-    };
     for (const auto &[vm, record] : state_.vms()) {
         MemberCandidate &candidate = result[record.peer];
-        candidate.isLive = isFresh(record.peer);
         candidate.isRetiring = record.isRetiring;
+        if (const auto asker = askers_.find(record.peer); asker != askers_.end()) {
+            candidate.isLive = std::chrono::steady_clock::now() - asker->second.at < joinFreshFor;
+            candidate.failureDomain = asker->second.failureDomain;
+        }
     }
     const Membership &members = node.membership();
     for (const auto *group : {&members.voters, &members.learners}) {
         for (const VmName &peer : *group) {
             MemberCandidate &candidate = result[peer];
-            candidate.isLive = peer == self_ || driver_.silenceOf(peer) < lostAfter;
+            candidate.isLeader = peer == self_;
+            candidate.isLive = candidate.isLeader || driver_.silenceOf(peer) < lostAfter;
             // Guards against a newcomer that has the log and not what turns said, which no snapshot holds: were it to
             // take a lost member's place, the next loss could be one too many.
-            const auto held = holdsUpTo_.find(peer);
-            const bool hasTexts = held != holdsUpTo_.end() && held->second >= node.log().snapshot().index;
+            const auto asker = askers_.find(peer);
+            const bool hasTexts = asker != askers_.end() && asker->second.holdsUpTo >= node.log().snapshot().index;
             candidate.isCaughtUp = hasTexts && node.matchOf(peer) >= node.commitIndex();
         }
     }
--- a/src/gateway/cp_ledger_news.cpp
+++ b/src/gateway/cp_ledger_news.cpp
@@ -115,9 +115,9 @@
     for (const auto &[vm, record] : state_.vms()) {
         reply.members.push_back(record.peer);
     }
-    if (reply.members.empty() && driver_.isStarted()) {
-        const Membership &members = driver_.node().membership();
-        reply.members.assign(members.voters.begin(), members.voters.end());
+    if (reply.members.empty()) {
+        // A VM outside of the group knows its table by hearsay only: whom it remembers is who may know more.
+        reply.members = sighting().members;
     }
     if (reply.isLeader) {
         reply.term = driver_.node().term();
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -35,6 +35,7 @@
     , driver_({parts.io, parts.disk, parts.peers, parts.log, parts.metrics}, *this)
     , joinTimer_(parts.io)
     , tellTimer_(parts.io)
+    , contacts_({parts.io, parts.disk, parts.log})
     , placement_(randomIdentity())
     , news_({newsBytesPerSecond, newsBurstBytes})
     , newsPutOff_(parts.metrics.counter("cardamompost_news_put_off_total"))
@@ -50,7 +51,8 @@
     LogStore &store = parts_.disk.store();
     const std::vector<VmName> seeds = parts_.settings.seedPeers();
     const bool isFounder = std::find(seeds.begin(), seeds.end(), self_) != seeds.end();
-    if (store.isEmpty() && parts_.settings.isFirstStart && isFounder) {
+    const bool isBlank = store.group(controlGroup).hard.term == 0;
+    if (isBlank && parts_.settings.isFirstStart && isFounder) {
         // Every founder starts from the same first snapshot, whichever starts first, so that there is one system only:
         // any quorum of the seeds elects, and no two disjoint ones exist.
         RaftSnapshot first {foundingIndex, foundingTerm, {{seeds.begin(), seeds.end()}, {}}, LedgerState {}.encode()};
@@ -63,6 +65,7 @@
     BOOST_OUTCOME_TRY(RaftStoredState stored, store.loadRaft(controlGroup));
     state_.texts().setCacheBytes(parts_.settings.textCacheBytes());
     texts_.open(store);
+    contacts_.open(store);
     parts_.disk.start();
     // The log's term is the epoch that seals it against every earlier leader.
     parts_.metrics.gauge("cardamompost_ledger_term", {},
@@ -74,7 +77,7 @@
     parts_.metrics.gauge("cardamompost_list_age_seconds", {}, [this] {
         return leads() ? std::chrono::duration<double>(std::chrono::steady_clock::now() - listReadAt_).count() : 0.0;
     });
-    if (!store.isEmpty() && stored.hard.term != 0) {
+    if (stored.hard.term != 0) {
         BOOST_OUTCOME_TRYV(startMember(std::move(stored)));
     } else {
         parts_.log.warn("ledger.blank", {{"self", self_}});
@@ -106,6 +109,7 @@
     joinTimer_.cancel();
     tellTimer_.cancel();
     texts_.stop();
+    contacts_.stop();
     for (const NewsQuestions::Question &question : news_.takeAll()) {
         replyNews(question.request, question.replier, false);
     }
@@ -327,6 +331,7 @@
         leadingSince_ = std::chrono::steady_clock::now();
         backends_ = {};
         takeovers_.add();
+        callTheSilent();
     }
     if (isLeader != wasLeader_) {
         placement_.clear();
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -3,6 +3,7 @@
 
 #include "cp_consensus_driver.hpp"
 #include "cp_gateway_settings.hpp"
+#include "cp_group_contacts.hpp"
 #include "cp_presence_table.hpp"
 #include "cp_turn_text_store.hpp"
 
@@ -54,6 +55,7 @@
         driver_.onMessage(std::move(message));
     }
     void onJoin(const JoinRequest &request, const Replier &replier);
+    void onLeaderNotice(const LeaderNotice &notice);
     void onBegin(TurnBegin begin, const Replier &replier);
     void onFinish(TurnFinish finish, const Replier &replier);
     void onNews(const NewsRequest &request, const Replier &replier);
@@ -85,10 +87,10 @@
     {
         return driver_.isSettledLeader();
     }
-    //! Empty while none is known. A VM outside of the group knows the one that it last asked to be taken in.
+    //! Empty while none is known. A VM outside of the group knows the one that was last named to it.
     [[nodiscard]] VmName leader() const
     {
-        return driver_.leader().empty() && leaderHint_ != self_ ? leaderHint_ : driver_.leader();
+        return driver_.leader().empty() && contacts_.leader() != self_ ? contacts_.leader() : driver_.leader();
     }
     void handOver()
     {
@@ -133,7 +135,13 @@
     Result<void> startMember(RaftStoredState stored);
     void keepJoining();
     void askToJoin();
-    void onJoined(const JoinReply &reply);
+    void onJoined(const VmName &asked, const JoinReply &reply);
+    //! What a VM that asks for the group hears.
+    [[nodiscard]] GroupSighting sighting() const;
+    //! Tells VMs that should ask this leader and don't that it is here.
+    void callTheSilent();
+    //! Says in the logs whom this VM asks while it finds no leader.
+    void logSearch(const VmName &asked, const std::vector<VmName> &peers);
     //! Proposes a change, with the ledger's time.
     void propose(LedgerCommand::Action action, ConsensusDriver::Committed done);
     void refuse(const TurnBegin &begin, TurnBeginStatus status, bool isConfirmed, const Replier &replier);
@@ -179,8 +187,11 @@
     ConsensusDriver driver_;
     boost::asio::steady_timer joinTimer_;
     boost::asio::steady_timer tellTimer_;
+    GroupContacts contacts_;
     std::size_t nextAsked_ = 0;
-    VmName leaderHint_;
+    //! Since when no leader is known; nothing while one is.
+    std::optional<TimePoint> searchingSince_;
+    TimePoint lastSearchLog_ {};
     std::unordered_map<std::string, std::int64_t> pendingTokens_;
     TurnPlacement placement_;
     NewsQuestions news_;
@@ -190,9 +201,13 @@
     Counter &spentTurns_;
     Counter &unknownTurns_;
     TurnBeginStatus lastApplied_ = TurnBeginStatus::Granted;
-    std::unordered_map<VmName, TimePoint> lastJoin_;
-    //! As each VM told when it asked to join.
-    std::unordered_map<VmName, LogIndex> holdsUpTo_;
+    //! What a ledger VM said when it last asked to join, which members do too.
+    struct Asker {
+        TimePoint at {};
+        LogIndex holdsUpTo = 0;
+        std::string failureDomain;
+    };
+    std::unordered_map<VmName, Asker> askers_;
     //! Entries that want to hear at once if this VM becomes the leader.
     std::vector<Watcher> watchers_;
     DocumentBuckets documentBuckets_;
--- a/tests/ledger/cp_member_planner.tests.cpp
+++ b/tests/ledger/cp_member_planner.tests.cpp
@@ -8,10 +8,11 @@
 {
 
 constexpr std::size_t three = 3;
-const MemberCandidate sound {true, false, true};
-const MemberCandidate lost {false, false, false};
-const MemberCandidate retiring {true, true, true};
-const MemberCandidate behind {true, false, false};
+constexpr std::size_t five = 5;
+const MemberCandidate sound {true, false, true, {}, false};
+const MemberCandidate lost {false, false, false, {}, false};
+const MemberCandidate retiring {true, true, true, {}, false};
+const MemberCandidate behind {true, false, false, {}, false};
 
 Membership group(std::set<VmName> voters, std::set<VmName> learners = {})
 {
@@ -19,10 +20,10 @@
 }
 
 //! Takes steps until there is none, each learner catching up at once.
-Membership settle(Membership current, MemberCandidates candidates)
+Membership settle(Membership current, const MemberCandidates &candidates, std::size_t desired = three)
 {
-    for (int step = 0; step < 20; ++step) {
-        const std::optional<Membership> next = planMembership(current, candidates, three);
+    for (int step = 0; step < 40; ++step) {
+        const std::optional<Membership> next = planMembership(current, candidates, desired);
         if (!next) {
             return current;
         }
@@ -33,6 +34,44 @@
     return current;
 }
 
+//! Sound VMs, so many in each of five failure domains; their names go by domain, as addresses do.
+MemberCandidates fleet(std::size_t inEach)
+{
+    MemberCandidates all;
+    for (const std::string domain : {"apapa", "ikorodu", "lekki", "onne", "tincan"}) {
+        for (std::size_t i = 1; i <= inEach; ++i) {
+            all[domain + "-" + std::to_string(i)] = {true, false, true, domain, false};
+        }
+    }
+    return all;
+}
+
+//! Voters by failure domain.
+std::map<std::string, std::size_t> spread(const Membership &members, const MemberCandidates &all)
+{
+    std::map<std::string, std::size_t> counts;
+    for (const VmName &voter : members.voters) {
+        ++counts[all.at(voter).failureDomain];
+    }
+    return counts;
+}
+
+std::size_t mostInOneDomain(const Membership &members, const MemberCandidates &all)
+{
+    std::size_t most = 0;
+    for (const auto &[domain, count] : spread(members, all)) {
+        most = std::max(most, count);
+    }
+    return most;
+}
+
+void setLive(MemberCandidates &all, const std::string &domain, bool isLive)
+{
+    for (auto &[name, candidate] : all) {
+        candidate.isLive = candidate.failureDomain == domain ? isLive : candidate.isLive;
+    }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(member_planner)
@@ -90,4 +129,83 @@
     BOOST_TEST((planMembership(group({"a", "b", "c"}, {"d"}), all, three) == group({"a", "b", "c"})));
 }
 
+// Five of 36 ledger VMs hold what officers said. They were taken in by address, so four of the five stood in one hall;
+// its switch fails, and nobody anywhere gets an answer although 28 VMs run. Each hall has to hold at most one of the
+// five.
+BOOST_AUTO_TEST_CASE(members_of_a_large_fleet_stand_in_as_many_failure_domains_as_there_are)
+{
+    const MemberCandidates all = fleet(7);
+    const Membership seeds = group({"apapa-1", "apapa-2", "tincan-1"});
+    const Membership grown = settle(seeds, all, five);
+    BOOST_TEST(grown.voters.size() == five);
+    BOOST_TEST(mostInOneDomain(grown, all) == 1U);
+    const Membership crowded = group({"apapa-1", "apapa-2", "apapa-4", "apapa-5", "tincan-1"});
+    BOOST_TEST(mostInOneDomain(settle(crowded, all, five), all) == 1U);
+}
+
+// A whole hall goes dark and comes back an hour later. Meanwhile its member is replaced from the halls that are left,
+// no two more of one hall; afterwards the group is spread as before, without anybody's doing.
+BOOST_AUTO_TEST_CASE(a_failure_domain_that_is_lost_and_comes_back_leaves_the_group_spread)
+{
+    MemberCandidates all = fleet(7);
+    Membership members = settle(group({"apapa-1", "apapa-2", "tincan-1"}), all, five);
+    for (const std::string domain : {"onne", "apapa", "tincan"}) {
+        setLive(all, domain, false);
+        members = settle(members, all, five);
+        BOOST_TEST(members.voters.size() == five);
+        BOOST_TEST(spread(members, all)[domain] == 0U);
+        BOOST_TEST(mostInOneDomain(members, all) == 2U);
+        setLive(all, domain, true);
+        members = settle(members, all, five);
+        BOOST_TEST(members.voters.size() == five);
+        BOOST_TEST(mostInOneDomain(members, all) == 1U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_retired_or_replaced_member_keeps_the_group_spread)
+{
+    MemberCandidates all = fleet(7);
+    Membership members = settle(group({"apapa-1", "apapa-2", "tincan-1"}), all, five);
+    for (int round = 0; round < 6; ++round) {
+        const VmName first = *members.voters.begin();
+        const VmName last = *members.voters.rbegin();
+        all[first].isRetiring = true;
+        all.erase(last);
+        all[last + "-new"] = {true, false, true, last.substr(0, last.find('-')), false};
+        members = settle(members, all, five);
+        BOOST_TEST(members.voters.size() == five);
+        BOOST_TEST(mostInOneDomain(members, all) == 1U);
+    }
+}
+
+// Programs wait while another VM takes the lead over. A group that is only moved to other halls need not cost that.
+BOOST_AUTO_TEST_CASE(the_leader_stays_while_others_can_make_room)
+{
+    MemberCandidates all = fleet(7);
+    all["apapa-1"].isLeader = true;
+    const Membership members = settle(group({"apapa-1", "apapa-2", "apapa-4", "apapa-5", "tincan-1"}), all, five);
+    BOOST_TEST(members.voters.contains("apapa-1"));
+    BOOST_TEST(mostInOneDomain(members, all) == 1U);
+}
+
+// Three halls and five members: two, two and one is all there is, and nothing is moved to and fro for it.
+BOOST_AUTO_TEST_CASE(a_group_that_is_spread_as_far_as_it_can_be_is_left_alone)
+{
+    MemberCandidates all = fleet(4);
+    setLive(all, "lekki", false);
+    setLive(all, "onne", false);
+    const Membership members = settle(group({"apapa-1", "apapa-2", "tincan-1"}), all, five);
+    BOOST_TEST(mostInOneDomain(members, all) == 2U);
+    BOOST_TEST(!planMembership(members, all, five).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_voter_too_many_leaves_the_failure_domain_with_the_most)
+{
+    const MemberCandidates all = fleet(2);
+    const Membership six = group({"apapa-1", "ikorodu-1", "lekki-1", "onne-1", "tincan-1", "tincan-2"});
+    const auto next = planMembership(six, all, five);
+    BOOST_REQUIRE(next.has_value());
+    BOOST_TEST(spread(*next, all)["tincan"] == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/net/cp_frame.tests.cpp
+++ b/tests/net/cp_frame.tests.cpp
@@ -39,6 +39,12 @@
     BOOST_TEST(raftCopy.isBlank);
     const JournalAppend append {3, 9, "vm-2", 5, 8, {{6, 9, EntryKind::Command, "x"}}, 5};
     BOOST_TEST(passThrough(append).commit == 5U);
+    const GroupSighting group {"10.0.0.1:7380", 7, 42, {"10.0.0.1:7380", "10.0.0.2:7380"}};
+    const JoinReply joined = passThrough(JoinReply {true, group});
+    BOOST_TEST(joined.isConfirmed);
+    BOOST_TEST((joined.group == group));
+    BOOST_TEST((passThrough(LeaderNotice {group}).group == group));
+    BOOST_TEST(passThrough(JoinRequest {"vm-1", "10.0.0.1:7380", 9, "apapa"}).failureDomain == "apapa");
     const ApiChunk chunk {200, Outcome::NotRun, 77, "body", true};
     BOOST_TEST((passThrough(chunk).outcome == Outcome::NotRun));
     Error error = makeError(ErrorKind::Overloaded, "busy");
--- /dev/null
+++ b/tests/platform/cp_platform_outages.tests.cpp
@@ -0,0 +1,123 @@
+#include "support/cp_platform_system.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cardamompost;
+using namespace cardamompost::tests;
+
+namespace
+{
+
+// Three members among two dozen ledger VMs, as where the fleet has outgrown its group.
+constexpr std::size_t members = 3;
+constexpr std::size_t fleet = 24;
+
+//! A system most of whose ledger VMs are no members, with one turn served; each VM has heard of the leader.
+class FleetSystem : public System
+{
+public:
+    FleetSystem()
+    {
+        for (std::size_t i = members; i < fleet; ++i) {
+            addLedger();
+        }
+        putDocument(3);
+        const Address entry = addEntry(seeds());
+        BOOST_TEST(turn(entry, "o1", {}).status == 200U);
+        for (std::size_t i = 0; i < fleet; ++i) {
+            BOOST_TEST(eventually([&] { return knowsLeader(i); }));
+        }
+    }
+    void losePower()
+    {
+        entries.clear();
+        entrySettings.clear();
+        killLedgers();
+    }
+    //! Whatever the settings of an entry name, it finds the group, and the plan review goes on.
+    void checkServed(const std::vector<std::size_t> &seedNumbers)
+    {
+        std::vector<Address> named;
+        for (const std::size_t number : seedNumbers) {
+            named.push_back(ledgers[number].peer);
+        }
+        const Address entry = addEntry(named);
+        BOOST_TEST(turn(entry, "o2", "o1").status == 200U);
+        BOOST_TEST(stage.bodyOf("o2") == "in-o1;a-o1\nb-o1\nin-o2;");
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(platform_outages)
+
+// Everything loses power, and a member its disk. The seeds had been exchanged: the member that is blank now, and two
+// VMs that never were members. A quorum is back within a second and leads, and every caller got 503 until the end of
+// the day: whoever asked the seeds heard of nobody else. The VMs outside of the group have to remember the way to it.
+BOOST_AUTO_TEST_CASE(after_a_loss_of_power_the_group_is_found_whomever_the_seeds_name)
+{
+    const std::vector<std::size_t> seeds {0, 10, 11};
+    FleetSystem system;
+    system.losePower();
+    system.changeLedgerSeeds(seeds);
+    for (std::size_t i = 0; i < fleet; ++i) {
+        system.restartLedger(i, i != seeds.front());
+    }
+    system.checkServed(seeds);
+    for (std::size_t i = 0; i < fleet; ++i) {
+        BOOST_TEST(System::eventually([&] { return system.knowsLeader(i); }));
+    }
+}
+
+// The same, and the VMs outside of the group are all new and blank: no loss that counts, since none held anything.
+// Nobody remembers anything there, and only the leader knows who they are.
+BOOST_AUTO_TEST_CASE(a_leader_calls_blank_vms_that_know_strangers_only)
+{
+    const std::vector<std::size_t> seeds {10, 11, 12};
+    FleetSystem system;
+    system.losePower();
+    system.changeLedgerSeeds(seeds);
+    for (std::size_t i = 0; i < fleet; ++i) {
+        system.restartLedger(i, i < members);
+    }
+    system.checkServed(seeds);
+    BOOST_TEST(system.logged("ledger.called") > 0U);
+}
+
+// A VM outside of the group comes back first, alone, and an entry that has just started knows nobody else. It hears
+// whom that VM remembers, and of no leader: what the VM knows is of another hour.
+BOOST_AUTO_TEST_CASE(what_a_vm_outside_of_the_group_remembers_is_asked_and_not_obeyed)
+{
+    constexpr std::size_t outside = 10;
+    FleetSystem system;
+    const std::string name = '"' + system.ledgers[outside].vm + '"';
+    BOOST_TEST(System::eventually([&] { return system.loggedWith("ledger.way_stored", name) > 0; }));
+    system.losePower();
+    system.changeLedgerSeeds({11, 12});
+    system.running.resize(fleet);
+    system.restartLedger(outside);
+    BOOST_TEST(system.loggedWith("ledger.remembered", name) == 1U);
+    system.startEntry({system.ledgers[outside].peer});
+    const std::string member = system.ledgers[0].peer.toString();
+    BOOST_TEST(System::eventually([&] { return system.loggedWith("ledger.searching", member) > 0; }));
+    BOOST_TEST(!system.knowsLeader(outside));
+    for (std::size_t i = 0; i < members; ++i) {
+        system.restartLedger(i);
+    }
+    system.checkServed({outside});
+}
+
+// An entry starts while all seeds of its settings are off for good, and the platform writes other ones without a
+// signal.
+BOOST_AUTO_TEST_CASE(an_entry_without_a_leader_reads_its_settings_again)
+{
+    System system;
+    system.putDocument(3);
+    GatewaySettings settings = system.startEntry({local(freePort())});
+    BOOST_TEST(system.readiness(0) == 503U);
+    settings.seeds = system.seeds();
+    system.entries.front()->changeSettingsFile(settings);
+    BOOST_TEST(System::eventually([&] { return system.readiness(0) == 200; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/cp_platform_stage.hpp
+++ b/tests/support/cp_platform_stage.hpp
@@ -35,7 +35,7 @@
     explicit GatewayThread(GatewaySettings settings,
                            RefusingFiles::Switch diskRefuses = std::make_shared<std::atomic<bool>>(false))
         : gateway_(
-            std::move(settings), std::make_unique<PlatformDialect>(), [this] { return reloaded_; },
+            std::move(settings), std::make_unique<PlatformDialect>(), [this] { return settingsFile(); },
             [diskRefuses](const std::string &folder) -> Result<std::unique_ptr<IFiles>> {
                 BOOST_OUTCOME_TRY(auto files, PosixFiles::openFolder(folder, true));
                 return std::unique_ptr<IFiles>(std::make_unique<RefusingFiles>(std::move(files), diskRefuses));
@@ -93,12 +93,26 @@
     //! Changes the settings file, and says so to the process.
     void reload(GatewaySettings settings)
     {
-        reloaded_ = std::move(settings);
+        changeSettingsFile(std::move(settings));
         gateway_.deliver(SIGHUP);
     }
+    //! Changes the settings file without a word.
+    void changeSettingsFile(GatewaySettings settings)
+    {
+        const std::lock_guard lock(mutex_);
+        settingsFile_ = std::move(settings);
+    }
 
 private:
-    std::optional<GatewaySettings> reloaded_;
+    //! Nothing while nobody has written one, as for a file that can't be read.
+    [[nodiscard]] std::optional<GatewaySettings> settingsFile() const
+    {
+        const std::lock_guard lock(mutex_);
+        return settingsFile_;
+    }
+
+    mutable std::mutex mutex_;
+    std::optional<GatewaySettings> settingsFile_;
     static std::atomic<bool> &isFrozen()
     {
         static std::atomic<bool> frozen {false};
--- a/tests/support/cp_platform_system.hpp
+++ b/tests/support/cp_platform_system.hpp
@@ -62,9 +62,10 @@
         }
     }
     //! Starts one more ledger VM, as a platform does that adds a machine.
-    void addLedger()
+    void addLedger(const std::string &failureDomain = "apapa")
     {
         GatewaySettings settings = ledgerSettings();
+        settings.failureDomain = failureDomain;
         settings.isFirstStart = false;
         settings.seeds = ledgers.front().seeds;
         ledgers.push_back(settings);
@@ -151,6 +152,23 @@
         running[number] = std::make_unique<GatewayThread>(settings, diskRefuses[number]);
         BOOST_REQUIRE(running[number]->isStarted());
     }
+    //! Changes which ledger VMs the settings of all of them name, as it holds at their next starts.
+    void changeLedgerSeeds(const std::vector<std::size_t> &numbers)
+    {
+        std::vector<Address> seeds;
+        for (const std::size_t number : numbers) {
+            seeds.push_back(ledgers[number].peer);
+        }
+        for (GatewaySettings &settings : ledgers) {
+            settings.seeds = seeds;
+        }
+    }
+    //! True when a ledger VM knows who leads: it answers an operator itself, or sends the operator there.
+    [[nodiscard]] bool knowsLeader(std::size_t ledger)
+    {
+        const unsigned status = stage.call(ledgers[ledger].control, "GET", "/cardamompost/configuration").status;
+        return status == 200 || status == 307;
+    }
     [[nodiscard]] unsigned readiness(std::size_t entry)
     {
         return stage.call(entrySettings[entry].ready, "GET", "/cardamompost/readiness").status;
@@ -263,12 +281,18 @@
 
     //! How often an event stands in the logs of all processes.
     [[nodiscard]] std::size_t logged(const std::string &event) const
+    {
+        return loggedWith(event, {});
+    }
+    //! The same, of lines that hold a text besides, such as a VM's name or a value.
+    [[nodiscard]] std::size_t loggedWith(const std::string &event, const std::string &text) const
     {
         std::size_t count = 0;
         for (const auto &item : std::filesystem::directory_iterator(folder_)) {
             std::ifstream input(item.path());
             for (std::string line; std::getline(input, line);) {
-                count += line.find('"' + event + '"') != std::string::npos ? 1 : 0;
+                const bool isEvent = line.find('"' + event + '"') != std::string::npos;
+                count += isEvent && line.find(text) != std::string::npos ? 1 : 0;
             }
         }
         return count;
