Watch only VMs that may come to lead

Cause: each entry kept a question at every ledger VM of the table, to hear at once of a new leader: 255 entries and 36 VMs are some 4,600 questions a second, each answered with the addresses of all 36. VMs outside of the group can't come to lead. Ruled out: telling presence to fewer VMs (every directory has to know who is ready; its own matter). Change: a leader's news name the group's voters, and entries keep their questions at these.

--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -148,6 +148,8 @@
     Term term = 0;
     //! Addresses of all ledger VMs, whether they are members now or not.
     std::vector<VmName> members;
+    //! Of them, those that may come to lead; only from a leader.
+    std::vector<VmName> voters;
     std::uint64_t documentVersion = 0;
     BackendListVersion list;
     //! What the digests in the request lack; nothing when nothing newer may be sent.
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -360,6 +360,7 @@
   term @7 :UInt64;
   document @8 :ContentDelta;
   list @9 :ContentDelta;
+  voters @10 :List(Text);
 }
 
 struct Presence {
--- a/src/cardamompost/net/cp_ledger_schema.cpp
+++ b/src/cardamompost/net/cp_ledger_schema.cpp
@@ -151,10 +151,8 @@
     out.setIsLeader(in.isLeader);
     out.setLeader(toText(in.leader));
     out.setTerm(in.term);
-    auto members = out.initMembers(static_cast<unsigned>(in.members.size()));
-    for (unsigned i = 0; i < members.size(); ++i) {
-        members.set(i, toText(in.members[i]));
-    }
+    encodeTexts(in.members, out.initMembers(static_cast<unsigned>(in.members.size())));
+    encodeTexts(in.voters, out.initVoters(static_cast<unsigned>(in.voters.size())));
     out.setDocumentVersion(in.documentVersion);
     out.setListTerm(in.list.term);
     out.setListSequence(in.list.sequence);
@@ -173,9 +171,8 @@
     reply.isLeader = in.getIsLeader();
     reply.leader = fromText(in.getLeader());
     reply.term = in.getTerm();
-    for (const auto member : in.getMembers()) {
-        reply.members.push_back(fromText(member));
-    }
+    reply.members = decodeTexts(in.getMembers());
+    reply.voters = decodeTexts(in.getVoters());
     reply.documentVersion = in.getDocumentVersion();
     reply.list = {in.getListTerm(), in.getListSequence()};
     reply.listAgeMs = in.getListAgeMs();
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -177,9 +177,11 @@
     }
 }
 
-void LedgerClient::watchMembers()
+void LedgerClient::watchVoters()
 {
-    for (const VmName &peer : everyone()) {
+    // Only voters: VMs outside of the group can't come to lead before they are members, which the leader tells, and
+    // where they are dozens, a question at each is most of what passes between failure domains.
+    for (const VmName &peer : voters_) {
         if (peer != leader_ && watched_.insert(peer).second) {
             watch(peer);
         }
@@ -197,7 +199,7 @@
     request.wantsContent = false;
     request.waitMs = static_cast<std::uint32_t>(watchWait.count());
     client->request(request, watchWait + watchMargin, [this, peer](Result<FrameBody> reply, bool) {
-        // The next one is sent by watchMembers(), so that a VM that answers at once is not asked in a loop.
+        // The next one is sent by watchVoters(), so that a VM that answers at once is not asked in a loop.
         watched_.erase(peer);
         const NewsReply *news = reply ? std::get_if<NewsReply>(&reply.value()) : nullptr;
         if (news != nullptr && news->isLeader && news->term > leaderTerm_) {
@@ -326,6 +328,7 @@
 void LedgerClient::takeNews(const NewsReply &news)
 {
     members_ = news.members;
+    voters_ = news.voters;
     leaderTerm_ = news.term;
     const Milliseconds age = newsAge();
     lastNews_ = timeNow();
@@ -354,7 +357,7 @@
 
 void LedgerClient::tellPresence(bool isReady)
 {
-    watchMembers();
+    watchVoters();
     const Presence presence {parts_.settings.vm, parts_.settings.front.toString(), parts_.settings.failureDomain,
                              isReady};
     for (const VmName &peer : everyone()) {
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -149,8 +149,8 @@
     void askWhoLeads(const VmName &peer);
     //! Says in the logs whom this entry asks while it finds no leader.
     void logSearch();
-    //! Keeps a question at each member but the leader that is answered at once when that member becomes the leader.
-    void watchMembers();
+    //! Keeps a question at each voter but the leader that is answered at once when that voter becomes the leader.
+    void watchVoters();
     void watch(const VmName &peer);
     void follow(const VmName &peer, const NewsReply &news);
     void loseLeader(const VmName &asked, const std::string &reason);
@@ -159,6 +159,8 @@
     Parts parts_;
     std::vector<VmName> seeds_;
     std::vector<VmName> members_;
+    //! Members that may come to lead, as the last leader named them.
+    std::vector<VmName> voters_;
     //! Empty while it is searched for.
     VmName leader_;
     Term leaderTerm_ = 0;
@@ -166,7 +168,7 @@
     TimePoint searchingSince_ {};
     TimePoint lastSearchLog_ {};
     boost::asio::steady_timer found_;
-    //! Members with a watch() under way.
+    //! Voters with a watch() under way.
     std::set<VmName> watched_;
     NewsRequest known_;
     DocumentLag lag_;
--- a/src/gateway/cp_ledger_news.cpp
+++ b/src/gateway/cp_ledger_news.cpp
@@ -120,6 +120,8 @@
         reply.members = sighting().members;
     }
     if (reply.isLeader) {
+        const Membership &members = driver_.node().membership();
+        reply.voters.assign(members.voters.begin(), members.voters.end());
         reply.term = driver_.node().term();
         reply.documentVersion = state_.documentVersion();
         reply.list = backends_.version;
