Tell entries whose lines are few from those that stood still

Cause: what_binds.py took every entry without a line in a pause for lost; of 255 entries 8 to 40 write nothing in any 0.3 s of a calm second, so pauses at this size were put down to entries that served. Ruled out: a fixed bound on silence (entries of small deployments write ten times as many lines).

--- a/tools/what_binds.py
+++ b/tools/what_binds.py
@@ -9,6 +9,7 @@
 put down to what the logs show at that moment. The program's cause is the one that took the most of its time.
 """
 
+import bisect
 import collections
 import json
 import pathlib
@@ -24,6 +25,8 @@
 NOTICE_MARGIN_MS = 400
 # An entry without news for longer has only just started.
 LONGEST_WITHOUT_LEADER_MS = 20_000
+# An entry that was silent for so many of its usual gaps between two lines was lost or stood still.
+SILENT_GAPS = 18
 # Most of the entries silent at once: everything was off.
 ALL_OFF_SHARE = 0.6
 
@@ -41,6 +44,11 @@
 }
 
 
+def usual_gap(times):
+    """The median gap between two lines, in milliseconds."""
+    return statistics.median(later - earlier for earlier, later in zip(times, times[1:])) if len(times) > 1 else 0
+
+
 def read_lines(path):
     for line in pathlib.Path(path).read_text(errors="replace").splitlines():
         start = line.find('{"time"')
@@ -68,6 +76,7 @@
         for times in self.seen.values():
             times.sort()
         self.usual = self.usual_times()
+        self.usual_gaps = {vm: usual_gap(times) for vm, times in self.seen.items()}
 
     def take(self, event):
         kind = event["event"]
@@ -99,10 +108,18 @@
         return near or any(start - NOTICE_MARGIN_MS <= at <= end + NOTICE_MARGIN_MS for at in self.leaders)
 
     def silent_entries(self, start, end):
-        """Entries that wrote nothing within an interval, though others did before and after."""
+        """Entries that wrote nothing within an interval, and for much longer around it than they usually do.
+
+        Hundreds of entries write a few lines a second each: some are always without one for a moment, and say nothing by it.
+        """
         silent = 0
-        for times in self.seen.values():
-            silent += not any(start <= at <= end for at in times)
+        for vm, times in self.seen.items():
+            after = bisect.bisect_left(times, start)
+            if after < len(times) and times[after] <= end:
+                continue
+            before = times[after - 1] if after > 0 else start
+            silence = (times[after] if after < len(times) else end) - before
+            silent += silence >= SILENT_GAPS * self.usual_gaps[vm]
         return silent
 
     def cause_of_pause(self, start, end):
