Let members that do not lead follow where programs run, so that a new leader sends them back there

Change: the end of a turn names the engine that ran it, so it is in the log; TurnPlacement::noteRan() keeps it on every member, a change of leader forgets places and engines only, and without a list the leader still names the program's engine.

--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -118,6 +118,8 @@
     bool isKept = false;
     std::string input;
     std::string output;
+    //! Id of the backend server that ran it; empty when none did, or none is known.
+    std::string backend;
 };
 
 struct TurnFinishReply {
--- a/include/cardamompost/policy/cp_turn_placement.hpp
+++ b/include/cardamompost/policy/cp_turn_placement.hpp
@@ -38,7 +38,8 @@
 //! A turn goes to the engine with the fewest turns, with a preference for the one that ran its program's last turn and
 //! for the entry's failure domain. While all places are taken, turns wait: those of programs under way go first, so
 //! that under overload a program waits once, at its begin, and not before each of its turns; those of programs that are
-//! late already go last. Thread-safety: none. Time is an argument; no input or output.
+//! late already go last. Members that do not lead follow where programs run, so that one that comes to lead sends them
+//! back there. Thread-safety: none. Time is an argument; no input or output.
 class TurnPlacement
 {
 public:
@@ -53,11 +54,14 @@
     void request(TurnToPlace turn, TimePoint now, Placed placed);
     //! Gives a place back, or a turn's wait up.
     void release(const std::string &turn, TimePoint now);
+    //! A turn of a program ended at an engine, as a member that does not lead learns from the log. Should it come to lead,
+    //! it sends the program back there.
+    void noteRan(const std::string &program, const std::string &engine, TimePoint now);
     //! No turn goes to an engine for a while, since an entry could not reach it.
     void avoid(const std::string &engine, TimePoint until);
     //! Places whose time is over are given back, and turns that have waited for long enough are placed.
     void tick(TimePoint now);
-    //! Forgets all turns; those that wait are placed nowhere.
+    //! Forgets all turns and engines, and not where programs ran last; turns that wait are placed nowhere.
     void clear();
 
     [[nodiscard]] std::size_t waiting() const;
@@ -107,7 +111,9 @@
     [[nodiscard]] static double cost(const Engine &engine, const TurnToPlace &turn);
     //! Null when the program has none that is of use now.
     [[nodiscard]] const std::string *warmEngine(const TurnToPlace &turn, TimePoint now) const;
+    void setWarm(const std::string &program, const std::string &engine, TimePoint now);
     void leaveWarm(const Warm &warm);
+    void countPrograms();
     //! An engine has started again under its id.
     void forgetIncarnation(const std::string &id);
     [[nodiscard]] bool hasService(const std::string &service) const;
@@ -124,6 +130,7 @@
     std::unordered_map<std::string, std::pair<std::string, Order>> places_;
     std::unordered_map<std::string, Warm> warm_;
     std::uint64_t nextSequence_ = 0;
+    TimePoint nextForget_ {};
 };
 
 } // namespace cardamompost
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -256,6 +256,7 @@
   isKept @6 :Bool;
   input @7 :Data;
   output @8 :Data;
+  backend @9 :Text;
 }
 
 struct TurnFinishReply {
--- a/src/cardamompost/net/cp_ledger_schema.cpp
+++ b/src/cardamompost/net/cp_ledger_schema.cpp
@@ -102,6 +102,7 @@
     out.setIsKept(in.isKept);
     out.setInput(toData(in.input));
     out.setOutput(toData(in.output));
+    out.setBackend(toText(in.backend));
 }
 
 TurnFinish decodeTurnFinish(schema::TurnFinish::Reader in)
@@ -118,7 +119,8 @@
             in.getRetentionMs(),
             in.getIsKept(),
             fromData(in.getInput()),
-            fromData(in.getOutput())};
+            fromData(in.getOutput()),
+            fromText(in.getBackend())};
 }
 
 void encodeNewsRequest(const NewsRequest &in, schema::NewsRequest::Builder out)
--- a/src/cardamompost/policy/cp_turn_placement.cpp
+++ b/src/cardamompost/policy/cp_turn_placement.cpp
@@ -23,6 +23,7 @@
 constexpr double otherDomainCost = 0.75;
 // A program's last engine is forgotten after this; it has been evicted there, or the program is over.
 constexpr Milliseconds warmFor {8000};
+constexpr Milliseconds forgetInterval {500};
 // A turn that has waited for so long goes to an engine's own queue; callers give up soon after.
 constexpr Milliseconds longestWait {1200};
 // Guards against places of entries that died: nobody gives them back.
@@ -56,9 +57,22 @@
         engine.isOpen = !server.isLeaving;
     }
     std::erase_if(engines_, [](const auto &item) { return !item.second.isOpen && item.second.turns == 0; });
+    countPrograms();
     serveQueues(now);
 }
 
+void TurnPlacement::countPrograms()
+{
+    for (auto &[id, engine] : engines_) {
+        engine.programs = 0;
+    }
+    for (const auto &[program, warm] : warm_) {
+        if (const auto engine = engines_.find(warm.engine); engine != engines_.end()) {
+            ++engine->second.programs;
+        }
+    }
+}
+
 void TurnPlacement::forgetIncarnation(const std::string &id)
 {
     // Guards against counting turns that ended with the engine, and against sending programs back for a history that it
@@ -141,10 +155,24 @@
 {
     ++engines_[engine].turns;
     held_[turn.turn] = {engine, now + turn.patience + holdMargin};
-    Warm &warm = warm_[turn.program];
+    setWarm(turn.program, engine, now);
+}
+
+void TurnPlacement::noteRan(const std::string &program, const std::string &engine, TimePoint now)
+{
+    if (!program.empty() && !engine.empty()) {
+        setWarm(program, engine, now);
+    }
+}
+
+void TurnPlacement::setWarm(const std::string &program, const std::string &engine, TimePoint now)
+{
+    Warm &warm = warm_[program];
     if (warm.engine != engine) {
         leaveWarm(warm);
-        ++engines_[engine].programs;
+        if (const auto found = engines_.find(engine); found != engines_.end()) {
+            ++found->second.programs;
+        }
     }
     warm = {engine, now};
 }
@@ -169,7 +197,14 @@
         return;
     }
     if (!hasService(turn.service)) {
-        placed({});
+        // A leader that has just taken over has read no list yet. It still knows where programs ran; the entry has the
+        // engine's address, and chooses by itself where that is gone.
+        const auto warm = warm_.find(turn.program);
+        const std::string engine = warm == warm_.end() ? std::string() : warm->second.engine;
+        if (!engine.empty()) {
+            hold(turn, engine, now);
+        }
+        placed(engine);
         return;
     }
     // Whoever comes while others wait goes behind those that come before it, even if a place is free this moment.
@@ -247,6 +282,10 @@
 
 void TurnPlacement::forgetCold(TimePoint now)
 {
+    if (now < nextForget_) {
+        return;
+    }
+    nextForget_ = now + forgetInterval;
     for (auto item = warm_.begin(); item != warm_.end();) {
         if (now - item->second.at <= warmFor) {
             ++item;
@@ -285,8 +324,9 @@
 
 void TurnPlacement::clear()
 {
+    // Guards programs under way against a change of leader: were it forgotten where they ran, all of them would read
+    // their histories anew elsewhere at once, just when turns have piled up behind the leader that was lost.
     held_.clear();
-    warm_.clear();
     places_.clear();
     engines_.clear();
     for (auto &[service, queue] : std::exchange(queues_, {})) {
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -51,6 +51,7 @@
     finish.previous = facts.previousTurn;
     finish.ending = ending;
     finish.tokens = tokensHandedOut();
+    finish.backend = lastBackend;
     finish.retentionMs
         = route->retention.count() > 0 ? static_cast<std::uint32_t>(route->retention.count()) : defaultRetentionMs;
     finish.isKept = route->keepsHistory && ending == TurnEnding::Whole;
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -134,6 +134,11 @@
         parts_.log.write(LogLevel::Error, "ledger.unreadable_entry", {{"index", entry.index}});
         return;
     }
+    const auto *finish = std::get_if<TurnFinish>(&command.value().action);
+    if (finish != nullptr && !leads()) {
+        // A leader knows by itself where it sent turns, also those that have not ended yet.
+        placement_.noteRan(finish->program, finish->backend, std::chrono::steady_clock::now());
+    }
     const std::uint64_t before = state_.documentVersion();
     lastApplied_ = state_.apply(command.value(), entry.index);
     if (state_.documentVersion() != before) {
@@ -335,7 +340,7 @@
     }
     if (isLeader != wasLeader_) {
         placement_.clear();
-    } else if (isLeader) {
+    } else {
         placement_.tick(std::chrono::steady_clock::now());
     }
     if (isLeader != wasLeader_ || driver_.leader() != loggedLeader_) {
--- a/tests/net/cp_frame.tests.cpp
+++ b/tests/net/cp_frame.tests.cpp
@@ -44,6 +44,9 @@
     BOOST_TEST(joined.isConfirmed);
     BOOST_TEST((joined.group == group));
     BOOST_TEST((passThrough(LeaderNotice {group}).group == group));
+    TurnFinish finish;
+    finish.backend = "i-7";
+    BOOST_TEST(passThrough(finish).backend == "i-7");
     BOOST_TEST(passThrough(JoinRequest {"vm-1", "10.0.0.1:7380", 9, "apapa"}).failureDomain == "apapa");
     const ApiChunk chunk {200, Outcome::NotRun, 77, "body", true};
     BOOST_TEST((passThrough(chunk).outcome == Outcome::NotRun));
--- a/tests/platform/cp_platform_outages.tests.cpp
+++ b/tests/platform/cp_platform_outages.tests.cpp
@@ -107,6 +107,33 @@
     system.checkServed({outside});
 }
 
+// The leader is lost between the turns of twelve programs. Each engine holds the histories of those that ran there; a
+// leader that did not know would send half of them to the other one, which reads all of it anew.
+BOOST_AUTO_TEST_CASE(programs_stay_with_their_engines_over_a_change_of_leader)
+{
+    constexpr int programs = 12;
+    System system;
+    const std::size_t leader = system.putDocument(3);
+    const Address entry = system.addEntry(system.seeds());
+    const auto turnOf = [&](int program, const std::string &id) {
+        HttpHeaders headers = System::headers(id);
+        headers["Program"] = "program-" + std::to_string(program);
+        headers["Token-Usage"] = "100,50";
+        headers["Token-Budget"] = "1000";
+        return system.stage.call(entry, "POST", "/plans/1", headers, "in").status;
+    };
+    for (int i = 0; i < programs; ++i) {
+        BOOST_TEST(turnOf(i, "before-" + std::to_string(i)) == 200U);
+    }
+    system.running[leader].reset();
+    for (int i = 0; i < programs; ++i) {
+        const std::string number = std::to_string(i);
+        // Asked again where the first try meets the moment without a leader.
+        BOOST_TEST(System::eventually([&] { return turnOf(i, "after-" + number) == 200; }));
+        BOOST_TEST(system.stage.lastServerOf("after-" + number) == system.stage.lastServerOf("before-" + number));
+    }
+}
+
 // An entry starts while all seeds of its settings are off for good, and the platform writes other ones without a
 // signal.
 BOOST_AUTO_TEST_CASE(an_entry_without_a_leader_reads_its_settings_again)
--- a/tests/policy/cp_turn_placement.tests.cpp
+++ b/tests/policy/cp_turn_placement.tests.cpp
@@ -104,6 +104,45 @@
     BOOST_TEST((stage.order == std::vector<std::string> {"high", "low"}));
 }
 
+// A member that did not lead comes to lead while turns pile up. It has read no list of engines yet, and placed nothing.
+BOOST_AUTO_TEST_CASE(a_new_leader_sends_programs_back_where_the_log_says_that_they_ran)
+{
+    TurnPlacement follower(7);
+    for (int i = 0; i < 20; ++i) {
+        follower.noteRan("p" + std::to_string(i), i % 2 == 0 ? "a" : "b", start);
+    }
+    follower.clear();
+    std::string where = "-";
+    const auto note = [&](const std::string &engineId) { where = engineId; };
+    follower.request(turn("t0", "p0", true), start, note);
+    BOOST_TEST(where == "a");
+    follower.request(turn("new", "unknown"), start, note);
+    BOOST_TEST(where.empty());
+    follower.setServers({engine("a"), engine("b")}, start);
+    BOOST_TEST(follower.turnsAt("a") == 1U);
+    for (int i = 1; i < 20; ++i) {
+        const std::string name = std::to_string(i);
+        follower.request(turn("t" + name, "p" + name, true), start, note);
+        BOOST_TEST(where == (i % 2 == 0 ? "a" : "b"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(where_a_program_ran_is_forgotten_with_its_engine_and_its_time)
+{
+    TurnPlacement follower(7);
+    follower.noteRan("p", "gone", start);
+    follower.setServers({engine("a")}, start);
+    std::string where = "-";
+    const auto note = [&](const std::string &engineId) { where = engineId; };
+    follower.request(turn("t0", "p", true), start, note);
+    BOOST_TEST(where == "a");
+    follower.noteRan("q", "b", start);
+    follower.clear();
+    follower.tick(start + std::chrono::seconds(60));
+    follower.request(turn("t1", "q", true), start + std::chrono::seconds(60), note);
+    BOOST_TEST(where.empty());
+}
+
 BOOST_AUTO_TEST_CASE(the_same_turn_asked_again_keeps_its_place)
 {
     Stage stage({engine("a"), engine("b")});
