Keep the log for a learner that catches up, up to twice its bound

Change: LogCut decides when a log is cut; a leader with a learner behind that answers waits until twice the bound.

--- /dev/null
+++ b/include/cardamompost/consensus/cp_log_cut.hpp
@@ -0,0 +1,37 @@
+#ifndef CARDAMOMPOST_CP_LOG_CUT_HPP_INCLUDED
+#define CARDAMOMPOST_CP_LOG_CUT_HPP_INCLUDED
+
+#include <algorithm>
+#include <cstddef>
+
+namespace cardamompost
+{
+
+//! What decides when a member replaces its log by a snapshot.
+struct LogCut {
+    //! Of the entries that are applied and not yet in a snapshot.
+    std::size_t bytesSinceSnapshot = 0;
+    //! Of the last snapshot.
+    std::size_t snapshotBytes = 0;
+    //! This member leads, and a learner does not hold all that is committed.
+    bool hasLearnerBehind = false;
+
+    //! The log is cut once it is longer than this and than the state itself, which bounds memory and restarts.
+    static constexpr std::size_t leastBytes = 8U << 20U;
+    //! The log may grow to so many times that for a learner.
+    static constexpr std::size_t growthForLearner = 2;
+
+    //! Guards against a newcomer that chases snapshots. Under load the log is cut every few seconds; a learner that has
+    //! just been given one snapshot lacks the entries after it by then, is sent the next, and so on, so that a member
+    //! that is lost or to be emptied stays the longer the busier the group is. The entries after the snapshot that was
+    //! sent are kept for it, up to a bound, since memory is small.
+    [[nodiscard]] bool isDue() const
+    {
+        const std::size_t bytes = std::max(leastBytes, snapshotBytes);
+        return bytesSinceSnapshot >= (hasLearnerBehind ? growthForLearner * bytes : bytes);
+    }
+};
+
+} // namespace cardamompost
+
+#endif // CARDAMOMPOST_CP_LOG_CUT_HPP_INCLUDED
--- a/src/gateway/cp_consensus_driver.cpp
+++ b/src/gateway/cp_consensus_driver.cpp
@@ -1,9 +1,12 @@
 #include "cp_consensus_driver.hpp"
 
+#include <cardamompost/consensus/cp_log_cut.hpp>
 #include <cardamompost/core/cp_invariant.hpp>
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 namespace cardamompost
 {
 
@@ -18,8 +21,6 @@
 constexpr Milliseconds leaderPace {4};
 // A member that was silent for so long may be behind a connection that is dead without anybody having noticed.
 constexpr Milliseconds reopenAfter {700};
-// The log is cut once it is longer than this and than the state itself, which bounds memory and restarts.
-constexpr std::size_t minBytesPerSnapshot = 8U << 20U;
 constexpr std::size_t entryOverheadBytes = 128;
 
 TimePoint timeNow()
@@ -253,9 +254,18 @@
     }
 }
 
+bool ConsensusDriver::hasLearnerBehind() const
+{
+    const std::set<VmName> &learners = node_->membership().learners;
+    return node_->role() == RaftRole::Leader
+        && std::any_of(learners.begin(), learners.end(), [this](const VmName &learner) {
+               return node_->matchOf(learner) < node_->commitIndex() && silenceOf(learner) < reopenAfter;
+           });
+}
+
 void ConsensusDriver::compactIfLong()
 {
-    if (bytesSinceSnapshot_ < std::max(minBytesPerSnapshot, snapshotBytes_)) {
+    if (!LogCut {bytesSinceSnapshot_, snapshotBytes_, hasLearnerBehind()}.isDue()) {
         return;
     }
     std::string state = state_.encodeSnapshot();
--- a/src/gateway/cp_consensus_driver.hpp
+++ b/src/gateway/cp_consensus_driver.hpp
@@ -110,6 +110,8 @@
     void applyCommitted(const std::vector<LogEntry> &entries);
     void answerReads(const RaftReady &ready);
     void compactIfLong();
+    //! This member leads, and a learner that answers lacks entries.
+    [[nodiscard]] bool hasLearnerBehind() const;
     void failWaiting();
 
     Parts parts_;
