--- a/tests/support/cp_refusing_files.hpp
+++ b/tests/support/cp_conducted_files.hpp
@@ -1,22 +1,32 @@
-#ifndef CARDAMOMPOST_TESTS_CP_REFUSING_FILES_HPP_INCLUDED
-#define CARDAMOMPOST_TESTS_CP_REFUSING_FILES_HPP_INCLUDED
+#ifndef CARDAMOMPOST_TESTS_CP_CONDUCTED_FILES_HPP_INCLUDED
+#define CARDAMOMPOST_TESTS_CP_CONDUCTED_FILES_HPP_INCLUDED
 
 #include <cardamompost/storage/cp_posix_files.hpp>
 
+#include <algorithm>
 #include <atomic>
+#include <utility>
 
 namespace cardamompost::tests
 {
 
-//! A folder of the machine whose disk refuses all writes while a switch is on, as a full one does.
-class RefusingFiles : public IFiles
+//! What a disk does, and what it was asked to.
+struct DiskConduct {
+    //! It refuses all writes, as a full one does.
+    std::atomic<bool> refuses {false};
+    //! Most bytes that one sync had to wait for.
+    std::atomic<std::size_t> largestSync {0};
+};
+
+//! A folder of the machine whose disk behaves as it is told to.
+class ConductedFiles : public IFiles
 {
 public:
-    using Switch = std::shared_ptr<std::atomic<bool>>;
+    using Conduct = std::shared_ptr<DiskConduct>;
 
-    RefusingFiles(std::unique_ptr<IFiles> files, Switch refuses)
+    ConductedFiles(std::unique_ptr<IFiles> files, Conduct conduct)
         : files_(std::move(files))
-        , refuses_(std::move(refuses))
+        , conduct_(std::move(conduct))
     {
     }
 
@@ -27,7 +37,7 @@
     [[nodiscard]] Result<std::unique_ptr<IFile>> open(const std::string &name) override
     {
         BOOST_OUTCOME_TRY(auto file, files_->open(name));
-        return std::unique_ptr<IFile>(std::make_unique<File>(std::move(file), refuses_));
+        return std::unique_ptr<IFile>(std::make_unique<File>(std::move(file), conduct_));
     }
     Result<void> remove(const std::string &name) override
     {
@@ -42,20 +52,22 @@
     class File : public IFile
     {
     public:
-        File(std::unique_ptr<IFile> file, Switch refuses)
+        File(std::unique_ptr<IFile> file, Conduct conduct)
             : file_(std::move(file))
-            , refuses_(std::move(refuses))
+            , conduct_(std::move(conduct))
         {
         }
         Result<void> append(std::string_view bytes) override
         {
-            if (*refuses_) {
+            if (conduct_->refuses) {
                 return makeError(ErrorKind::StorageFailed, "no space left on the disk");
             }
+            unsynced_ += bytes.size();
             return file_->append(bytes);
         }
         Result<void> sync() override
         {
+            conduct_->largestSync = std::max(conduct_->largestSync.load(), std::exchange(unsynced_, 0));
             return file_->sync();
         }
         Result<std::string> readAt(std::uint64_t offset, std::size_t length) override
@@ -73,13 +85,14 @@
 
     private:
         std::unique_ptr<IFile> file_;
-        Switch refuses_;
+        Conduct conduct_;
+        std::size_t unsynced_ = 0;
     };
 
     std::unique_ptr<IFiles> files_;
-    Switch refuses_;
+    Conduct conduct_;
 };
 
 } // namespace cardamompost::tests
 
-#endif // CARDAMOMPOST_TESTS_CP_REFUSING_FILES_HPP_INCLUDED
+#endif // CARDAMOMPOST_TESTS_CP_CONDUCTED_FILES_HPP_INCLUDED
--- a/tests/support/cp_platform_stage.hpp
+++ b/tests/support/cp_platform_stage.hpp
@@ -3,8 +3,8 @@
 
 #include "gateway/cp_gateway.hpp"
 #include "platform/cp_platform_dialect.hpp"
+#include "support/cp_conducted_files.hpp"
 #include "support/cp_free_port.hpp"
-#include "support/cp_refusing_files.hpp"
 
 #include <cardamompost/net/cp_await.hpp>
 #include <cardamompost/net/cp_http_client.hpp>
@@ -31,14 +31,13 @@
 class GatewayThread
 {
 public:
-    //! \param diskRefuses  its disk refuses writes while this is on
-    explicit GatewayThread(GatewaySettings settings,
-                           RefusingFiles::Switch diskRefuses = std::make_shared<std::atomic<bool>>(false))
+    //! \param disk  how its disk behaves
+    explicit GatewayThread(GatewaySettings settings, ConductedFiles::Conduct disk = std::make_shared<DiskConduct>())
         : gateway_(
             std::move(settings), std::make_unique<PlatformDialect>(), [this] { return settingsFile(); },
-            [diskRefuses](const std::string &folder) -> Result<std::unique_ptr<IFiles>> {
+            [disk](const std::string &folder) -> Result<std::unique_ptr<IFiles>> {
                 BOOST_OUTCOME_TRY(auto files, PosixFiles::openFolder(folder, true));
-                return std::unique_ptr<IFiles>(std::make_unique<RefusingFiles>(std::move(files), diskRefuses));
+                return std::unique_ptr<IFiles>(std::make_unique<ConductedFiles>(std::move(files), disk));
             })
     {
         isStarted_ = gateway_.start().has_value();
--- a/tests/support/cp_platform_system.hpp
+++ b/tests/support/cp_platform_system.hpp
@@ -149,7 +149,7 @@
             running.resize(number + 1);
         }
         running[number].reset();
-        running[number] = std::make_unique<GatewayThread>(settings, diskRefuses[number]);
+        running[number] = std::make_unique<GatewayThread>(settings, disks[number]);
         BOOST_REQUIRE(running[number]->isStarted());
     }
     //! Changes which ledger VMs the settings of all of them name, as it holds at their next starts.
@@ -303,8 +303,8 @@
     std::vector<GatewaySettings> ledgers;
     std::vector<GatewaySettings> entrySettings;
     std::vector<std::unique_ptr<GatewayThread>> running;
-    //! A ledger VM's disk refuses writes while its switch is on.
-    std::vector<RefusingFiles::Switch> diskRefuses;
+    //! How the ledger VMs' disks behave.
+    std::vector<ConductedFiles::Conduct> disks;
     std::vector<std::unique_ptr<GatewayThread>> entries;
 
 private:
@@ -312,8 +312,8 @@
 
     void runLedger(const GatewaySettings &settings)
     {
-        diskRefuses.push_back(std::make_shared<std::atomic<bool>>(false));
-        running.push_back(std::make_unique<GatewayThread>(settings, diskRefuses.back()));
+        disks.push_back(std::make_shared<DiskConduct>());
+        running.push_back(std::make_unique<GatewayThread>(settings, disks.back()));
         BOOST_REQUIRE(running.back()->isStarted());
     }
 
