--- a/src/gateway/cp_consensus_driver.cpp
+++ b/src/gateway/cp_consensus_driver.cpp
@@ -29,22 +29,6 @@
     return std::chrono::steady_clock::now();
 }
 
-//! The same records in order, in batches of some size.
-std::deque<LogBatch> splitBatch(const LogBatch &whole)
-{
-    std::deque<LogBatch> parts(1);
-    std::size_t bytes = 0;
-    for (const LogBatch::Record &record : whole.records()) {
-        if (bytes >= snapshotPartBytes) {
-            parts.emplace_back();
-            bytes = 0;
-        }
-        bytes += record.payload.size();
-        parts.back().add(record);
-    }
-    return parts;
-}
-
 } // namespace
 
 ConsensusDriver::ConsensusDriver(Parts parts, IReplicatedState &state)
@@ -292,9 +276,9 @@
     bytesSinceSnapshot_ = 0;
     parts_.log.info("ledger.compacted", {{"index", applied_}, {"bytes", snapshotBytes_}});
     node_->compact(applied_, std::move(state));
-    LogBatch with;
-    state_.addToSnapshot(with);
-    snapshotParts_ = splitBatch(with);
+    LogBatch texts;
+    state_.addToSnapshot(texts);
+    snapshotParts_ = splitBatch(std::move(texts), snapshotPartBytes);
     // Last, since it voids the log's entries that hold the same; until then a restart finds these.
     snapshotParts_.back().putSnapshot(controlGroup, node_->log().snapshot());
     storeSnapshot();
