Found no group where one is remembered

Cause: the last read of the change: since the way to the group is on the disk, a VM that never joined has a store that is not empty, and the founding's condition had been narrowed to the log's part of it. Ruled out: trusting 'first start' (the platform restarts a process with the settings in effect at that moment). Change: only an empty store founds, as before; the condition of reading settings again reads in two steps.

--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -274,8 +274,10 @@
 {
     const bool isLost = entry_ ? !entry_->hasLeader() : ledger_ && ledger_->leader().empty();
     const TimePoint now = std::chrono::steady_clock::now();
-    if (!isLost || now < nextReread_) {
-        nextReread_ = isLost ? nextReread_ : now + rereadInterval;
+    if (!isLost) {
+        nextReread_ = now + rereadInterval;
+    }
+    if (now < nextReread_) {
         return;
     }
     // Guards against seeds that were exchanged without a signal, after which those known may all be gone: the process
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -51,8 +51,8 @@
     LogStore &store = parts_.disk.store();
     const std::vector<VmName> seeds = parts_.settings.seedPeers();
     const bool isFounder = std::find(seeds.begin(), seeds.end(), self_) != seeds.end();
-    const bool isBlank = store.group(controlGroup).hard.term == 0;
-    if (isBlank && parts_.settings.isFirstStart && isFounder) {
+    // A VM that remembers a group, though it was never in it, founds none: its seeds may have been exchanged since.
+    if (store.isEmpty() && parts_.settings.isFirstStart && isFounder) {
         // Every founder starts from the same first snapshot, whichever starts first, so that there is one system only:
         // any quorum of the seeds elects, and no two disjoint ones exist.
         RaftSnapshot first {foundingIndex, foundingTerm, {{seeds.begin(), seeds.end()}, {}}, LedgerState {}.encode()};
--- a/tests/platform/cp_platform_outages.tests.cpp
+++ b/tests/platform/cp_platform_outages.tests.cpp
@@ -134,6 +134,25 @@
     }
 }
 
+// On the first day a VM that is no seed has heard of the group. It restarts with settings that still say "first start"
+// and name it among other seeds. Were it to found a group of these, there would be two systems, and each would take
+// documents.
+BOOST_AUTO_TEST_CASE(a_vm_that_remembers_a_group_founds_no_other_one)
+{
+    constexpr std::size_t outside = 10;
+    FleetSystem system;
+    const std::string name = '"' + system.ledgers[outside].vm + '"';
+    BOOST_TEST(System::eventually([&] { return system.loggedWith("ledger.way_stored", name) > 0; }));
+    // As it was when the platform restarts a process that never joined: it remembers, and holds nothing of the log.
+    system.losePower();
+    system.changeLedgerSeeds({outside, 11, 12});
+    GatewaySettings settings = system.ledgers[outside];
+    settings.isFirstStart = true;
+    const GatewayThread restarted(settings);
+    BOOST_TEST(restarted.isStarted());
+    BOOST_TEST(system.loggedWith("ledger.founded", name) == 0U);
+}
+
 // An entry starts while all seeds of its settings are off for good, and the platform writes other ones without a
 // signal.
 BOOST_AUTO_TEST_CASE(an_entry_without_a_leader_reads_its_settings_again)
