--- a/tests/platform/cp_platform_outages.tests.cpp
+++ b/tests/platform/cp_platform_outages.tests.cpp
@@ -153,6 +153,28 @@
     BOOST_TEST(system.loggedWith("ledger.founded", name) == 0U);
 }
 
+// Every append and vote waits for what is written before it. A log of 8 MB is cut in one write, turns stand still for a
+// third of a second, and entries have given the leader up before it is through.
+BOOST_AUTO_TEST_CASE(no_write_of_a_snapshot_is_so_large_that_appends_wait_for_it)
+{
+    constexpr int turns = 150;
+    constexpr std::size_t turnBytes = 90'000;
+    constexpr int budget = 100'000;
+    constexpr std::size_t most = 1U << 20U;
+    System system;
+    system.putDocument(3);
+    const Address entry = system.addEntry(system.seeds());
+    for (int i = 0; i < turns; ++i) {
+        const std::string id = "bulk-" + std::to_string(i);
+        const auto bulk = system.beginTurn(entry, id, {}, budget, "/plans/1", std::string(turnBytes, 'x')).get();
+        BOOST_REQUIRE(bulk.status == 200U);
+    }
+    BOOST_TEST(System::eventually([&] { return system.logged("ledger.compacted") >= system.ledgers.size(); }));
+    for (const auto &disk : system.disks) {
+        BOOST_TEST(disk->largestSync.load() <= most);
+    }
+}
+
 // An entry starts while all seeds of its settings are off for good, and the platform writes other ones without a
 // signal.
 BOOST_AUTO_TEST_CASE(an_entry_without_a_leader_reads_its_settings_again)
