--- a/include/cardamompost/policy/cp_turn_placement.hpp
+++ b/include/cardamompost/policy/cp_turn_placement.hpp
@@ -54,8 +54,8 @@
     void request(TurnToPlace turn, TimePoint now, Placed placed);
     //! Gives a place back, or a turn's wait up.
     void release(const std::string &turn, TimePoint now);
-    //! A turn of a program ended at an engine, as a member that does not lead learns from the log. Should it come to lead,
-    //! it sends the program back there.
+    //! A turn of a program ended at an engine, as a member that does not lead learns from the log. Should it come to
+    //! lead, it sends the program back there.
     void noteRan(const std::string &program, const std::string &engine, TimePoint now);
     //! No turn goes to an engine for a while, since an entry could not reach it.
     void avoid(const std::string &engine, TimePoint until);
