Count the requests of accounts in one place, programs that have begun first

Cause: accounts of the shifted deployment have limits over all entries together; nothing counted them. Weighed by arithmetic: 77 accounts before 57 entries, 1,600 before 350: a pair of entry and account sees a request every few seconds, every two minutes at the two-year size, so a stock that an entry borrows ends before it is used. Conclusion: counted at the ledger's leader; a new leader begins with nothing and the precision pays for what it can't know.

--- /dev/null
+++ b/include/cardamompost/limits/cp_request_limiter.hpp
@@ -0,0 +1,165 @@
+#ifndef CARDAMOMPOST_CP_REQUEST_LIMITER_HPP_INCLUDED
+#define CARDAMOMPOST_CP_REQUEST_LIMITER_HPP_INCLUDED
+
+#include <cardamompost/accounts/cp_account.hpp>
+#include <cardamompost/core/cp_name_table.hpp>
+#include <cardamompost/core/cp_time.hpp>
+
+#include <array>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace cardamompost
+{
+
+//! How exactly limits have to be kept.
+struct LimitPrecision {
+    //! In any span of this length an account gets its rate times the span and its burst. 0 for spans of every length.
+    Milliseconds window {0};
+    //! What may come on top of that, as a share and as a number of requests. It is used up only when the VM that counts
+    //! is replaced, as its successor does not know what was admitted before.
+    double overShare = 0;
+    double overRequests = 0;
+};
+
+//! What a request that was not admitted is beyond.
+enum class LimitReached {
+    None,
+    //! The account has begun as many programs as its limit can finish.
+    Programs,
+    Rate,
+    Window,
+};
+
+inline constexpr std::array limitReachedNames {
+    Named {LimitReached::None, "none"},
+    Named {LimitReached::Programs, "programs"},
+    Named {LimitReached::Rate, "rate"},
+    Named {LimitReached::Window, "window"},
+};
+
+//! Counts the requests of accounts in one place for all entries, and admits what their limits allow.
+//!
+//! An account over its limit gets the requests of the programs that it has begun, and begins only as many as it can
+//! finish: were requests refused by lot, none of its programs would end. Thread-safety: none. Time is an argument.
+class RequestLimiter
+{
+public:
+    struct Demand {
+        std::string_view account;
+        //! The same request may ask again, after a lost answer; it counts once.
+        std::string_view id;
+        //! The first request of a program.
+        bool beginsProgram = false;
+    };
+    struct Verdict {
+        bool isAdmitted = false;
+        LimitReached reached = LimitReached::None;
+        //! When it is admitted: how long the request has to wait until it is sent.
+        Milliseconds delay {0};
+        //! When it is not: the time to come back.
+        Milliseconds retryAfter {0};
+    };
+
+    explicit RequestLimiter(LimitPrecision precision = {})
+        : precision_(precision)
+    {
+    }
+
+    //! Puts limits in force. Accounts that are known keep what they have used; a new one begins with nothing.
+    void setLimits(const std::vector<Account> &accounts, TimePoint now);
+    //! Forgets what was used. Every account begins with nothing, as what another VM admitted a moment ago is not known.
+    void reset(TimePoint now);
+    //! As it is in force; unbounded for an account that is not known.
+    [[nodiscard]] RequestLimit limitOf(const std::string &account) const
+    {
+        const auto found = usages_.find(account);
+        return found == usages_.end() ? RequestLimit {} : found->second.limit;
+    }
+    [[nodiscard]] Verdict admit(const Demand &demand, TimePoint now);
+
+private:
+    //! A number that grows with time up to a bound, and may be overdrawn.
+    class Allowance
+    {
+    public:
+        void reset(TimePoint now);
+        void refill(double perSecond, double most, TimePoint now);
+        [[nodiscard]] double level() const
+        {
+            return level_;
+        }
+        void take()
+        {
+            level_ -= 1;
+        }
+
+    private:
+        double level_ = 0;
+        TimePoint at_ {};
+    };
+    //! Requests by the time of their admission, over somewhat more than the window.
+    class RecentCounts
+    {
+    public:
+        void add(TimePoint now, Milliseconds slice);
+        [[nodiscard]] double sum(TimePoint now, Milliseconds slice) const;
+        //! Until an earlier request leaves the window.
+        [[nodiscard]] Milliseconds untilFewer(TimePoint now, Milliseconds slice) const;
+        static constexpr std::size_t slicesAWindow = 50;
+
+    private:
+        // The oldest slice is in the window in part, and requests with a delay count at the time when they are sent.
+        static constexpr std::size_t slices = slicesAWindow + 5;
+
+        std::array<std::uint32_t, slices> counts_ {};
+        std::int64_t last_ = 0;
+    };
+    struct Usage {
+        RequestLimit limit;
+        Allowance requests;
+        RecentCounts recent;
+        Allowance programs;
+        //! The last time to come back that was given out.
+        TimePoint lastReturn {};
+    };
+    //! Requests a program, as seen over all accounts lately.
+    class ProgramSize
+    {
+    public:
+        void note(bool beginsProgram, TimePoint now);
+        [[nodiscard]] double mean() const;
+
+    private:
+        double requests_ = 0;
+        double programs_ = 0;
+        TimePoint at_ {};
+    };
+
+    //! The most that may be admitted at once after a pause.
+    [[nodiscard]] double depthOf(const RequestLimit &limit) const;
+    //! Until one more request fits into the window; 0 when it does.
+    [[nodiscard]] Milliseconds untilWindowFits(const Usage &usage, TimePoint now) const;
+    [[nodiscard]] Milliseconds slice() const
+    {
+        return precision_.window / static_cast<int>(RecentCounts::slicesAWindow);
+    }
+    [[nodiscard]] bool isKnown(std::string_view id, TimePoint now);
+    //! \param wait  until the request could be admitted, if no other came
+    //! \param perSecond  how many can be admitted a second from then on
+    [[nodiscard]] static Verdict refuse(Usage &usage, LimitReached reached, Milliseconds wait, double perSecond,
+                                        TimePoint now);
+
+    LimitPrecision precision_;
+    std::unordered_map<std::string, Usage> usages_;
+    ProgramSize programSize_;
+    //! Ids that were admitted lately, and those before.
+    std::unordered_set<std::string> recent_;
+    std::unordered_set<std::string> older_;
+    TimePoint rotatedAt_ {};
+};
+
+} // namespace cardamompost
+
+#endif // CARDAMOMPOST_CP_REQUEST_LIMITER_HPP_INCLUDED
