--- a/include/cardamompost/consensus/cp_raft_node.hpp
+++ b/include/cardamompost/consensus/cp_raft_node.hpp
@@ -147,6 +147,9 @@
     [[nodiscard]] LogIndex matchOf(const VmName &member) const;
     //! True once the leader has committed an entry of its own term.
     [[nodiscard]] bool isSettledLeader() const;
+    //! True while the leader has heard from a quorum so lately that no other member can have been elected: what has to
+    //! be decided by one member at a time may be decided here. Members whose clocks run at other speeds weaken that.
+    [[nodiscard]] bool hasLease(TimePoint now) const;
     //! True for a member that has lost its disk and does not hold again all that is committed.
     [[nodiscard]] bool isBlank() const
     {
--- a/include/cardamompost/edge/cp_idialect.hpp
+++ b/include/cardamompost/edge/cp_idialect.hpp
@@ -27,6 +27,12 @@
     std::string serverLoad;
     std::string lastEventId;
     std::string priority;
+    //! A caller's access key; never passed on.
+    std::string accessKey;
+    //! Name of the client account, for backend servers.
+    std::string account;
+    //! The same for requests that concern the same object.
+    std::string affinity;
     //! What only the system may set; a caller's own are dropped.
     std::vector<std::string> reserved;
 };
--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -70,6 +70,8 @@
     std::int64_t budget = -1;
     std::uint32_t retentionMs = 0;
     PlacementWish wish {};
+    //! Client account whose limit the turn counts towards; empty for none. Not part of what is kept.
+    std::string account {};
 };
 
 //! What became of a turn's begin.
@@ -85,6 +87,8 @@
     NoSuchTurn,
     //! The engines' places are taken; Tentative follows once there is one.
     Queued,
+    //! The account is over its limit; the turn is not run.
+    Limited,
 };
 
 struct TurnBeginReply {
@@ -94,6 +98,29 @@
     std::string history;
     //! Id of the backend server with a place for it; empty when the entry has to choose. Only with Tentative.
     std::string backend;
+    //! Only with Limited.
+    std::uint32_t retryAfterMs = 0;
+};
+
+//! Asks whether a request that is no turn is within its account's limit.
+struct AdmitRequest {
+    std::string account;
+    //! The request's id; one that asks again counts once.
+    std::string request;
+};
+
+enum class AdmitStatus : std::uint8_t {
+    //! Ask the leader.
+    NotLeader,
+    Admitted,
+    //! The account is over its limit.
+    Limited,
+};
+
+struct AdmitReply {
+    AdmitStatus status = AdmitStatus::NotLeader;
+    //! Only with Limited.
+    std::uint32_t retryAfterMs = 0;
 };
 
 //! How a turn ended at the entry.
--- a/include/cardamompost/routing/cp_document_buckets.hpp
+++ b/include/cardamompost/routing/cp_document_buckets.hpp
@@ -7,8 +7,8 @@
 namespace cardamompost
 {
 
-//! Routes lie in buckets by host and prefix, services by their names, and the bounds on callers in one of them. The
-//! document's version is told beside them: it changes with every document.
+//! Routes lie in buckets by host and prefix, services and accounts by their names, and the bounds on callers in one.
+//! The document's version is told beside them: it changes with every document.
 struct DocumentBucketCodec {
     using Content = RouteDocument;
 
--- a/include/cardamompost/routing/cp_route_document.hpp
+++ b/include/cardamompost/routing/cp_route_document.hpp
@@ -1,6 +1,7 @@
 #ifndef CARDAMOMPOST_CP_ROUTE_DOCUMENT_HPP_INCLUDED
 #define CARDAMOMPOST_CP_ROUTE_DOCUMENT_HPP_INCLUDED
 
+#include <cardamompost/accounts/cp_account.hpp>
 #include <cardamompost/core/cp_error.hpp>
 #include <cardamompost/core/cp_name_table.hpp>
 #include <cardamompost/core/cp_time.hpp>
@@ -58,6 +59,8 @@
     bool isSticky = false;
     //! A stream that broke off may go on at another backend server.
     bool isResumable = false;
+    //! Requests need no access key.
+    bool allowsAnonymous = false;
 };
 
 //! What a model engine says of itself in the document.
@@ -90,9 +93,12 @@
     std::vector<Route> routes;
     std::vector<BackendService> services;
     CallerBounds bounds;
+    //! Requests need the key of an account. False for a document that says nothing of accounts.
+    bool hasAccounts = false;
+    std::vector<Account> accounts;
 };
 
-//! Errors: InvalidConfiguration naming the first faulty route.
+//! Errors: InvalidConfiguration naming the first faulty route or account.
 [[nodiscard]] Result<void> checkRouteDocument(const RouteDocument &document);
 
 } // namespace cardamompost
--- a/include/cardamompost/routing/cp_route_table.hpp
+++ b/include/cardamompost/routing/cp_route_table.hpp
@@ -1,6 +1,7 @@
 #ifndef CARDAMOMPOST_CP_ROUTE_TABLE_HPP_INCLUDED
 #define CARDAMOMPOST_CP_ROUTE_TABLE_HPP_INCLUDED
 
+#include <cardamompost/accounts/cp_account_table.hpp>
 #include <cardamompost/routing/cp_route_document.hpp>
 
 #include <map>
@@ -26,6 +27,16 @@
     //! \param host  as in the request, with or without a port, in any case
     [[nodiscard]] const Route *find(std::string_view host, std::string_view path) const;
     [[nodiscard]] bool hasRoute(std::string_view name) const;
+    //! Requests need the key of an account, unless their route says otherwise.
+    [[nodiscard]] bool hasAccounts() const
+    {
+        return document_.hasAccounts;
+    }
+    //! Null for a key that no account holds.
+    [[nodiscard]] const Account *account(const KeyHash &key) const
+    {
+        return accounts_.find(key);
+    }
     //! Null for a service that the document does not name.
     [[nodiscard]] const BackendService *service(std::string_view name) const;
     //! The service of a request; the same point always gives the same one.
@@ -36,6 +47,7 @@
     RouteDocument document_;
     std::map<std::string, std::vector<const Route *>, std::less<>> byHost_;
     std::map<std::string_view, const BackendService *> services_;
+    AccountTable accounts_;
 };
 
 } // namespace cardamompost
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -228,6 +228,7 @@
   budget @4 :Int64;
   retentionMs @5 :UInt32;
   wish @6 :PlacementWish;
+  account @7 :Text;
 }
 
 struct PlacementWish {
@@ -244,6 +245,17 @@
   leader @1 :Text;
   history @2 :Data;
   backend @3 :Text;
+  retryAfterMs @4 :UInt32;
+}
+
+struct AdmitRequest {
+  account @0 :Text;
+  request @1 :Text;
+}
+
+struct AdmitReply {
+  status @0 :UInt8;
+  retryAfterMs @1 :UInt32;
 }
 
 struct TurnFinish {
@@ -296,6 +308,7 @@
   retentionMs @8 :Int64;
   isSticky @9 :Bool;
   isResumable @10 :Bool;
+  allowsAnonymous @11 :Bool;
 }
 
 struct Route {
@@ -326,6 +339,18 @@
   routes @1 :List(Route);
   services @2 :List(RoutedService);
   bounds @3 :CallerBounds;
+  hasAccounts @4 :Bool;
+  accounts @5 :List(Account);
+}
+
+struct Account {
+  name @0 :Text;
+  # SHA-256 of each.
+  keys @1 :List(Data);
+  # Below 0 for none.
+  rank @2 :Int64;
+  perSecond @3 :Float64;
+  burst @4 :Float64;
 }
 
 struct ContentDelta {
@@ -419,6 +444,8 @@
     turnTexts @36 :List(UInt64);
     turnTextsReply @37 :List(TurnText);
     leaderNotice @38 :GroupSighting;
+    admit @39 :AdmitRequest;
+    admitReply @40 :AdmitReply;
   }
 }
 
--- a/src/cardamompost/consensus/cp_raft_node.cpp
+++ b/src/cardamompost/consensus/cp_raft_node.cpp
@@ -166,6 +166,20 @@
     return role_ == RaftRole::Leader && log_.termAt(commit_) == hard_.term;
 }
 
+bool RaftNode::hasLease(TimePoint now) const
+{
+    if (!isSettledLeader()) {
+        return false;
+    }
+    const Milliseconds shortest
+        = options_.shortestElectionTimeout.count() != 0 ? options_.shortestElectionTimeout : options_.electionTimeout;
+    std::size_t recent = isVoter(options_.self) ? 1 : 0;
+    for (const auto &[name, progress] : progress_) {
+        recent += isVoter(name) && now - progress.lastContact < shortest ? 1 : 0;
+    }
+    return recent >= membership().quorum();
+}
+
 void RaftNode::appendOwn(EntryKind kind, std::string payload)
 {
     log_.append({log_.lastIndex() + 1, hard_.term, kind, std::move(payload)});
--- a/src/cardamompost/net/cp_frame_decoder.cpp
+++ b/src/cardamompost/net/cp_frame_decoder.cpp
@@ -142,9 +142,14 @@
         return decodeTurnBegin(in.getTurnBegin());
     case Body::TURN_BEGIN_REPLY: {
         const auto reply = in.getTurnBeginReply();
-        return TurnBeginReply {decodeEnum(reply.getStatus(), TurnBeginStatus::Queued), fromText(reply.getLeader()),
-                               fromData(reply.getHistory()), fromText(reply.getBackend())};
-    }
+        return TurnBeginReply {decodeEnum(reply.getStatus(), TurnBeginStatus::Limited), fromText(reply.getLeader()),
+                               fromData(reply.getHistory()), fromText(reply.getBackend()), reply.getRetryAfterMs()};
+    }
+    case Body::ADMIT:
+        return AdmitRequest {fromText(in.getAdmit().getAccount()), fromText(in.getAdmit().getRequest())};
+    case Body::ADMIT_REPLY:
+        return AdmitReply {decodeEnum(in.getAdmitReply().getStatus(), AdmitStatus::Limited),
+                           in.getAdmitReply().getRetryAfterMs()};
     case Body::TURN_FINISH:
         return decodeTurnFinish(in.getTurnFinish());
     case Body::TURN_FINISH_REPLY:
--- a/src/cardamompost/net/cp_frame_encoder.cpp
+++ b/src/cardamompost/net/cp_frame_encoder.cpp
@@ -279,6 +279,21 @@
         message.setLeader(toText(in.leader));
         message.setHistory(toData(in.history));
         message.setBackend(toText(in.backend));
+        message.setRetryAfterMs(in.retryAfterMs);
+    }
+
+    void operator()(const AdmitRequest &in)
+    {
+        auto message = out.initAdmit();
+        message.setAccount(toText(in.account));
+        message.setRequest(toText(in.request));
+    }
+
+    void operator()(const AdmitReply &in)
+    {
+        auto message = out.initAdmitReply();
+        message.setStatus(static_cast<std::uint8_t>(in.status));
+        message.setRetryAfterMs(in.retryAfterMs);
     }
 
     void operator()(const TurnFinish &in)
--- a/src/cardamompost/net/cp_ledger_schema.cpp
+++ b/src/cardamompost/net/cp_ledger_schema.cpp
@@ -79,6 +79,9 @@
     out.setTokensAtMost(in.tokensAtMost);
     out.setBudget(in.budget);
     out.setRetentionMs(in.retentionMs);
+    if (!in.account.empty()) {
+        out.setAccount(toText(in.account));
+    }
     // What is kept in the log has no wish.
     if (!in.wish.service.empty()) {
         encodeWish(in.wish, out.initWish());
@@ -88,7 +91,7 @@
 TurnBegin decodeTurnBegin(schema::TurnBegin::Reader in)
 {
     return {fromText(in.getTurn()), fromText(in.getProgram()), fromText(in.getPrevious()), in.getTokensAtMost(),
-            in.getBudget(),         in.getRetentionMs(),       decodeWish(in.getWish())};
+            in.getBudget(),         in.getRetentionMs(),       decodeWish(in.getWish()),   fromText(in.getAccount())};
 }
 
 void encodeTurnFinish(const TurnFinish &in, schema::TurnFinish::Builder out)
--- a/src/cardamompost/observe/cp_log_explainer.cpp
+++ b/src/cardamompost/observe/cp_log_explainer.cpp
@@ -51,7 +51,7 @@
 std::int64_t number(const json::object &line, std::string_view key)
 {
     const json::value *value = line.if_contains(key);
-    return value != nullptr && value->is_number() ? value->to_number<std::int64_t>() : 0;
+    return value != nullptr && value->is_number() ? static_cast<std::int64_t>(value->to_number<double>()) : 0;
 }
 
 json::object parseLine(const std::string &line)
@@ -121,6 +121,63 @@
         number(refusal, "asked"));
 }
 
+std::string causeOfLimit(const json::object &limited)
+{
+    const std::string account = text(limited, "account");
+    const std::string limit
+        = fmt::format("{} requests a second and {} at once (document {})", number(limited, "per_second"),
+                      number(limited, "burst"), number(limited, "document"));
+    const std::string reached = text(limited, "reached") == "programs"
+        ? "has begun as many programs as its limit can finish"
+        : "has sent more requests than its limit allows";
+    return fmt::format("the account '{}' {}, {}; it has not run, and was told to come back after {} ms", account,
+                       reached, limit, number(limited, "retry_after_ms"));
+}
+
+std::string causeOfUnknownKey(const json::object &end)
+{
+    return fmt::format("no account holds the key that it came with, or it came with none, as document {} of {} ms ago "
+                       "says; it has not run",
+                       number(end, "document"), number(end, "news_age_ms"));
+}
+
+//! What the logs say of one request's end; empty objects for lines that are not there.
+struct EndLines {
+    const json::object &end;
+    const json::object &refusal;
+    const json::object &limited;
+};
+
+constexpr std::int64_t unauthorizedStatus = 401;
+constexpr std::int64_t spentStatus = 402;
+constexpr std::int64_t limitedStatus = 429;
+
+std::string causeOf(const EndLines &lines)
+{
+    const std::int64_t status = number(lines.end, "status");
+    if (status == spentStatus && !lines.refusal.empty()) {
+        return causeOfRefusal(lines.refusal);
+    }
+    if (status == limitedStatus && !lines.limited.empty()) {
+        return causeOfLimit(lines.limited);
+    }
+    return status == unauthorizedStatus ? causeOfUnknownKey(lines.end) : causeOfEnd(lines.end);
+}
+
+//! Which lines would be needed besides; empty when the cause is complete.
+std::string missingOf(const EndLines &lines)
+{
+    const std::int64_t status = number(lines.end, "status");
+    if (status == limitedStatus && lines.limited.empty()) {
+        return "the ledger VMs' logs, which have which limit was reached";
+    }
+    if (status == spentStatus && lines.refusal.empty()) {
+        return "the ledger VMs' logs, which have what was spent";
+    }
+    return lines.end.empty() ? "the entry's line of its end; without it only the ledger's part is known"
+                             : std::string();
+}
+
 //! What to add to the cause when the request's VM stood still around its end; empty otherwise.
 std::string stallOf(const std::string &vm, const std::vector<ExplainedLine> &surroundings)
 {
@@ -163,6 +220,7 @@
     Explanation result;
     json::object end;
     json::object refusal;
+    json::object limited;
     for (const ExplainedLine &line : lines_) {
         // Cheap first: most lines are of other requests.
         if (line.text.find(requestId) == std::string::npos) {
@@ -177,6 +235,8 @@
             end = std::move(parsed);
         } else if (line.event == "turn.refused") {
             refusal = std::move(parsed);
+        } else if (line.event == "request.limited") {
+            limited = std::move(parsed);
         }
     }
     const auto byTime
@@ -195,14 +255,8 @@
         }
     }
     std::stable_sort(result.surroundings.begin(), result.surroundings.end(), byTime);
-    constexpr std::int64_t spentStatus = 402;
-    if (end.empty()) {
-        result.missing = "the entry's line of its end; without it only the ledger's part is known";
-    }
-    if (number(end, "status") == spentStatus && refusal.empty()) {
-        result.missing = "the ledger VMs' logs, which have what was spent";
-    }
-    result.cause = refusal.empty() || number(end, "status") != spentStatus ? causeOfEnd(end) : causeOfRefusal(refusal);
+    result.missing = missingOf({end, refusal, limited});
+    result.cause = causeOf({end, refusal, limited});
     result.cause += stallOf(text(end, "vm"), result.surroundings);
     return result;
 }
--- a/src/cardamompost/routing/cp_document_buckets.cpp
+++ b/src/cardamompost/routing/cp_document_buckets.cpp
@@ -12,19 +12,24 @@
 
 //! The bucket that has the bounds on callers.
 constexpr std::size_t boundsBucket = 0;
+// In place of an account's rank.
+constexpr std::int64_t noRank = -1;
 
 //! What of a document lies in one bucket.
 struct Part {
     std::vector<const Route *> routes;
     std::vector<const BackendService *> services;
+    std::vector<const Account *> accounts;
     const CallerBounds *bounds = nullptr;
+    bool hasAccounts = false;
 };
 
 bool hasSameRules(const Route &left, const Route &right)
 {
     const auto rules = [](const Route &route) {
         return std::tie(route.host, route.kind, route.timeout, route.targetLatency, route.rank, route.shares,
-                        route.maxAttempts, route.keepsHistory, route.retention, route.isSticky, route.isResumable);
+                        route.maxAttempts, route.keepsHistory, route.retention, route.isSticky, route.isResumable,
+                        route.allowsAnonymous);
     };
     return rules(left) == rules(right);
 }
@@ -41,6 +46,7 @@
     out.setRetentionMs(route.retention.count());
     out.setIsSticky(route.isSticky);
     out.setIsResumable(route.isResumable);
+    out.setAllowsAnonymous(route.allowsAnonymous);
     auto shares = out.initShares(static_cast<unsigned>(route.shares.size()));
     for (unsigned i = 0; i < shares.size(); ++i) {
         shares[i].setService(toText(route.shares[i].service));
@@ -87,6 +93,7 @@
     route.retention = Milliseconds(in.getRetentionMs());
     route.isSticky = in.getIsSticky();
     route.isResumable = in.getIsResumable();
+    route.allowsAnonymous = in.getAllowsAnonymous();
     for (const auto share : in.getShares()) {
         route.shares.push_back({fromText(share.getService()), share.getWeight()});
     }
@@ -129,6 +136,37 @@
             {in.getSlots(), in.getCacheTokens(), in.getTokensPerEvent()}};
 }
 
+void encodeAccount(const Account &account, schema::Account::Builder out)
+{
+    out.setName(toText(account.name));
+    out.setRank(account.rank ? static_cast<std::int64_t>(*account.rank) : noRank);
+    out.setPerSecond(account.limit.perSecond);
+    out.setBurst(account.limit.burst);
+    auto keys = out.initKeys(static_cast<unsigned>(account.keys.size()));
+    for (unsigned i = 0; i < keys.size(); ++i) {
+        keys.set(i, {account.keys[i].data(), account.keys[i].size()});
+    }
+}
+
+//! Errors: InvalidRequest for a key that is no hash.
+Result<Account> decodeAccount(schema::Account::Reader in)
+{
+    Account account;
+    account.name = fromText(in.getName());
+    if (in.getRank() >= 0) {
+        account.rank = static_cast<unsigned>(in.getRank());
+    }
+    account.limit = {in.getPerSecond(), in.getBurst()};
+    for (const auto key : in.getKeys()) {
+        KeyHash &hash = account.keys.emplace_back();
+        if (key.size() != hash.size()) {
+            return makeError(ErrorKind::InvalidRequest, "a key's hash has another length");
+        }
+        std::copy(key.begin(), key.end(), hash.begin());
+    }
+    return account;
+}
+
 void encodeBounds(const CallerBounds &bounds, schema::CallerBounds::Builder out)
 {
     out.setHeaderBytes(bounds.headerBytes);
@@ -152,11 +190,13 @@
     // Of two services with one name the first counts, also after this.
     std::stable_sort(part.services.begin(), part.services.end(),
                      [](const BackendService *left, const BackendService *right) { return left->name < right->name; });
+    std::sort(part.accounts.begin(), part.accounts.end(),
+              [](const Account *left, const Account *right) { return left->name < right->name; });
 }
 
 std::string encodePart(Part part)
 {
-    if (part.routes.empty() && part.services.empty() && part.bounds == nullptr) {
+    if (part.routes.empty() && part.services.empty() && part.accounts.empty() && part.bounds == nullptr) {
         return {};
     }
     sortByName(part);
@@ -167,6 +207,11 @@
     for (unsigned i = 0; i < services.size(); ++i) {
         encodeService(*part.services[i], services[i]);
     }
+    auto accounts = out.initAccounts(static_cast<unsigned>(part.accounts.size()));
+    for (unsigned i = 0; i < accounts.size(); ++i) {
+        encodeAccount(*part.accounts[i], accounts[i]);
+    }
+    out.setHasAccounts(part.hasAccounts);
     if (part.bounds != nullptr) {
         encodeBounds(*part.bounds, out.initBounds());
     }
@@ -184,7 +229,11 @@
     for (const BackendService &service : document.services) {
         parts[bucketOf(service.name)].services.push_back(&service);
     }
+    for (const Account &account : document.accounts) {
+        parts[bucketOf(account.name)].accounts.push_back(&account);
+    }
     parts[boundsBucket].bounds = &document.bounds;
+    parts[boundsBucket].hasAccounts = document.hasAccounts;
     BucketBytes::All all;
     std::transform(parts.begin(), parts.end(), all.begin(), encodePart);
     return all;
@@ -197,6 +246,11 @@
         for (const auto service : bucket.getServices()) {
             document.services.push_back(decodeService(service));
         }
+        for (const auto in : bucket.getAccounts()) {
+            BOOST_OUTCOME_TRY(Account account, decodeAccount(in));
+            document.accounts.push_back(std::move(account));
+        }
+        document.hasAccounts = document.hasAccounts || bucket.getHasAccounts();
         if (bucket.hasBounds()) {
             document.bounds = decodeBounds(bucket.getBounds());
         }
--- a/src/cardamompost/routing/cp_route_document.cpp
+++ b/src/cardamompost/routing/cp_route_document.cpp
@@ -57,7 +57,7 @@
             return routeFault(route, "another route has the same host and path prefix");
         }
     }
-    return boost::outcome_v2::success();
+    return checkAccounts(document.accounts);
 }
 
 } // namespace cardamompost
--- a/src/cardamompost/routing/cp_route_table.cpp
+++ b/src/cardamompost/routing/cp_route_table.cpp
@@ -21,6 +21,7 @@
 
 RouteTable::RouteTable(RouteDocument document)
     : document_(std::move(document))
+    , accounts_(document_.accounts)
 {
     for (const Route &route : document_.routes) {
         byHost_[bareHost(route.host)].push_back(&route);
--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -151,6 +151,8 @@
     SendFacts facts;
     facts.expectedInstance = backend_->server().id;
     facts.timeLeft = timeLeft();
+    facts.hidesKeys = request_.table->hasAccounts();
+    facts.account = request_.account;
     if (request_.service->isEngine) {
         facts.priority = turnPriority({request_.route->rank, request_.facts.programTimeLeft});
     }
--- a/src/gateway/cp_consensus_driver.hpp
+++ b/src/gateway/cp_consensus_driver.hpp
@@ -72,6 +72,10 @@
     {
         return isRunning() && node_->isSettledLeader();
     }
+    [[nodiscard]] bool hasLease() const
+    {
+        return isRunning() && node_->hasLease(std::chrono::steady_clock::now());
+    }
     //! Index of the last entry that is applied here.
     [[nodiscard]] LogIndex applied() const
     {
--- a/src/gateway/cp_entry_server.cpp
+++ b/src/gateway/cp_entry_server.cpp
@@ -61,7 +61,7 @@
     : parts_(parts)
     , ledger_({parts.io, parts.settings, parts.peers, parts.log, parts.metrics})
     , pool_(parts.settings.vm, parts.settings.failureDomain, parts.metrics)
-    , forwarder_({parts.io, parts.dialect, pool_, ledger_, parts.log, parts.metrics})
+    , forwarder_({parts.io, parts.dialect, parts.settings, pool_, ledger_, parts.log, parts.metrics})
     , news_({forwarder_, pool_, ledger_, parts.log})
     , ready_(
           parts.io.get_executor(), HttpLimits {},
--- a/src/gateway/cp_forwarded_request.hpp
+++ b/src/gateway/cp_forwarded_request.hpp
@@ -6,6 +6,7 @@
 #include "cp_ledger_client.hpp"
 #include "cp_request_head.hpp"
 
+#include <cardamompost/accounts/cp_scoped_id.hpp>
 #include <cardamompost/routing/cp_route_table.hpp>
 
 namespace cardamompost
@@ -47,6 +48,13 @@
     const Route *route = nullptr;
     const BackendService *service = nullptr;
     RequestFacts facts;
+    //! Of the caller's key; nothing without one, or where no keys are needed.
+    std::optional<KeyHash> keyHash;
+    //! Name of the client account that holds the key; empty when none does.
+    std::string account;
+    std::optional<unsigned> accountRank;
+    //! The account's requests are counted.
+    bool isLimited = false;
     TimePoint arrived {};
     //! When the caller or the route has waited long enough.
     TimePoint deadline {};
@@ -73,6 +81,26 @@
     std::string_view cause;
     std::string detail;
 
+    //! Ids within the account, under which the ledger keeps what belongs to them.
+    [[nodiscard]] std::string turnId() const
+    {
+        return scopedId(account, facts.id);
+    }
+    [[nodiscard]] std::string programId() const
+    {
+        return scopedId(account, facts.program);
+    }
+    [[nodiscard]] std::string previousTurnId() const
+    {
+        return scopedId(account, facts.previousTurn);
+    }
+    //! Of accounts first, and within one rank of accounts of routes; 0 goes first.
+    [[nodiscard]] unsigned rank() const
+    {
+        constexpr unsigned routeRanks = 1000;
+        const unsigned own = std::min(route->rank, routeRanks - 1);
+        return std::min(accountRank.value_or(own), routeRanks) * routeRanks + own;
+    }
     [[nodiscard]] bool isTurn() const
     {
         return route->kind == RouteKind::Streaming && (route->keepsHistory || facts.budget >= 0);
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -46,9 +46,9 @@
 TurnFinish ForwardedRequest::finish(TurnEnding ending)
 {
     TurnFinish finish;
-    finish.turn = facts.id;
-    finish.program = facts.program;
-    finish.previous = facts.previousTurn;
+    finish.turn = turnId();
+    finish.program = programId();
+    finish.previous = previousTurnId();
     finish.ending = ending;
     finish.tokens = tokensHandedOut();
     finish.backend = lastBackend;
@@ -70,6 +70,7 @@
 Forwarder::Forwarder(Parts parts)
     : parts_(parts)
     , report_({parts.pool, parts.ledger, parts.log, parts.metrics})
+    , access_({parts.dialect, parts.settings, parts.ledger, parts.metrics})
     , silences_(parts.metrics.counter("cardamompost_answers_given_up_total"))
     , lost_(parts.metrics.counter("cardamompost_backend_lost_total"))
     , repeated_(parts.metrics.counter("cardamompost_requests_repeated_total"))
@@ -146,11 +147,13 @@
         refusal = {statusUnavailable, "no configuration is known yet", comeBackLater};
     } else if (!findRoute(request)) {
         refusal = noRoute();
+    } else if (const std::optional<OwnAnswer> denied = access_.identify(request)) {
+        refusal = *denied;
+    } else if (const std::optional<OwnAnswer> limited = co_await access_.admit(request)) {
+        refusal = *limited;
     }
     if (!refusal.reason.empty()) {
-        request.status = refusal.status;
-        request.cause = refusal.reason;
-        co_await request.caller->answer(refusal);
+        co_await refuse(request, refusal);
         co_return;
     }
     const bool mayGoOn = co_await beginTurn(request);
@@ -160,13 +163,20 @@
     }
 }
 
+asio::awaitable<void> Forwarder::refuse(ForwardedRequest &request, OwnAnswer refusal)
+{
+    request.status = refusal.status;
+    request.cause = refusal.reason;
+    co_await request.caller->answer(refusal);
+}
+
 PlacementWish Forwarder::wishOf(const ForwardedRequest &request) const
 {
     const TimePoint now = timeNow();
     PlacementWish wish;
     wish.service = request.service->name;
     wish.failureDomain = parts_.pool.failureDomain();
-    wish.rank = request.route->rank;
+    wish.rank = request.rank();
     wish.programTimeLeftMs = request.facts.programTimeLeft.value_or(Milliseconds(0)).count();
     wish.patienceMs = static_cast<std::uint32_t>(
         std::max<std::int64_t>(0, std::chrono::duration_cast<Milliseconds>(request.deadline - now).count()));
@@ -200,9 +210,10 @@
         co_return true;
     }
     TurnBegin begin;
-    begin.turn = request.facts.id;
-    begin.program = request.facts.program;
-    begin.previous = request.route->keepsHistory ? request.facts.previousTurn : std::string();
+    begin.turn = request.turnId();
+    begin.program = request.programId();
+    begin.previous = request.route->keepsHistory ? request.previousTurnId() : std::string();
+    begin.account = request.isLimited ? request.account : std::string();
     begin.tokensAtMost = request.facts.tokensOutAtMost;
     begin.budget = request.facts.budget;
     begin.retentionMs = request.finish(TurnEnding::NotRun).retentionMs;
@@ -220,10 +231,10 @@
         refusal = {statusSpent, "the program's budget does not hold the turn", Milliseconds(0)};
     } else if (request.begin->status() == TurnBeginStatus::NoSuchTurn) {
         refusal = {statusNotFound, "no such turn to continue", Milliseconds(0)};
+    } else if (request.begin->status() == TurnBeginStatus::Limited) {
+        refusal = access_.limited(request.begin->retryAfter());
     }
-    request.status = refusal.status;
-    request.cause = refusal.reason;
-    co_await request.caller->answer(refusal);
+    co_await refuse(request, refusal);
     // A reservation may have been made behind an answer that was lost.
     if (refusal.status == statusUnavailable) {
         settle(request);
@@ -266,6 +277,12 @@
             request.cause = "the caller left";
             co_return;
         }
+        if (!request.hasStarted) {
+            if (const std::optional<OwnAnswer> denied = access_.recheck(request, *table_)) {
+                co_await refuse(request, *denied);
+                co_return;
+            }
+        }
         const std::shared_ptr<BackendState> backend = choose(request);
         if (!backend) {
             request.sends = maxSends;
--- a/src/gateway/cp_forwarder.hpp
+++ b/src/gateway/cp_forwarder.hpp
@@ -1,6 +1,7 @@
 #ifndef CARDAMOMPOST_CP_FORWARDER_HPP_INCLUDED
 #define CARDAMOMPOST_CP_FORWARDER_HPP_INCLUDED
 
+#include "cp_access_check.hpp"
 #include "cp_backend_pool.hpp"
 #include "cp_forwarded_request.hpp"
 #include "cp_ledger_client.hpp"
@@ -22,6 +23,7 @@
     struct Parts {
         boost::asio::io_context &io;
         const IDialect &dialect;
+        const GatewaySettings &settings;
         BackendPool &pool;
         LedgerClient &ledger;
         EventLog &log;
@@ -68,6 +70,8 @@
                                                                        std::shared_ptr<BackendState> backend);
     //! How long the next server may be silent; nothing when the request can't go to another one.
     [[nodiscard]] std::optional<Milliseconds> patienceFor(const ForwardedRequest &request);
+    //! Ends a request that is not sent.
+    boost::asio::awaitable<void> refuse(ForwardedRequest &request, OwnAnswer refusal);
     void noteLost(BackendState &backend, const ForwardedRequest &request);
     void noteAnswer(const ForwardedRequest &request, ExchangeEnd end, std::optional<Milliseconds> time);
     boost::asio::awaitable<bool> goesOn(ForwardedRequest &request, ExchangeEnd end, const std::string &backend);
@@ -75,6 +79,7 @@
 
     Parts parts_;
     RequestReport report_;
+    AccessCheck access_;
     std::shared_ptr<const RouteTable> table_;
     //! By route.
     std::unordered_map<std::string, Repeats> repeats_;
--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -191,6 +191,8 @@
         ledger_->onJoin(*join, replier);
     } else if (auto *begin = std::get_if<TurnBegin>(&body)) {
         ledger_->onBegin(std::move(*begin), replier);
+    } else if (const auto *admit = std::get_if<AdmitRequest>(&body)) {
+        ledger_->onAdmit(*admit, replier);
     } else if (auto *finish = std::get_if<TurnFinish>(&body)) {
         ledger_->onFinish(std::move(*finish), replier);
     } else if (const auto *news = std::get_if<NewsRequest>(&body)) {
--- a/src/gateway/cp_gateway_settings.cpp
+++ b/src/gateway/cp_gateway_settings.cpp
@@ -13,6 +13,9 @@
 constexpr std::int64_t defaultLifetimeMs = 300;
 constexpr std::int64_t defaultLifetimeDarkMs = 3000;
 constexpr std::int64_t defaultListIntervalMs = 800;
+constexpr std::int64_t defaultRevocationMs = 5000;
+constexpr double maxLimitWindowSeconds = 600;
+constexpr double maxLimitOverRequests = 1'000'000;
 constexpr std::int64_t maxTimeMs = 600'000;
 constexpr std::int64_t defaultMemoryMb = 128;
 constexpr std::int64_t minMemoryMb = 32;
@@ -59,6 +62,12 @@
     settings.directoryLifetime = time("directory_lifetime_ms", defaultLifetimeMs);
     settings.directoryLifetimeDark = time("directory_lifetime_dark_ms", defaultLifetimeDarkMs);
     settings.listInterval = time("list_interval_ms", defaultListIntervalMs);
+    settings.revocationTime = time("revocation_ms", defaultRevocationMs);
+    settings.failsClosed = reader.boolean("fail_closed", false);
+    settings.limitPrecision.window = std::chrono::duration_cast<Milliseconds>(
+        std::chrono::duration<double>(reader.number("limit_window_s", 0, 0, maxLimitWindowSeconds)));
+    settings.limitPrecision.overShare = reader.number("limit_over_share", 0, 0, 1);
+    settings.limitPrecision.overRequests = reader.number("limit_over_requests", 0, 0, maxLimitOverRequests);
     settings.logFile = reader.text("log_file", "-");
     settings.logLevel = reader.text("log_level", "info");
     // The other role's addresses may stand there, so that one template serves both.
--- a/src/gateway/cp_gateway_settings.hpp
+++ b/src/gateway/cp_gateway_settings.hpp
@@ -5,6 +5,7 @@
 #include <cardamompost/core/cp_ids.hpp>
 #include <cardamompost/core/cp_name_table.hpp>
 #include <cardamompost/core/cp_time.hpp>
+#include <cardamompost/limits/cp_request_limiter.hpp>
 
 namespace cardamompost
 {
@@ -53,6 +54,11 @@
     Milliseconds directoryLifetime {0};
     //! The same while a directory near those callers is dark.
     Milliseconds directoryLifetimeDark {0};
+    //! An entry that has not heard of the ledger for so long takes no request with a key, if it fails closed.
+    Milliseconds revocationTime {0};
+    bool failsClosed = false;
+    //! How exactly accounts' limits are kept.
+    LimitPrecision limitPrecision;
     //! "-" for standard output.
     std::string logFile = "-";
     std::string logLevel;
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -264,6 +264,7 @@
         return;
     }
     pending.status_ = answer->status;
+    pending.retryAfter_ = Milliseconds(answer->retryAfterMs);
     pending.isFinal_ = true;
     pending.signal();
 }
@@ -302,6 +303,27 @@
     co_return false;
 }
 
+asio::awaitable<std::optional<AdmitReply>> LedgerClient::admit(AdmitRequest request, TimePoint until)
+{
+    while (timeNow() < until) {
+        const VmName peer = leader_;
+        const auto client = peer.empty() ? nullptr : parts_.peers.client(peer);
+        if (!client) {
+            co_await sleepFor(retryPause);
+            continue;
+        }
+        FrameBody body = request;
+        const Result<FrameBody> reply = co_await client->call(std::move(body), tryTimeout);
+        const AdmitReply *answer = reply ? std::get_if<AdmitReply>(&reply.value()) : nullptr;
+        if (answer != nullptr && answer->status != AdmitStatus::NotLeader) {
+            co_return *answer;
+        }
+        loseLeader(peer, reply ? "it does not lead" : reply.error().message);
+        co_await sleepFor(retryPause);
+    }
+    co_return std::nullopt;
+}
+
 asio::awaitable<void> LedgerClient::readNews()
 {
     loseLeader({}, "the start");
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -53,6 +53,11 @@
     {
         return backend_;
     }
+    //! When to come back; once status() is Limited.
+    [[nodiscard]] Milliseconds retryAfter() const
+    {
+        return retryAfter_;
+    }
     boost::asio::awaitable<void> untilTentative();
     boost::asio::awaitable<void> untilFinal();
 
@@ -66,6 +71,7 @@
     TurnBeginStatus status_ = TurnBeginStatus::NotLeader;
     std::string history_;
     std::string backend_;
+    Milliseconds retryAfter_ {0};
 };
 
 //! An entry's way to the ledger: finds the leader, tries again elsewhere, and takes the news.
@@ -91,6 +97,8 @@
     std::shared_ptr<PendingBegin> begin(TurnBegin begin, TimePoint until);
     //! True once the end is durable; false when no quorum has confirmed it in time.
     boost::asio::awaitable<bool> finish(TurnFinish finish, TimePoint until);
+    //! Asks whether a request is within its account's limit; nothing when no leader has answered in time.
+    boost::asio::awaitable<std::optional<AdmitReply>> admit(AdmitRequest request, TimePoint until);
     //! Says to all members whether this entry takes requests.
     void tellPresence(bool isReady);
 
--- a/src/gateway/cp_ledger_news.cpp
+++ b/src/gateway/cp_ledger_news.cpp
@@ -79,6 +79,11 @@
         return;
     }
     documentBuckets_.set(document.value());
+    limiter_.setLimits(document.value().accounts, std::chrono::steady_clock::now());
+    parts_.log.info("document.offered",
+                    {{"version", triedVersion_},
+                     {"routes", document.value().routes.size()},
+                     {"accounts", document.value().accounts.size()}});
     offeredVersion_ = triedVersion_;
 }
 
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -22,6 +22,9 @@
 // holds of answers that are on their way.
 constexpr double newsBytesPerSecond = 24.0 * (1U << 20U);
 constexpr double newsBurstBytes = 4.0 * (1U << 20U);
+constexpr Milliseconds leasePoll {10};
+// Shorter than an entry waits for a reply.
+constexpr Milliseconds leasePatience {300};
 constexpr LogIndex foundingIndex = 1;
 constexpr Term foundingTerm = 1;
 
@@ -37,12 +40,14 @@
     , tellTimer_(parts.io)
     , contacts_({parts.io, parts.disk, parts.log})
     , placement_(randomIdentity())
+    , limiter_(parts.settings.limitPrecision)
     , news_({newsBytesPerSecond, newsBurstBytes})
     , newsPutOff_(parts.metrics.counter("cardamompost_news_put_off_total"))
     , placeSeconds_(parts.metrics.histogram("cardamompost_turn_place_seconds"))
     , takeovers_(parts.metrics.counter("cardamompost_ledger_takeovers_total"))
     , spentTurns_(parts.metrics.counter("cardamompost_turns_refused_total", {{"reason", "spent"}}))
     , unknownTurns_(parts.metrics.counter("cardamompost_turns_refused_total", {{"reason", "no-such-turn"}}))
+    , limited_(parts.metrics.counter("cardamompost_requests_limited_total"))
 {
 }
 
@@ -165,6 +170,7 @@
         replier->reply(TurnBeginReply {TurnBeginStatus::NotLeader, driver_.leader(), {}, {}});
         return;
     }
+    offerDocument();
     const auto pending = pendingTokens_.find(begin.program);
     const std::int64_t taken = pending == pendingTokens_.end() ? 0 : pending->second;
     const TurnBeginStatus status = state_.check(begin, taken);
@@ -178,6 +184,90 @@
     }
     const auto begun = std::make_shared<Begin>(
         Begin {std::move(begin), replier, std::chrono::steady_clock::now(), {}, false, std::nullopt});
+    limitBegin(begun);
+}
+
+void LedgerService::limitBegin(const std::shared_ptr<Begin> &begun)
+{
+    const TurnBegin &begin = begun->begin;
+    if (begin.account.empty() || state_.isReserved(begin.program, begin.turn)) {
+        readHistory(begun);
+        return;
+    }
+    withLease(begun->since + leasePatience, [this, begun](bool hasLease) {
+        if (!hasLease) {
+            begun->replier->reply(TurnBeginReply {TurnBeginStatus::NotLeader, driver_.leader(), {}, {}});
+            return;
+        }
+        const TurnBegin &turn = begun->begin;
+        const RequestLimiter::Verdict verdict
+            = limiter_.admit({turn.account, turn.turn, !isUnderWay(turn)}, std::chrono::steady_clock::now());
+        if (verdict.isAdmitted) {
+            after(verdict.delay, [this, begun] { readHistory(begun); });
+            return;
+        }
+        noteLimited(turn.account, turn.turn, verdict);
+        const auto retryAfter = static_cast<std::uint32_t>(verdict.retryAfter.count());
+        begun->replier->reply(TurnBeginReply {TurnBeginStatus::Limited, self_, {}, {}, retryAfter});
+    });
+}
+
+void LedgerService::onAdmit(const AdmitRequest &request, const Replier &replier)
+{
+    withLease(std::chrono::steady_clock::now() + leasePatience, [this, request, replier](bool hasLease) {
+        if (!hasLease) {
+            replier->reply(AdmitReply {AdmitStatus::NotLeader, 0});
+            return;
+        }
+        offerDocument();
+        const RequestLimiter::Verdict verdict
+            = limiter_.admit({request.account, request.request, false}, std::chrono::steady_clock::now());
+        if (verdict.isAdmitted) {
+            after(verdict.delay, [replier] { replier->reply(AdmitReply {AdmitStatus::Admitted, 0}); });
+            return;
+        }
+        noteLimited(request.account, request.request, verdict);
+        replier->reply(AdmitReply {AdmitStatus::Limited, static_cast<std::uint32_t>(verdict.retryAfter.count())});
+    });
+}
+
+void LedgerService::noteLimited(const std::string &account, const std::string &id,
+                                const RequestLimiter::Verdict &verdict)
+{
+    limited_.add();
+    parts_.log.info("request.limited",
+                    {{"id", bareId(id)},
+                     {"account", account},
+                     {"reached", nameOf(limitReachedNames, verdict.reached)},
+                     {"retry_after_ms", verdict.retryAfter.count()},
+                     {"per_second", limiter_.limitOf(account).perSecond},
+                     {"burst", limiter_.limitOf(account).burst},
+                     {"document", triedVersion_}});
+}
+
+void LedgerService::withLease(TimePoint until, std::function<void(bool hasLease)> work)
+{
+    // Guards limits against a leader that is cut off and admits requests while its successor does so too.
+    const bool hasLease = driver_.hasLease();
+    if (hasLease || !leads() || std::chrono::steady_clock::now() >= until) {
+        work(hasLease);
+        return;
+    }
+    after(leasePoll, [this, until, work = std::move(work)]() mutable { withLease(until, std::move(work)); });
+}
+
+void LedgerService::after(Milliseconds delay, std::function<void()> work)
+{
+    if (delay.count() <= 0) {
+        work();
+        return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(parts_.io, delay);
+    timer->async_wait([timer, work = std::move(work)](const boost::system::error_code &) { work(); });
+}
+
+void LedgerService::readHistory(const std::shared_ptr<Begin> &begun)
+{
     if (begun->begin.previous.empty()) {
         startBegin(begun);
         return;
@@ -194,6 +284,11 @@
     });
 }
 
+bool LedgerService::isUnderWay(const TurnBegin &begin) const
+{
+    return !begin.previous.empty() || state_.spent(begin.program) != 0 || state_.reserved(begin.program) != 0;
+}
+
 void LedgerService::startBegin(const std::shared_ptr<Begin> &begun)
 {
     placeBegin(begun);
@@ -213,8 +308,7 @@
     }
     TurnToPlace turn {begin.turn, begin.program, wish.service, wish.failureDomain,
                       wish.rank,  false,         false,        Milliseconds(wish.patienceMs)};
-    turn.isUnderWay
-        = !begin.previous.empty() || state_.spent(begin.program) != 0 || state_.reserved(begin.program) != 0;
+    turn.isUnderWay = isUnderWay(begin);
     turn.isLate = wish.programTimeLeftMs < 0;
     placement_.request(std::move(turn), now, [this, begun](const std::string &backend) { onPlaced(*begun, backend); });
 }
@@ -244,9 +338,10 @@
 void LedgerService::refuse(const TurnBegin &begin, TurnBeginStatus status, bool isConfirmed, const Replier &replier)
 {
     parts_.log.info("turn.refused",
-                    {{"turn", begin.turn},
-                     {"program", begin.program},
-                     {"previous", begin.previous},
+                    {{"turn", bareId(begin.turn)},
+                     {"program", bareId(begin.program)},
+                     {"previous", bareId(begin.previous)},
+                     {"account", accountOf(begin.turn)},
                      {"status", static_cast<int>(status)},
                      {"confirmed", isConfirmed},
                      {"budget", begin.budget},
@@ -281,6 +376,7 @@
     pendingTokens_[begun->begin.program] += begun->begin.tokensAtMost;
     TurnBegin kept = begun->begin;
     kept.wish = {};
+    kept.account.clear();
     propose(std::move(kept), [this, begun](bool isCommitted) {
         const auto pending = pendingTokens_.find(begun->begin.program);
         pending->second -= begun->begin.tokensAtMost;
@@ -339,6 +435,7 @@
         callTheSilent();
     }
     if (isLeader != wasLeader_) {
+        limiter_.reset(std::chrono::steady_clock::now());
         placement_.clear();
     } else {
         placement_.tick(std::chrono::steady_clock::now());
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -7,11 +7,13 @@
 #include "cp_presence_table.hpp"
 #include "cp_turn_text_store.hpp"
 
+#include <cardamompost/accounts/cp_scoped_id.hpp>
 #include <cardamompost/edge/cp_idialect.hpp>
 #include <cardamompost/ledger/cp_ledger_clock.hpp>
 #include <cardamompost/ledger/cp_ledger_state.hpp>
 #include <cardamompost/ledger/cp_member_planner.hpp>
 #include <cardamompost/ledger/cp_news_queue.hpp>
+#include <cardamompost/limits/cp_request_limiter.hpp>
 #include <cardamompost/net/cp_peer_server.hpp>
 #include <cardamompost/policy/cp_turn_placement.hpp>
 
@@ -57,6 +59,7 @@
     void onJoin(const JoinRequest &request, const Replier &replier);
     void onLeaderNotice(const LeaderNotice &notice);
     void onBegin(TurnBegin begin, const Replier &replier);
+    void onAdmit(const AdmitRequest &request, const Replier &replier);
     void onFinish(TurnFinish finish, const Replier &replier);
     void onNews(const NewsRequest &request, const Replier &replier);
     void onPresence(const Presence &presence);
@@ -146,7 +149,18 @@
     void propose(LedgerCommand::Action action, ConsensusDriver::Committed done);
     void refuse(const TurnBegin &begin, TurnBeginStatus status, bool isConfirmed, const Replier &replier);
     void confirmNoSuchTurn(const TurnBegin &begin, const Replier &replier);
+    //! Takes a turn into its account's limit, and goes on with it then or later.
+    void limitBegin(const std::shared_ptr<Begin> &begun);
+    void noteLimited(const std::string &account, const std::string &id, const RequestLimiter::Verdict &verdict);
+    //! Calls back as soon as no other VM can admit requests besides this one. \param until  give up then
+    void withLease(TimePoint until, std::function<void(bool hasLease)> work);
+    //! Calls back after a time; at once for none.
+    void after(Milliseconds delay, std::function<void()> work);
+    //! Reads the history that a turn goes on from.
+    void readHistory(const std::shared_ptr<Begin> &begun);
     //! Goes on with a begin whose history is there.
+    //! The turn's program has run a turn before, or runs one now.
+    [[nodiscard]] bool isUnderWay(const TurnBegin &begin) const;
     void startBegin(const std::shared_ptr<Begin> &begun);
     void placeBegin(const std::shared_ptr<Begin> &begun);
     void onPlaced(Begin &begun, const std::string &backend);
@@ -194,12 +208,14 @@
     TimePoint lastSearchLog_ {};
     std::unordered_map<std::string, std::int64_t> pendingTokens_;
     TurnPlacement placement_;
+    RequestLimiter limiter_;
     NewsQuestions news_;
     Counter &newsPutOff_;
     Histogram &placeSeconds_;
     Counter &takeovers_;
     Counter &spentTurns_;
     Counter &unknownTurns_;
+    Counter &limited_;
     TurnBeginStatus lastApplied_ = TurnBeginStatus::Granted;
     //! What a ledger VM said when it last asked to join, which members do too.
     struct Asker {
--- a/src/gateway/cp_request_head.cpp
+++ b/src/gateway/cp_request_head.cpp
@@ -197,11 +197,23 @@
     facts.session = headerValue(request, names.session);
     facts.previousTurn = headerValue(request, names.previousTurn);
     facts.lastEventId = headerValue(request, names.lastEventId);
+    facts.affinity = headerValue(request, names.affinity);
     readTimes(request, names, facts);
     readTokens(request, names, facts);
     return facts;
 }
 
+std::optional<KeyHash> readKeyHash(const CallerRequest &request, const HeaderNames &names)
+{
+    const auto [first, end] = request.equal_range(names.accessKey);
+    if (first == end) {
+        return std::nullopt;
+    }
+    const std::string_view key = view(first->value());
+    const bool isOneKey = std::all_of(first, end, [&](const auto &field) { return view(field.value()) == key; });
+    return isOneKey ? std::optional(hashKey(key)) : std::nullopt;
+}
+
 std::string makeBackendHead(const CallerRequest &request, const HeaderNames &names, const SendFacts &facts)
 {
     const std::vector<std::string> dropped = connectionNames(request);
@@ -215,13 +227,17 @@
         const std::string_view name = view(field.name_string());
         const bool isOwn = isSame(name, names.deadline) || isSame(name, names.expectedInstance)
             || isSame(name, names.priority) || isOneOf(name, names.reserved)
-            || (!facts.lastEventId.empty() && isSame(name, names.lastEventId));
+            || (!facts.lastEventId.empty() && isSame(name, names.lastEventId))
+            || (facts.hidesKeys && (isSame(name, names.accessKey) || isSame(name, names.account)));
         if (!isOwn && !isHopByHop(field.name()) && !isOneOf(name, dropped)) {
             addHeader(text, name, view(field.value()));
         }
     }
     addHeader(text, names.deadline, fmt::to_string(facts.timeLeft.count()));
     addHeader(text, names.expectedInstance, facts.expectedInstance);
+    if (!facts.account.empty()) {
+        addHeader(text, names.account, facts.account);
+    }
     if (facts.priority >= 0) {
         addHeader(text, names.priority, fmt::to_string(facts.priority));
     }
--- a/src/gateway/cp_request_head.hpp
+++ b/src/gateway/cp_request_head.hpp
@@ -3,6 +3,7 @@
 
 #include "cp_caller_connection.hpp"
 
+#include <cardamompost/accounts/cp_account.hpp>
 #include <cardamompost/edge/cp_idialect.hpp>
 
 #include <boost/beast/http/fields.hpp>
@@ -27,12 +28,17 @@
     std::int64_t tokensIn = 0;
     std::int64_t tokensOutAtMost = 0;
     std::string lastEventId;
+    //! The same for requests that concern the same object; empty when the caller does not say.
+    std::string affinity;
     //! The name of a header that can't be read; empty when all can.
     std::string fault;
 };
 
 [[nodiscard]] RequestFacts readFacts(const CallerRequest &request, const HeaderNames &names);
 
+//! Of the access key; nothing for a request without one, or with several that differ.
+[[nodiscard]] std::optional<KeyHash> readKeyHash(const CallerRequest &request, const HeaderNames &names);
+
 //! What the system adds for one backend server.
 struct SendFacts {
     std::string_view expectedInstance;
@@ -42,6 +48,10 @@
     //! Where a stream goes on; empty for a stream from its start.
     std::string_view lastEventId;
     std::size_t bodyBytes = 0;
+    //! Keys and accounts are the system's: what the caller says of them is not passed on.
+    bool hidesKeys = false;
+    //! Of the client account; empty for an anonymous request.
+    std::string_view account;
 };
 
 //! The request line and headers for a backend server, with the empty line.
--- a/src/gateway/cp_request_report.cpp
+++ b/src/gateway/cp_request_report.cpp
@@ -10,7 +10,7 @@
 {
 
 constexpr std::size_t logLineBytes = 4096;
-constexpr std::size_t logLineFields = 20;
+constexpr std::size_t logLineFields = 22;
 constexpr unsigned firstServerError = 500;
 
 //! What is known of whether a request ran, for the metrics.
@@ -52,12 +52,18 @@
     line["cause"] = request.cause;
     line["ms"] = ms;
     line["document"] = request.table ? request.table->version() : 0;
+    line["news_age_ms"] = parts_.ledger.newsAge().count();
     if (request.route != nullptr) {
         line["route"] = request.route->name;
         line["program"] = request.facts.program;
+        if (!request.account.empty()) {
+            line["account"] = request.account;
+        }
         line["backend"] = request.lastBackend;
         if (request.begin) {
             line["placed_by"] = request.isPlacedByLeader ? "leader" : "entry";
+        }
+        if (request.begin || request.isLimited) {
             line["waited_ms"] = request.waited.count();
         }
         if (request.facts.programTimeLeft) {
@@ -66,7 +72,6 @@
         line["sends"] = request.sends;
         line["runs"] = request.runs;
         line["list"] = fmt::format("{}.{}", parts_.pool.version().term, parts_.pool.version().sequence);
-        line["news_age_ms"] = parts_.ledger.newsAge().count();
     }
     if (!request.detail.empty()) {
         line["detail"] = request.detail;
--- a/tests/platform/cp_entry_news.tests.cpp
+++ b/tests/platform/cp_entry_news.tests.cpp
@@ -20,7 +20,7 @@
     PeerClients peers {io.get_executor(), traffic};
     LedgerClient ledger {{io, settings, peers, log, metrics}};
     BackendPool pool {"entry-0", "apapa", metrics};
-    Forwarder forwarder {{io, dialect, pool, ledger, log, metrics}};
+    Forwarder forwarder {{io, dialect, settings, pool, ledger, log, metrics}};
     EntryNews news {{forwarder, pool, ledger, log}};
 
     void take(std::uint64_t version, ContentDelta delta)
--- a/tests/support/cp_platform_stage.hpp
+++ b/tests/support/cp_platform_stage.hpp
@@ -189,6 +189,13 @@
         const std::lock_guard lock(mutex_);
         return bodies_[id];
     }
+    //! A header as the backend server got it; empty when it got none.
+    std::string headerOf(const std::string &id, const std::string &name)
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = headers_[id].find(name);
+        return found == headers_[id].end() ? std::string() : found->second;
+    }
     //! How often a request reached a backend server.
     std::size_t runsOf(const std::string &id)
     {
@@ -237,11 +244,12 @@
         return list;
     }
     //! Notes an arrival. \returns how many came before with the same id
-    std::size_t note(std::size_t server, const std::string &id, const std::string &body)
+    std::size_t note(std::size_t server, const std::string &id, const HttpRequest &request)
     {
         const std::lock_guard lock(mutex_);
         ++arrivals_;
-        bodies_[id] = body;
+        bodies_[id] = request.body;
+        headers_[id] = request.headers;
         runs_[id].push_back(server);
         return runs_[id].size() - 1;
     }
@@ -271,7 +279,7 @@
             co_await responder.respond(std::move(misdirected));
             co_return;
         }
-        const std::size_t before = note(server, id, request.body);
+        const std::size_t before = note(server, id, request);
         const auto has = [&](std::string_view word) { return request.path.find(word) != std::string::npos; };
         if (has("/never") || (has("silent-once") && before == 0)) {
             co_await sleepFor(Milliseconds(60'000));
@@ -323,6 +331,7 @@
     HttpClient client_;
     std::mutex mutex_;
     std::map<std::string, std::string> bodies_;
+    std::map<std::string, HttpHeaders> headers_;
     std::map<std::string, std::vector<std::size_t>> runs_;
     std::set<std::string> left_;
     bool isReused_ = false;
--- a/tests/support/cp_platform_system.hpp
+++ b/tests/support/cp_platform_system.hpp
@@ -213,14 +213,17 @@
 
     //! The number of the VM that acknowledges a document; operators follow no redirection here.
     std::size_t putDocument(int version, int moreRoutes = 0)
+    {
+        return put(document(version, moreRoutes));
+    }
+    std::size_t put(const std::string &text)
     {
         std::size_t leader = ledgers.size();
         const bool isPut = eventually([&] {
             for (std::size_t i = 0; i < ledgers.size() && leader == ledgers.size(); ++i) {
                 const HttpResponse answer = running[i] == nullptr
                     ? HttpResponse {0, {}, {}}
-                    : stage.call(ledgers[i].control, "PUT", "/cardamompost/configuration", {},
-                                 document(version, moreRoutes));
+                    : stage.call(ledgers[i].control, "PUT", "/cardamompost/configuration", {}, text);
                 leader = answer.status == 200 ? i : leader;
             }
             return leader != ledgers.size();
