--- a/include/cardamompost/consensus/cp_log_cut.hpp
+++ b/include/cardamompost/consensus/cp_log_cut.hpp
@@ -15,11 +15,17 @@
     std::size_t snapshotBytes = 0;
     //! This member leads, and a learner does not hold all that is committed.
     bool hasLearnerBehind = false;
+    //! 0 to 7, another one at each member by chance.
+    unsigned turn = 0;
 
     //! The log is cut once it is longer than this and than the state itself, which bounds memory and restarts.
     static constexpr std::size_t leastBytes = 8U << 20U;
     //! The log may grow to so many times that for a learner.
     static constexpr std::size_t growthForLearner = 2;
+    //! Guards against members that all make a snapshot at once: each stands still for it, and with a quorum of them
+    //! everything that waits for one. Their logs are cut so many bytes apart.
+    static constexpr std::size_t bytesATurn = 512U << 10U;
+    static constexpr unsigned turns = 8;
 
     //! Guards against a newcomer that chases snapshots. Under load the log is cut every few seconds; a learner that has
     //! just been given one snapshot lacks the entries after it by then, is sent the next, and so on, so that a member
@@ -28,7 +34,7 @@
     [[nodiscard]] bool isDue() const
     {
         const std::size_t bytes = std::max(leastBytes, snapshotBytes);
-        return bytesSinceSnapshot >= (hasLearnerBehind ? growthForLearner * bytes : bytes);
+        return bytesSinceSnapshot >= (hasLearnerBehind ? growthForLearner * bytes : bytes) + turn * bytesATurn;
     }
 };
 
--- a/include/cardamompost/storage/cp_log_batch.hpp
+++ b/include/cardamompost/storage/cp_log_batch.hpp
@@ -3,6 +3,9 @@
 
 #include <cardamompost/consensus/cp_raft_node.hpp>
 
+#include <deque>
+#include <utility>
+
 namespace cardamompost
 {
 
@@ -67,6 +70,11 @@
     {
         records_.push_back(std::move(record));
     }
+    //! What it holds, in order; it is empty afterwards.
+    [[nodiscard]] std::vector<Record> takeRecords()
+    {
+        return std::exchange(records_, {});
+    }
     //! Takes over what another batch holds.
     void append(LogBatch &&other)
     {
@@ -80,6 +88,9 @@
     std::vector<Record> records_;
 };
 
+//! A batch's records in order, in batches that are done once they hold so many bytes; one empty batch for none.
+[[nodiscard]] std::deque<LogBatch> splitBatch(LogBatch &&whole, std::size_t partBytes);
+
 //! The indexes that a Forget record's payload holds; nothing for a payload of another form.
 [[nodiscard]] std::optional<std::vector<LogIndex>> decodeIndexes(std::string_view payload);
 
--- a/src/cardamompost/storage/cp_log_batch.cpp
+++ b/src/cardamompost/storage/cp_log_batch.cpp
@@ -42,6 +42,21 @@
     records_.push_back({RecordType::Forget, group, 0, 0, EntryKind::Command, std::move(payload)});
 }
 
+std::deque<LogBatch> splitBatch(LogBatch &&whole, std::size_t partBytes)
+{
+    std::deque<LogBatch> parts(1);
+    std::size_t bytes = 0;
+    for (LogBatch::Record &record : whole.takeRecords()) {
+        if (bytes >= partBytes) {
+            parts.emplace_back();
+            bytes = 0;
+        }
+        bytes += record.payload.size();
+        parts.back().add(std::move(record));
+    }
+    return parts;
+}
+
 std::optional<std::vector<LogIndex>> decodeIndexes(std::string_view payload)
 {
     if (payload.size() % sizeof(LogIndex) != 0) {
--- a/src/gateway/cp_consensus_driver.cpp
+++ b/src/gateway/cp_consensus_driver.cpp
@@ -22,6 +22,7 @@
 // A member that was silent for so long may be behind a connection that is dead without anybody having noticed.
 constexpr Milliseconds reopenAfter {700};
 constexpr std::size_t entryOverheadBytes = 128;
+constexpr std::size_t snapshotPartBytes = 256U << 10U;
 
 TimePoint timeNow()
 {
@@ -46,6 +47,7 @@
         snapshotBytes_ = stored.snapshot.state.size();
     }
     applied_ = stored.snapshot.index;
+    cutTurn_ = static_cast<unsigned>(stableHash(options.self) % LogCut::turns);
     node_.emplace(std::move(options), std::move(stored), initial, timeNow());
     scheduleTick();
     return boost::outcome_v2::success();
@@ -145,9 +147,9 @@
 
 void ConsensusDriver::store(const std::shared_ptr<RaftReady> &ready)
 {
-    const bool needsDisk = ready->hard || ready->snapshot || !ready->entries.empty() || !newSnapshot_.isEmpty();
+    const bool needsDisk = ready->hard || ready->snapshot || !ready->entries.empty();
     if (!needsDisk) {
-        complete(*ready, false);
+        complete(*ready);
         return;
     }
     // A leader's appends may leave while it syncs the same entries itself: they promise nothing in its name, and its
@@ -155,35 +157,38 @@
     if (!ready->hard && node_->role() == RaftRole::Leader) {
         send(std::exchange(ready->messages, {}));
     }
-    auto own = std::make_shared<LogBatch>(std::exchange(newSnapshot_, {}));
     DiskThread::Job job;
     job.group = controlGroup;
-    job.prepare = [ready, own](LogStore & /*store*/, LogBatch &batch) {
+    job.prepare = [ready](LogStore & /*store*/, LogBatch &batch) {
         if (ready->hard) {
             batch.putHardState(controlGroup, *ready->hard);
         }
         if (ready->snapshot) {
             batch.putSnapshot(controlGroup, *ready->snapshot);
         }
-        batch.append(std::move(*own));
         for (const LogEntry &entry : ready->entries) {
             batch.putEntry(controlGroup, entry);
         }
     };
-    job.finish = [this, ready, hasSnapshot = !own->isEmpty()](const Result<void> &written) {
-        const bool isWritten = written.has_value();
-        asio::post(parts_.io, [this, ready, isWritten, hasSnapshot] {
-            isStopped_ = isStopped_ || !isWritten;
-            if (isStopped_) {
-                failWaiting();
-            } else {
-                complete(*ready, hasSnapshot);
+    job.finish = [this, ready](const Result<void> &written) {
+        asio::post(parts_.io, [this, ready, isWritten = written.has_value()] {
+            if (goesOnAfter(isWritten)) {
+                complete(*ready);
             }
         });
     };
     parts_.disk.post(std::move(job));
 }
 
+bool ConsensusDriver::goesOnAfter(bool isWritten)
+{
+    isStopped_ = isStopped_ || !isWritten;
+    if (isStopped_) {
+        failWaiting();
+    }
+    return !isStopped_;
+}
+
 void ConsensusDriver::send(std::vector<RaftMessage> messages)
 {
     for (RaftMessage &message : messages) {
@@ -194,11 +199,8 @@
     }
 }
 
-void ConsensusDriver::complete(RaftReady &ready, bool hasSnapshot)
+void ConsensusDriver::complete(RaftReady &ready)
 {
-    if (hasSnapshot) {
-        state_.onSnapshotStored();
-    }
     if (!ready.entries.empty()) {
         node_->persisted(ready.entries.back().index, ready.entries.back().term);
     }
@@ -265,7 +267,8 @@
 
 void ConsensusDriver::compactIfLong()
 {
-    if (!LogCut {bytesSinceSnapshot_, snapshotBytes_, hasLearnerBehind()}.isDue()) {
+    const LogCut cut {bytesSinceSnapshot_, snapshotBytes_, hasLearnerBehind(), cutTurn_};
+    if (!snapshotParts_.empty() || !cut.isDue()) {
         return;
     }
     std::string state = state_.encodeSnapshot();
@@ -273,9 +276,36 @@
     bytesSinceSnapshot_ = 0;
     parts_.log.info("ledger.compacted", {{"index", applied_}, {"bytes", snapshotBytes_}});
     node_->compact(applied_, std::move(state));
-    // In the form in which it is written: one copy less of what may be a sixth of a small VM's memory.
-    newSnapshot_.putSnapshot(controlGroup, node_->log().snapshot());
-    state_.addToSnapshot(newSnapshot_);
+    LogBatch texts;
+    state_.addToSnapshot(texts);
+    snapshotParts_ = splitBatch(std::move(texts), snapshotPartBytes);
+    // Last, since it voids the log's entries that hold the same; until then a restart finds these.
+    snapshotParts_.back().putSnapshot(controlGroup, node_->log().snapshot());
+    storeSnapshot();
+}
+
+void ConsensusDriver::storeSnapshot()
+{
+    // Guards turns that wait for the disk: megabytes in one write hold up every append and vote behind them, at the
+    // leader for a third of a second, and entries ask for another leader meanwhile.
+    DiskThread::Job job;
+    job.group = snapshotParts_.size() > 1 ? textGroup : controlGroup;
+    auto part = std::make_shared<LogBatch>(std::move(snapshotParts_.front()));
+    job.prepare = [part](LogStore & /*store*/, LogBatch &batch) { batch.append(std::move(*part)); };
+    job.finish = [this](const Result<void> &written) {
+        asio::post(parts_.io, [this, isWritten = written.has_value()] {
+            if (!goesOnAfter(isWritten)) {
+                return;
+            }
+            snapshotParts_.pop_front();
+            if (snapshotParts_.empty()) {
+                state_.onSnapshotStored();
+            } else {
+                storeSnapshot();
+            }
+        });
+    };
+    parts_.disk.post(std::move(job));
 }
 
 void ConsensusDriver::propose(std::string payload, Committed done)
--- a/src/gateway/cp_consensus_driver.hpp
+++ b/src/gateway/cp_consensus_driver.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
 #include <unordered_map>
 
 namespace cardamompost
@@ -108,12 +109,15 @@
     //! True while the leader's next round has to wait; it comes by itself then.
     [[nodiscard]] bool isPaced();
     void store(const std::shared_ptr<RaftReady> &ready);
-    //! \param hasSnapshot  a snapshot of this member's own was stored with it
-    void complete(RaftReady &ready, bool hasSnapshot);
+    void complete(RaftReady &ready);
+    //! After a write; a member whose disk has failed stops. \returns false then, and once it is stopped
+    bool goesOnAfter(bool isWritten);
     void send(std::vector<RaftMessage> messages);
     void applyCommitted(const std::vector<LogEntry> &entries);
     void answerReads(const RaftReady &ready);
     void compactIfLong();
+    //! Writes a snapshot's parts one after the other, so that what a leader sends and promises waits for one part only.
+    void storeSnapshot();
     //! This member leads, and a learner that answers lacks entries.
     [[nodiscard]] bool hasLearnerBehind() const;
     void failWaiting();
@@ -134,8 +138,9 @@
     LogIndex applied_ = 0;
     std::size_t bytesSinceSnapshot_ = 0;
     std::size_t snapshotBytes_ = 0;
-    //! A snapshot that was made and is not stored yet.
-    LogBatch newSnapshot_;
+    //! Parts of a snapshot that was made and is not stored yet; the last holds the snapshot itself.
+    std::deque<LogBatch> snapshotParts_;
+    unsigned cutTurn_ = 0;
     std::unordered_map<VmName, TimePoint> lastHeard_;
     std::unordered_map<VmName, TimePoint> lastReopened_;
     Counter &committed_;
--- a/tests/storage/cp_log_store.tests.cpp
+++ b/tests/storage/cp_log_store.tests.cpp
@@ -255,4 +255,25 @@
     BOOST_TEST(store.value().loadRaft(group).value().entries.size() == 3U);
 }
 
+// What turns said since the last snapshot is megabytes; in one write, every append waits for all of it.
+BOOST_AUTO_TEST_CASE(a_large_batch_is_split_in_order_and_nothing_is_left_out)
+{
+    constexpr std::size_t partBytes = 1000;
+    constexpr LogIndex count = 40;
+    LogBatch whole;
+    for (LogIndex index = 1; index <= count; ++index) {
+        whole.putLooseEntry(textGroup, index, std::string(300, 'x'));
+    }
+    const std::deque<LogBatch> parts = splitBatch(std::move(whole), partBytes);
+    LogIndex next = 1;
+    for (const LogBatch &part : parts) {
+        BOOST_TEST(part.records().size() <= 4U);
+        for (const LogBatch::Record &record : part.records()) {
+            BOOST_TEST(record.index == next++);
+        }
+    }
+    BOOST_TEST(next == count + 1);
+    BOOST_TEST(splitBatch(LogBatch {}, partBytes).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
