Send requests for one object to one server where their route is sticky

Cause: on routes with sticky sessions a plain service's server that has just handled an object works faster; the key of the object was passed on and not used. Ways: the least loaded of the entry's preferred servers, as it stood; a consistent (rendezvous) hash of the object with a bound on load. Change: a request with an affinity key goes by its hash, as turns of a program do. A table of who served lately was not built: 57 entries would have to tell each other of 4,000 objects.

--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -184,6 +184,20 @@
     return wish;
 }
 
+namespace
+{
+
+//! What the requests that a server answers faster, one after the other, have in common.
+const std::string &stickyUnit(const ForwardedRequest &request)
+{
+    if (!request.service->isEngine) {
+        return request.facts.affinity;
+    }
+    return request.facts.program.empty() ? request.facts.session : request.facts.program;
+}
+
+} // namespace
+
 std::shared_ptr<BackendState> Forwarder::choose(ForwardedRequest &request)
 {
     const TimePoint now = timeNow();
@@ -197,10 +211,9 @@
             return placed;
         }
     }
-    const bool isSticky = request.route->isSticky && request.service->isEngine;
-    const std::string &unit = request.facts.program.empty() ? request.facts.session : request.facts.program;
-    const PickRequest wanted {request.service->name, isSticky && !unit.empty() ? stableHash(unit) | 1U : 0,
-                              request.tried};
+    const std::string &unit = stickyUnit(request);
+    const bool isSticky = request.route->isSticky && !unit.empty();
+    const PickRequest wanted {request.service->name, isSticky ? stableHash(unit) | 1U : 0, request.tried};
     return parts_.pool.pick(wanted, now);
 }
 
--- a/tests/platform/cp_platform_path.tests.cpp
+++ b/tests/platform/cp_platform_path.tests.cpp
@@ -172,4 +172,31 @@
     BOOST_TEST(system.explainEnd("g2").cause.find("the document may be old") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(requests_for_one_object_go_to_one_server_on_a_sticky_route)
+{
+    System system;
+    std::string text = document(3);
+    const std::string facts = R"(,"engine":{"slots":16,"key-value-tokens":1000,"stride":10})";
+    text.erase(text.find(facts), facts.size());
+    const std::string tools = R"("path-prefix":"/tools/",)";
+    text.insert(text.find(tools) + tools.size(), R"("sticky-sessions":true,)");
+    system.put(text);
+    const Address one = system.addEntry(system.seeds());
+    const Address two = system.addEntry(system.seeds());
+    std::set<std::string> all;
+    for (int object = 0; object < 12; ++object) {
+        std::set<std::string> servers;
+        for (int i = 0; i < 4; ++i) {
+            const std::string id = std::to_string(object) + "-" + std::to_string(i);
+            HttpHeaders headers = System::headers(id);
+            headers["Affinity-Key"] = std::to_string(object);
+            BOOST_TEST(system.stage.call(i % 2 == 0 ? one : two, "POST", "/tools/1", headers, "in").status == 200U);
+            servers.insert(system.stage.lastServerOf(id));
+        }
+        BOOST_TEST(servers.size() == 1U);
+        all.insert(servers.begin(), servers.end());
+    }
+    BOOST_TEST(all.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
