Ask a slow ledger once, take its leader for lost only when it does not answer, and refuse new programs first

Cause: a begin or end that was not decided within 0.4 s made its entry take the leader for lost, search at all ledger VMs ten times a second and ask again; each question was proposed anew. Change: begins, ends and VM records under way are proposed once however often they are asked for; an overdue reply makes an entry ask the leader whether it leads before it searches; a search asks the voters and eight others at a time; begins that no quorum has decided for 0.6 s (1.2 s for programs under way) make the leader refuse with a time to come back.

--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -89,6 +89,8 @@
     Queued,
     //! The account is over its limit; the turn is not run.
     Limited,
+    //! The ledger has more to write than it can; the turn is not run.
+    Overloaded,
 };
 
 struct TurnBeginReply {
@@ -98,7 +100,7 @@
     std::string history;
     //! Id of the backend server with a place for it; empty when the entry has to choose. Only with Tentative.
     std::string backend;
-    //! Only with Limited.
+    //! Only with Limited and Overloaded.
     std::uint32_t retryAfterMs = 0;
 };
 
--- a/src/cardamompost/net/cp_frame_decoder.cpp
+++ b/src/cardamompost/net/cp_frame_decoder.cpp
@@ -142,7 +142,7 @@
         return decodeTurnBegin(in.getTurnBegin());
     case Body::TURN_BEGIN_REPLY: {
         const auto reply = in.getTurnBeginReply();
-        return TurnBeginReply {decodeEnum(reply.getStatus(), TurnBeginStatus::Limited), fromText(reply.getLeader()),
+        return TurnBeginReply {decodeEnum(reply.getStatus(), TurnBeginStatus::Overloaded), fromText(reply.getLeader()),
                                fromData(reply.getHistory()), fromText(reply.getBackend()), reply.getRetryAfterMs()};
     }
     case Body::ADMIT:
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -246,6 +246,8 @@
         refusal = {statusNotFound, "no such turn to continue", Milliseconds(0)};
     } else if (request.begin->status() == TurnBeginStatus::Limited) {
         refusal = access_.limited(request.begin->retryAfter());
+    } else if (request.begin->status() == TurnBeginStatus::Overloaded) {
+        refusal = {statusUnavailable, "the ledger has more to write than it can", request.begin->retryAfter()};
     }
     co_await refuse(request, refusal);
     // A reservation may have been made behind an answer that was lost.
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -20,7 +20,11 @@
 constexpr Milliseconds retryPause {10};
 constexpr Milliseconds newsWait {500};
 constexpr Milliseconds newsTimeout {900};
+// Within it a leader that is busy says that it leads.
+constexpr Milliseconds doubtTimeout {400};
 constexpr Milliseconds searchTimeout {300};
+// Others than voters that a search asks at a time.
+constexpr std::size_t othersASearch = 8;
 constexpr Milliseconds searchInterval {100};
 // Searches shorter than this are an ordinary change of leader.
 constexpr Milliseconds longSearch {1000};
@@ -60,6 +64,7 @@
     , seeds_(parts.settings.seedPeers())
     , found_(parts.io)
     , beginRetries_(parts.metrics.counter("cardamompost_ledger_begin_retries_total"))
+    , slow_(parts.metrics.counter("cardamompost_ledger_slow_total"))
     , lost_(parts.metrics.counter("cardamompost_ledger_lost_total"))
     , toldBySuccessor_(parts.metrics.counter("cardamompost_ledger_told_by_successor_total"))
     , finishRetries_(parts.metrics.counter("cardamompost_ledger_finish_retries_total"))
@@ -109,7 +114,7 @@
 {
     // Everybody is asked at once: one after the other, each that is down would cost its time-out, and all turns wait.
     while (leader_.empty() && !isStopped_) {
-        for (const VmName &peer : everyone()) {
+        for (const VmName &peer : nextToAsk()) {
             askWhoLeads(peer);
         }
         logSearch();
@@ -119,6 +124,51 @@
     isSearching_ = false;
 }
 
+std::vector<VmName> LedgerClient::nextToAsk()
+{
+    const std::set<VmName> all = everyone();
+    std::vector<VmName> others;
+    std::vector<VmName> asked;
+    for (const VmName &peer : all) {
+        const bool isVoter = std::find(voters_.begin(), voters_.end(), peer) != voters_.end();
+        (isVoter ? asked : others).push_back(peer);
+    }
+    // Guards ledger VMs that are many, and busy, against hundreds of entries that each ask all of them ten times a
+    // second. Voters are asked each time, the others by turns.
+    const std::size_t count = std::min(othersASearch, others.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        asked.push_back(others[(searches_ * othersASearch + i) % others.size()]);
+    }
+    ++searches_;
+    return asked;
+}
+
+void LedgerClient::doubtLeader(const VmName &asked, const Result<FrameBody> &reply, const std::string &reason)
+{
+    const bool isOverdue = !reply && reply.error().kind == ErrorKind::DeadlineExceeded;
+    const auto client = parts_.peers.client(asked);
+    if (!isOverdue || leader_ != asked || !client) {
+        loseLeader(asked, reply ? reason : reply.error().message);
+        return;
+    }
+    if (isInDoubt_) {
+        return;
+    }
+    // Guards a leader that has more to do than it can against entries that all search for it, and make it slower.
+    isInDoubt_ = true;
+    NewsRequest request;
+    request.wantsContent = false;
+    client->request(request, doubtTimeout, [this, asked](Result<FrameBody> answer, bool) {
+        isInDoubt_ = false;
+        const NewsReply *news = answer ? std::get_if<NewsReply>(&answer.value()) : nullptr;
+        if (news != nullptr && news->isLeader && news->term >= leaderTerm_) {
+            slow_.add();
+            return;
+        }
+        loseLeader(asked, answer ? "it does not lead" : answer.error().message);
+    });
+}
+
 void LedgerClient::logSearch()
 {
     const TimePoint now = timeNow();
@@ -243,10 +293,14 @@
         return;
     }
     if (answer == nullptr) {
-        loseLeader(peer, reply ? "an unexpected reply" : reply.error().message);
+        doubtLeader(peer, reply, "an unexpected reply");
         resendLater(attempt);
         return;
     }
+    if (answer->status == TurnBeginStatus::Tentative && pending.isTentative_) {
+        // Asked again; what was told before is in use already.
+        return;
+    }
     if (answer->status == TurnBeginStatus::Tentative) {
         pending.isTentative_ = true;
         pending.history_ = std::move(answer->history);
@@ -297,7 +351,7 @@
             co_return true;
         }
         finishRetries_.add();
-        loseLeader(peer, reply ? "it did not make the end durable" : reply.error().message);
+        doubtLeader(peer, reply, "it did not make the end durable");
         co_await sleepFor(retryPause);
     }
     co_return false;
@@ -318,7 +372,7 @@
         if (answer != nullptr && answer->status != AdmitStatus::NotLeader) {
             co_return *answer;
         }
-        loseLeader(peer, reply ? "it does not lead" : reply.error().message);
+        doubtLeader(peer, reply, "it does not lead");
         co_await sleepFor(retryPause);
     }
     co_return std::nullopt;
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -162,6 +162,10 @@
     void watch(const VmName &peer);
     void follow(const VmName &peer, const NewsReply &news);
     void loseLeader(const VmName &asked, const std::string &reason);
+    //! A request to the leader has no reply in time: it is lost unless it still says that it leads.
+    void doubtLeader(const VmName &asked, const Result<FrameBody> &reply, const std::string &reason);
+    //! Whom to ask next for the leader.
+    [[nodiscard]] std::vector<VmName> nextToAsk();
     [[nodiscard]] std::set<VmName> everyone() const;
 
     Parts parts_;
@@ -173,6 +177,10 @@
     VmName leader_;
     Term leaderTerm_ = 0;
     bool isSearching_ = false;
+    //! The leader is being asked whether it still leads.
+    bool isInDoubt_ = false;
+    //! Searches so far; each asks others of those that are many.
+    std::size_t searches_ = 0;
     TimePoint searchingSince_ {};
     TimePoint lastSearchLog_ {};
     boost::asio::steady_timer found_;
@@ -187,6 +195,7 @@
     bool isStopped_ = false;
     bool hasLeader_ = false;
     Counter &beginRetries_;
+    Counter &slow_;
     Counter &lost_;
     Counter &toldBySuccessor_;
     Counter &finishRetries_;
--- a/src/gateway/cp_ledger_members.cpp
+++ b/src/gateway/cp_ledger_members.cpp
@@ -225,8 +225,10 @@
     }
     askers_[request.peer] = {std::chrono::steady_clock::now(), request.holdsUpTo, request.failureDomain};
     const auto known = state_.vms().find(request.vm);
-    if (known == state_.vms().end() || known->second.peer != request.peer) {
-        propose(LedgerVm {request.vm, request.peer, false}, [](bool) {});
+    const bool isKnown = known != state_.vms().end() && known->second.peer == request.peer;
+    // Asked again while it is proposed, as while the ledger is slow, it is not proposed once more.
+    if (!isKnown && proposedVms_.insert(request.vm).second) {
+        propose(LedgerVm {request.vm, request.peer, false}, [this, vm = request.vm](bool) { proposedVms_.erase(vm); });
     }
     if (!replier) {
         return;
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -22,6 +22,11 @@
 // holds of answers that are on their way.
 constexpr double newsBytesPerSecond = 24.0 * (1U << 20U);
 constexpr double newsBurstBytes = 4.0 * (1U << 20U);
+// Begins that wait for so long that no quorum has decided mean overload. Entries give a turn up after 1.75 s.
+constexpr Milliseconds longestDelayForNew {600};
+constexpr Milliseconds longestDelayUnderWay {1200};
+constexpr Milliseconds soonestReturn {300};
+constexpr Milliseconds returnSpread {600};
 constexpr Milliseconds leasePoll {10};
 // Shorter than an entry waits for a reply.
 constexpr Milliseconds leasePatience {300};
@@ -48,6 +53,7 @@
     , spentTurns_(parts.metrics.counter("cardamompost_turns_refused_total", {{"reason", "spent"}}))
     , unknownTurns_(parts.metrics.counter("cardamompost_turns_refused_total", {{"reason", "no-such-turn"}}))
     , limited_(parts.metrics.counter("cardamompost_requests_limited_total"))
+    , overloaded_(parts.metrics.counter("cardamompost_turns_refused_total", {{"reason", "overloaded"}}))
 {
 }
 
@@ -170,6 +176,10 @@
         replier->reply(TurnBeginReply {TurnBeginStatus::NotLeader, driver_.leader(), {}, {}});
         return;
     }
+    if (const auto under = begins_.find(begin.turn); under != begins_.end()) {
+        askAgain(*under->second, replier);
+        return;
+    }
     offerDocument();
     const auto pending = pendingTokens_.find(begin.program);
     const std::int64_t taken = pending == pendingTokens_.end() ? 0 : pending->second;
@@ -182,11 +192,52 @@
         refuse(begin, status, false, replier);
         return;
     }
-    const auto begun = std::make_shared<Begin>(
-        Begin {std::move(begin), replier, std::chrono::steady_clock::now(), {}, false, std::nullopt});
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (isOverloaded(begin, now)) {
+        // Spread, so that those that are refused together do not come back together.
+        const auto spread = static_cast<std::uint32_t>(randomIdentity() % returnSpread.count());
+        const auto retryAfter = static_cast<std::uint32_t>(soonestReturn.count()) + spread;
+        overloaded_.add();
+        replier->reply(TurnBeginReply {TurnBeginStatus::Overloaded, self_, {}, {}, retryAfter});
+        return;
+    }
+    const auto begun = std::make_shared<Begin>(Begin {std::move(begin), replier, now, {}, {}, false, std::nullopt});
+    begins_.emplace(begun->begin.turn, begun);
     limitBegin(begun);
 }
 
+void LedgerService::askAgain(Begin &begun, const Replier &replier)
+{
+    begun.replier = replier;
+    if (begun.isPlaced) {
+        replier->reply(TurnBeginReply {TurnBeginStatus::Tentative, self_, begun.history, begun.backend}, false);
+    } else {
+        replier->reply(TurnBeginReply {TurnBeginStatus::Queued, self_, {}, {}}, false);
+    }
+}
+
+void LedgerService::endBegin(Begin &begun, TurnBeginReply reply)
+{
+    begins_.erase(begun.begin.turn);
+    begun.replier->reply(std::move(reply));
+}
+
+Milliseconds LedgerService::commitDelay(TimePoint now)
+{
+    while (!proposed_.empty() && proposed_.front().second->decided) {
+        proposed_.pop_front();
+    }
+    return proposed_.empty() ? Milliseconds(0)
+                             : std::chrono::duration_cast<Milliseconds>(now - proposed_.front().first);
+}
+
+bool LedgerService::isOverloaded(const TurnBegin &begin, TimePoint now)
+{
+    // Guards the ledger against more turns than it can write: begun all the same, they would all be granted too late,
+    // after they have run. Programs under way are taken for longer than new ones.
+    return commitDelay(now) >= (isUnderWay(begin) ? longestDelayUnderWay : longestDelayForNew);
+}
+
 void LedgerService::limitBegin(const std::shared_ptr<Begin> &begun)
 {
     const TurnBegin &begin = begun->begin;
@@ -196,7 +247,7 @@
     }
     withLease(begun->since + leasePatience, [this, begun](bool hasLease) {
         if (!hasLease) {
-            begun->replier->reply(TurnBeginReply {TurnBeginStatus::NotLeader, driver_.leader(), {}, {}});
+            endBegin(*begun, TurnBeginReply {TurnBeginStatus::NotLeader, driver_.leader(), {}, {}});
             return;
         }
         const TurnBegin &turn = begun->begin;
@@ -208,7 +259,7 @@
         }
         noteLimited(turn.account, turn.turn, verdict);
         const auto retryAfter = static_cast<std::uint32_t>(verdict.retryAfter.count());
-        begun->replier->reply(TurnBeginReply {TurnBeginStatus::Limited, self_, {}, {}, retryAfter});
+        endBegin(*begun, TurnBeginReply {TurnBeginStatus::Limited, self_, {}, {}, retryAfter});
     });
 }
 
@@ -276,7 +327,7 @@
         // Guards against a turn without a part of its history, and against one that is refused as unknown although
         // it is only out of reach for now: the entry asks again until the caller has waited long enough.
         if (!history || !leads()) {
-            begun->replier->reply(TurnBeginReply {TurnBeginStatus::NotLeader, driver_.leader(), {}, {}});
+            endBegin(*begun, TurnBeginReply {TurnBeginStatus::NotLeader, driver_.leader(), {}, {}});
             return;
         }
         begun->history = std::move(*history);
@@ -316,8 +367,9 @@
 void LedgerService::onPlaced(Begin &begun, const std::string &backend)
 {
     begun.isPlaced = true;
+    begun.backend = backend;
     placeSeconds_.observe(std::chrono::duration<double>(std::chrono::steady_clock::now() - begun.since).count());
-    begun.replier->reply(TurnBeginReply {TurnBeginStatus::Tentative, self_, std::move(begun.history), backend}, false);
+    begun.replier->reply(TurnBeginReply {TurnBeginStatus::Tentative, self_, begun.history, backend}, false);
     if (begun.decided) {
         onDecided(begun, *begun.decided);
     }
@@ -328,7 +380,7 @@
     begun.decided = status;
     // What is granted waits for its place; what is refused is told at once.
     if (begun.isPlaced || status != TurnBeginStatus::Granted) {
-        begun.replier->reply(TurnBeginReply {status, driver_.leader(), {}, {}});
+        endBegin(begun, TurnBeginReply {status, driver_.leader(), {}, {}});
     }
     if (status != TurnBeginStatus::Granted) {
         placement_.release(begun.begin.turn, std::chrono::steady_clock::now());
@@ -377,6 +429,7 @@
     TurnBegin kept = begun->begin;
     kept.wish = {};
     kept.account.clear();
+    proposed_.emplace_back(std::chrono::steady_clock::now(), begun);
     propose(std::move(kept), [this, begun](bool isCommitted) {
         const auto pending = pendingTokens_.find(begun->begin.program);
         pending->second -= begun->begin.tokensAtMost;
@@ -394,8 +447,20 @@
         return;
     }
     placement_.release(finish.turn, std::chrono::steady_clock::now());
-    propose(std::move(finish), [this, replier](bool isCommitted) {
-        replier->reply(TurnFinishReply {isCommitted, driver_.leader()});
+    const std::string turn = finish.turn;
+    if (finish.isKept && state_.hasTurn(turn)) {
+        // Asked again after the reply was lost: what is applied here is on a quorum's disks.
+        replier->reply(TurnFinishReply {true, self_});
+        return;
+    }
+    if (const auto [waiting, isNew] = finishes_.try_emplace(turn, replier); !isNew) {
+        // Asked again while it is proposed.
+        waiting->second = replier;
+        return;
+    }
+    propose(std::move(finish), [this, turn](bool isCommitted) {
+        const Replier waiting = std::move(finishes_.extract(turn).mapped());
+        waiting->reply(TurnFinishReply {isCommitted, driver_.leader()});
     });
 }
 
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -17,6 +17,8 @@
 #include <cardamompost/net/cp_peer_server.hpp>
 #include <cardamompost/policy/cp_turn_placement.hpp>
 
+#include <deque>
+
 namespace cardamompost
 {
 
@@ -124,6 +126,8 @@
         TimePoint since {};
         //! Of the turns that it continues.
         std::string history;
+        //! With a place for it, once isPlaced.
+        std::string backend;
         bool isPlaced = false;
         //! What the quorum decided; nothing yet.
         std::optional<TurnBeginStatus> decided;
@@ -166,6 +170,13 @@
     void onPlaced(Begin &begun, const std::string &backend);
     void commitBegin(const std::shared_ptr<Begin> &begun);
     void onDecided(Begin &begun, TurnBeginStatus status);
+    //! The last reply to a begin.
+    void endBegin(Begin &begun, TurnBeginReply reply);
+    //! The entry has asked again for a begin that is under way.
+    void askAgain(Begin &begun, const Replier &replier);
+    //! Time since the oldest begin was proposed that no quorum has decided yet; 0 when there is none.
+    [[nodiscard]] Milliseconds commitDelay(TimePoint now);
+    [[nodiscard]] bool isOverloaded(const TurnBegin &begin, TimePoint now);
     [[nodiscard]] bool hasNewDocument(const NewsRequest &request) const;
     [[nodiscard]] bool hasNewList(const NewsRequest &request) const;
     //! There is something new to answer with.
@@ -207,6 +218,11 @@
     std::optional<TimePoint> searchingSince_;
     TimePoint lastSearchLog_ {};
     std::unordered_map<std::string, std::int64_t> pendingTokens_;
+    //! Begins without their last reply, by turn, and those of them that are proposed, oldest first.
+    std::unordered_map<std::string, std::shared_ptr<Begin>> begins_;
+    std::deque<std::pair<TimePoint, std::shared_ptr<Begin>>> proposed_;
+    //! Who waits for an end that is proposed, by turn.
+    std::unordered_map<std::string, Replier> finishes_;
     TurnPlacement placement_;
     RequestLimiter limiter_;
     NewsQuestions news_;
@@ -216,6 +232,7 @@
     Counter &spentTurns_;
     Counter &unknownTurns_;
     Counter &limited_;
+    Counter &overloaded_;
     TurnBeginStatus lastApplied_ = TurnBeginStatus::Granted;
     //! What a ledger VM said when it last asked to join, which members do too.
     struct Asker {
@@ -224,6 +241,8 @@
         std::string failureDomain;
     };
     std::unordered_map<VmName, Asker> askers_;
+    //! VMs whose record is proposed and not decided yet.
+    std::set<VmName> proposedVms_;
     //! Entries that want to hear at once if this VM becomes the leader.
     std::vector<Watcher> watchers_;
     DocumentBuckets documentBuckets_;
--- a/tests/support/cp_conducted_files.hpp
+++ b/tests/support/cp_conducted_files.hpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <thread>
 #include <utility>
 
 namespace cardamompost::tests
@@ -14,6 +15,8 @@
 struct DiskConduct {
     //! It refuses all writes, as a full one does.
     std::atomic<bool> refuses {false};
+    //! How long each sync takes besides, in milliseconds.
+    std::atomic<int> syncDelayMs {0};
     //! Most bytes that one sync had to wait for.
     std::atomic<std::size_t> largestSync {0};
 };
@@ -68,6 +71,7 @@
         Result<void> sync() override
         {
             conduct_->largestSync = std::max(conduct_->largestSync.load(), std::exchange(unsynced_, 0));
+            std::this_thread::sleep_for(std::chrono::milliseconds(conduct_->syncDelayMs.load()));
             return file_->sync();
         }
         Result<std::string> readAt(std::uint64_t offset, std::size_t length) override
