Report what accounts have used through the ledger's log, so that a new leader goes on where the last one was

Ways: begin with nothing (until now); begin with a share of the tolerance (one change of leaders a window at most); usage through the log. Change: the leader proposes what was admitted every 200 ms, sooner when an account has used an eighth of the tolerance; an account with a quarter of it unreported waits for the report.

--- a/include/cardamompost/ledger/cp_ledger_command.hpp
+++ b/include/cardamompost/ledger/cp_ledger_command.hpp
@@ -3,6 +3,7 @@
 
 #include <cardamompost/core/cp_error.hpp>
 #include <cardamompost/ledger/cp_ledger_message.hpp>
+#include <cardamompost/limits/cp_usage_log.hpp>
 
 #include <variant>
 
@@ -26,9 +27,14 @@
     friend bool operator==(const LedgerVm &, const LedgerVm &) = default;
 };
 
+//! What accounts with a limit have used since the leader's last report.
+struct UsageReport {
+    std::vector<AccountUsage> usage;
+};
+
 //! One entry of the ledger's log.
 struct LedgerCommand {
-    using Action = std::variant<RouteDocumentPut, TurnBegin, TurnFinish, LedgerVm>;
+    using Action = std::variant<RouteDocumentPut, TurnBegin, TurnFinish, LedgerVm, UsageReport>;
 
     //! The ledger's time at the leader that proposed it, see LedgerClock; what expires goes by it on all members alike.
     std::int64_t nowMs = 0;
--- a/include/cardamompost/ledger/cp_ledger_state.hpp
+++ b/include/cardamompost/ledger/cp_ledger_state.hpp
@@ -48,6 +48,11 @@
     //! What its turns under way may cost at their most.
     [[nodiscard]] std::int64_t reserved(const std::string &program) const;
 
+    //! What accounts with a limit have used lately.
+    [[nodiscard]] const UsageLog &usage() const
+    {
+        return usage_;
+    }
     //! Time of the last command.
     [[nodiscard]] std::int64_t nowMs() const
     {
@@ -118,6 +123,7 @@
     std::unordered_map<std::string, Turn> turns_;
     std::size_t turnBytes_ = 0;
     TurnTexts texts_;
+    UsageLog usage_;
 };
 
 } // namespace cardamompost
--- a/include/cardamompost/limits/cp_request_limiter.hpp
+++ b/include/cardamompost/limits/cp_request_limiter.hpp
@@ -4,6 +4,7 @@
 #include <cardamompost/accounts/cp_account.hpp>
 #include <cardamompost/core/cp_name_table.hpp>
 #include <cardamompost/core/cp_time.hpp>
+#include <cardamompost/limits/cp_usage_log.hpp>
 
 #include <array>
 #include <string>
@@ -18,7 +19,7 @@
     //! In any span of this length an account gets its rate times the span and its burst. 0 for spans of every length.
     Milliseconds window {0};
     //! What may come on top of that, as a share and as a number of requests. It is used up only when the VM that counts
-    //! is replaced, as its successor does not know what was admitted before.
+    //! is replaced, as its successor does not know what was admitted in the last moment before.
     double overShare = 0;
     double overRequests = 0;
 };
@@ -69,8 +70,17 @@
 
     //! Puts limits in force. Accounts that are known keep what they have used; a new one begins with nothing.
     void setLimits(const std::vector<Account> &accounts, TimePoint now);
-    //! Forgets what was used. Every account begins with nothing, as what another VM admitted a moment ago is not known.
-    void reset(TimePoint now);
+    //! Takes over from another VM, of whose admissions all but the last unreported ones are known.
+    //! \param nowMs  as the log's times are told
+    void takeOver(const UsageLog &usage, std::int64_t nowMs, TimePoint now);
+    //! What was admitted since the last call, for a report that outlives this VM.
+    [[nodiscard]] std::vector<AccountUsage> takeReport(TimePoint now);
+    //! The report is stored, or lost.
+    void endReport(const std::vector<AccountUsage> &report, bool isStored);
+    //! It is time for the next report.
+    [[nodiscard]] bool isReportDue(TimePoint now) const;
+    //! The account has as much unreported as a successor may not know of: its next requests wait for the report.
+    [[nodiscard]] bool waitsForReport(const std::string &account) const;
     //! As it is in force; unbounded for an account that is not known.
     [[nodiscard]] RequestLimit limitOf(const std::string &account) const
     {
@@ -123,6 +133,9 @@
         Allowance programs;
         //! The last time to come back that was given out.
         TimePoint lastReturn {};
+        //! Admitted, and not in a report yet; and in one that is not stored yet.
+        std::uint32_t unreported = 0;
+        std::uint32_t inReport = 0;
     };
     //! Requests a program, as seen over all accounts lately.
     class ProgramSize
@@ -139,6 +152,8 @@
 
     //! The most that may be admitted at once after a pause.
     [[nodiscard]] double depthOf(const RequestLimit &limit) const;
+    //! Requests that a successor may not know of.
+    [[nodiscard]] double mostUnreported(const RequestLimit &limit) const;
     //! Until one more request fits into the window; 0 when it does.
     [[nodiscard]] Milliseconds untilWindowFits(const Usage &usage, TimePoint now) const;
     [[nodiscard]] Milliseconds slice() const
@@ -153,6 +168,10 @@
 
     LimitPrecision precision_;
     std::unordered_map<std::string, Usage> usages_;
+    TimePoint lastReport_ {};
+    bool isReporting_ = false;
+    //! Some account has half of what may be unreported.
+    bool isReportUrgent_ = false;
     ProgramSize programSize_;
     //! Ids that were admitted lately, and those before.
     std::unordered_set<std::string> recent_;
--- /dev/null
+++ b/include/cardamompost/limits/cp_usage_log.hpp
@@ -0,0 +1,66 @@
+#ifndef CARDAMOMPOST_CP_USAGE_LOG_HPP_INCLUDED
+#define CARDAMOMPOST_CP_USAGE_LOG_HPP_INCLUDED
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cardamompost
+{
+
+//! Requests of an account that were admitted since the last report.
+struct AccountUsage {
+    std::string account;
+    std::uint32_t requests = 0;
+
+    friend bool operator==(const AccountUsage &, const AccountUsage &) = default;
+};
+
+//! What accounts have used lately, as reports of the VM that counts say. Thread-safety: none.
+class UsageLog
+{
+public:
+    struct Item {
+        std::int64_t atMs = 0;
+        std::uint32_t requests = 0;
+
+        friend bool operator==(const Item &, const Item &) = default;
+    };
+    using Items = std::map<std::string, std::deque<Item>>;
+
+    //! Takes a report, and forgets what is older than any window.
+    void add(std::int64_t nowMs, const std::vector<AccountUsage> &report)
+    {
+        for (const AccountUsage &usage : report) {
+            items_[usage.account].push_back({nowMs, usage.requests});
+        }
+        for (auto item = items_.begin(); item != items_.end();) {
+            std::deque<Item> &times = item->second;
+            while (!times.empty() && times.front().atMs < nowMs - keepMs) {
+                times.pop_front();
+            }
+            item = times.empty() ? items_.erase(item) : std::next(item);
+        }
+    }
+    void restore(const std::string &account, Item item)
+    {
+        items_[account].push_back(item);
+    }
+    //! By account, oldest first.
+    [[nodiscard]] const Items &items() const
+    {
+        return items_;
+    }
+
+    // Longer than windows of limits.
+    static constexpr std::int64_t keepMs = 15'000;
+
+private:
+    Items items_;
+};
+
+} // namespace cardamompost
+
+#endif // CARDAMOMPOST_CP_USAGE_LOG_HPP_INCLUDED
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -587,9 +587,15 @@
     reserve @2 :TurnBegin;
     finish @3 :TurnFinish;
     vm @4 :LedgerVm;
+    usage @5 :List(AccountUsage);
   }
 }
 
+struct AccountUsage {
+  account @0 :Text;
+  requests @1 :UInt32;
+}
+
 # What a ledger VM keeps on its disk of the way to the group.
 struct StoredPeerBook {
   writtenAtMs @0 :Int64;
@@ -604,6 +610,12 @@
   vms @3 :List(LedgerVm);
   programs @4 :List(ProgramAccount);
   turns @5 :List(KeptTurn);
+  usage @6 :List(Usage);
+  struct Usage {
+    account @0 :Text;
+    atMs @1 :Int64;
+    requests @2 :UInt32;
+  }
   struct ProgramAccount {
     program @0 :Text;
     spent @1 :Int64;
--- a/src/cardamompost/ledger/cp_ledger_codec.cpp
+++ b/src/cardamompost/ledger/cp_ledger_codec.cpp
@@ -20,6 +20,23 @@
     return {fromText(in.getVm()), fromText(in.getPeer()), in.getIsRetiring()};
 }
 
+void encodeUsage(const UsageReport &in, capnp::List<schema::AccountUsage>::Builder out)
+{
+    for (unsigned i = 0; i < out.size(); ++i) {
+        out[i].setAccount(toText(in.usage[i].account));
+        out[i].setRequests(in.usage[i].requests);
+    }
+}
+
+UsageReport decodeUsage(capnp::List<schema::AccountUsage>::Reader in)
+{
+    UsageReport report;
+    for (const auto usage : in) {
+        report.usage.push_back({fromText(usage.getAccount()), usage.getRequests()});
+    }
+    return report;
+}
+
 LedgerCommand readCommand(schema::LedgerCommand::Reader in)
 {
     LedgerCommand command;
@@ -37,6 +54,9 @@
     case schema::LedgerCommand::VM:
         command.action = decodeVmRecord(in.getVm());
         break;
+    case schema::LedgerCommand::USAGE:
+        command.action = decodeUsage(in.getUsage());
+        break;
     }
     return command;
 }
@@ -55,6 +75,8 @@
         encodeTurnBegin(*begin, out.initReserve());
     } else if (const auto *finish = std::get_if<TurnFinish>(&command.action)) {
         encodeTurnFinish(*finish, out.initFinish());
+    } else if (const auto *report = std::get_if<UsageReport>(&command.action)) {
+        encodeUsage(*report, out.initUsage(static_cast<unsigned>(report->usage.size())));
     } else {
         encodeVmRecord(std::get<LedgerVm>(command.action), out.initVm());
     }
@@ -99,6 +121,7 @@
             }
         }
         encodeTurns(state, out.initTurns(static_cast<unsigned>(state.turns_.size())));
+        encodeUsageLog(state.usage_, out);
     }
 
     static void decode(LedgerState &state, schema::LedgerSnapshot::Reader in)
@@ -123,11 +146,31 @@
             state.turnBytes_ += turn.bytes;
             state.turns_.emplace(fromText(item.getTurn()), turn);
         }
+        for (const auto item : in.getUsage()) {
+            state.usage_.restore(fromText(item.getAccount()), {item.getAtMs(), item.getRequests()});
+        }
     }
 
 private:
     using KeptTurns = capnp::List<schema::LedgerSnapshot::KeptTurn>::Builder;
 
+    static void encodeUsageLog(const UsageLog &usage, schema::LedgerSnapshot::Builder snapshot)
+    {
+        std::size_t count = 0;
+        for (const auto &[account, items] : usage.items()) {
+            count += items.size();
+        }
+        auto out = snapshot.initUsage(static_cast<unsigned>(count));
+        unsigned place = 0;
+        for (const auto &[account, items] : usage.items()) {
+            for (const UsageLog::Item &item : items) {
+                out[place].setAccount(toText(account));
+                out[place].setAtMs(item.atMs);
+                out[place++].setRequests(item.requests);
+            }
+        }
+    }
+
     static void encodeTurns(const LedgerState &state, KeptTurns out)
     {
         unsigned place = 0;
--- a/src/cardamompost/ledger/cp_ledger_state.cpp
+++ b/src/cardamompost/ledger/cp_ledger_state.cpp
@@ -26,6 +26,8 @@
         return applyBegin(*begin);
     } else if (const auto *finish = std::get_if<TurnFinish>(&command.action)) {
         applyFinish(*finish, index);
+    } else if (const auto *report = std::get_if<UsageReport>(&command.action)) {
+        usage_.add(nowMs_, report->usage);
     } else {
         applyVm(std::get<LedgerVm>(command.action));
     }
--- a/src/cardamompost/limits/cp_request_limiter.cpp
+++ b/src/cardamompost/limits/cp_request_limiter.cpp
@@ -14,12 +14,16 @@
 constexpr Milliseconds longestDelay {150};
 // Longer than an entry goes on asking for one request.
 constexpr Milliseconds rememberFor {3000};
+constexpr Milliseconds reportInterval {200};
+// Of the precision, what a successor may not know of.
+constexpr double shareOfPrecisionUnreported = 0.25;
 constexpr Milliseconds soonestReturn {20};
 // Callers that are refused together are spread over this time at most.
 constexpr Milliseconds latestReturn {2000};
 // Programs that may begin at once, in seconds of the limit. Their requests come over the seconds that follow.
 constexpr double programBurstSeconds = 4;
-// The rest, and the share of the limit, are for changes of the VM that counts: each may cost longestDelay once more.
+// The rest, and the share of the limit, are for changes of the VM that counts: each may cost longestDelay once more,
+// and what was not reported yet.
 constexpr double shareOfOverRequests = 0.8;
 constexpr double fewestProgramsAtOnce = 3;
 // What a new program leaves of the burst to those that have begun.
@@ -136,16 +140,85 @@
     }
 }
 
-void RequestLimiter::reset(TimePoint now)
+void RequestLimiter::takeOver(const UsageLog &usage, std::int64_t nowMs, TimePoint now)
 {
-    for (auto &[name, usage] : usages_) {
-        usage.requests.reset(now);
-        usage.programs.reset(now);
-        usage.recent = {};
-        usage.lastReturn = {};
+    for (auto &[name, state] : usages_) {
+        state.recent = {};
+        state.lastReturn = {};
+        state.unreported = 0;
+        state.inReport = 0;
+        const double depth = depthOf(state.limit);
+        // Rested long ago, and since then as the reports say.
+        TimePoint at = now - Milliseconds(UsageLog::keepMs);
+        state.requests.reset(at - Milliseconds(UsageLog::keepMs));
+        state.programs.reset(at - Milliseconds(UsageLog::keepMs));
+        const auto items = usage.items().find(name);
+        if (items == usage.items().end()) {
+            continue;
+        }
+        for (const UsageLog::Item &item : items->second) {
+            at = now - Milliseconds(std::max<std::int64_t>(0, nowMs - item.atMs));
+            state.requests.refill(state.limit.perSecond, depth, at);
+            for (std::uint32_t i = 0; i < item.requests; ++i) {
+                state.requests.take();
+                if (precision_.window.count() != 0) {
+                    state.recent.add(at, slice());
+                }
+            }
+        }
     }
     recent_.clear();
     older_.clear();
+    isReporting_ = false;
+    isReportUrgent_ = false;
+}
+
+double RequestLimiter::mostUnreported(const RequestLimit &limit) const
+{
+    const double windowSeconds = std::chrono::duration<double>(precision_.window).count();
+    const double over
+        = (limit.perSecond * windowSeconds + limit.burst) * precision_.overShare + precision_.overRequests;
+    return std::max(1.0, shareOfPrecisionUnreported * over);
+}
+
+std::vector<AccountUsage> RequestLimiter::takeReport(TimePoint now)
+{
+    std::vector<AccountUsage> report;
+    for (auto &[name, usage] : usages_) {
+        if (usage.unreported != 0) {
+            report.push_back({name, usage.unreported});
+            usage.inReport += std::exchange(usage.unreported, 0);
+        }
+    }
+    lastReport_ = now;
+    isReporting_ = !report.empty();
+    isReportUrgent_ = false;
+    return report;
+}
+
+void RequestLimiter::endReport(const std::vector<AccountUsage> &report, bool isStored)
+{
+    isReporting_ = false;
+    for (const AccountUsage &item : report) {
+        const auto usage = usages_.find(item.account);
+        if (usage != usages_.end()) {
+            const std::uint32_t known = std::min(item.requests, usage->second.inReport);
+            usage->second.inReport -= known;
+            usage->second.unreported += isStored ? 0 : known;
+        }
+    }
+}
+
+bool RequestLimiter::isReportDue(TimePoint now) const
+{
+    return !isReporting_ && (isReportUrgent_ || now - lastReport_ >= reportInterval);
+}
+
+bool RequestLimiter::waitsForReport(const std::string &account) const
+{
+    const auto usage = usages_.find(account);
+    return usage != usages_.end()
+        && usage->second.unreported + usage->second.inReport >= mostUnreported(usage->second.limit);
 }
 
 bool RequestLimiter::isKnown(std::string_view id, TimePoint now)
@@ -223,6 +296,8 @@
         usage.programs.take();
     }
     usage.requests.take();
+    ++usage.unreported;
+    isReportUrgent_ = isReportUrgent_ || 2 * usage.unreported >= mostUnreported(usage.limit);
     if (precision_.window.count() != 0) {
         usage.recent.add(now + delay, slice());
     }
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -130,12 +130,29 @@
 
 void LedgerService::propose(LedgerCommand::Action action, ConsensusDriver::Committed done)
 {
-    const TimePoint now = std::chrono::steady_clock::now();
+    refreshClock();
+    const std::int64_t nowMs = clock_.nowMs(std::chrono::steady_clock::now());
+    driver_.propose(encodeLedgerCommand({nowMs, std::move(action)}), std::move(done));
+}
+
+void LedgerService::refreshClock()
+{
     if (driver_.isStarted() && clockTerm_ != driver_.node().term()) {
         clockTerm_ = driver_.node().term();
-        clock_.takeOver(state_.nowMs(), now);
+        clock_.takeOver(state_.nowMs(), std::chrono::steady_clock::now());
+    }
+}
+
+void LedgerService::reportUsage()
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (!leads() || !limiter_.isReportDue(now)) {
+        return;
+    }
+    std::vector<AccountUsage> report = limiter_.takeReport(now);
+    if (!report.empty()) {
+        propose(UsageReport {report}, [this, report](bool isCommitted) { limiter_.endReport(report, isCommitted); });
     }
-    driver_.propose(encodeLedgerCommand({clock_.nowMs(now), std::move(action)}), std::move(done));
 }
 
 void LedgerService::apply(const LogEntry &entry)
@@ -245,7 +262,7 @@
         readHistory(begun);
         return;
     }
-    withLease(begun->since + leasePatience, [this, begun](bool hasLease) {
+    mayAdmit(begin.account, begun->since + leasePatience, [this, begun](bool hasLease) {
         if (!hasLease) {
             endBegin(*begun, TurnBeginReply {TurnBeginStatus::NotLeader, driver_.leader(), {}, {}});
             return;
@@ -254,6 +271,7 @@
         const RequestLimiter::Verdict verdict
             = limiter_.admit({turn.account, turn.turn, !isUnderWay(turn)}, std::chrono::steady_clock::now());
         if (verdict.isAdmitted) {
+            reportUsage();
             after(verdict.delay, [this, begun] { readHistory(begun); });
             return;
         }
@@ -265,21 +283,23 @@
 
 void LedgerService::onAdmit(const AdmitRequest &request, const Replier &replier)
 {
-    withLease(std::chrono::steady_clock::now() + leasePatience, [this, request, replier](bool hasLease) {
-        if (!hasLease) {
-            replier->reply(AdmitReply {AdmitStatus::NotLeader, 0});
-            return;
-        }
-        offerDocument();
-        const RequestLimiter::Verdict verdict
-            = limiter_.admit({request.account, request.request, false}, std::chrono::steady_clock::now());
-        if (verdict.isAdmitted) {
-            after(verdict.delay, [replier] { replier->reply(AdmitReply {AdmitStatus::Admitted, 0}); });
-            return;
-        }
-        noteLimited(request.account, request.request, verdict);
-        replier->reply(AdmitReply {AdmitStatus::Limited, static_cast<std::uint32_t>(verdict.retryAfter.count())});
-    });
+    offerDocument();
+    mayAdmit(
+        request.account, std::chrono::steady_clock::now() + leasePatience, [this, request, replier](bool hasLease) {
+            if (!hasLease) {
+                replier->reply(AdmitReply {AdmitStatus::NotLeader, 0});
+                return;
+            }
+            const RequestLimiter::Verdict verdict
+                = limiter_.admit({request.account, request.request, false}, std::chrono::steady_clock::now());
+            if (verdict.isAdmitted) {
+                reportUsage();
+                after(verdict.delay, [replier] { replier->reply(AdmitReply {AdmitStatus::Admitted, 0}); });
+                return;
+            }
+            noteLimited(request.account, request.request, verdict);
+            replier->reply(AdmitReply {AdmitStatus::Limited, static_cast<std::uint32_t>(verdict.retryAfter.count())});
+        });
 }
 
 void LedgerService::noteLimited(const std::string &account, const std::string &id,
@@ -296,15 +316,17 @@
                      {"document", triedVersion_}});
 }
 
-void LedgerService::withLease(TimePoint until, std::function<void(bool hasLease)> work)
+void LedgerService::mayAdmit(const std::string &account, TimePoint until, std::function<void(bool)> work)
 {
-    // Guards limits against a leader that is cut off and admits requests while its successor does so too.
-    const bool hasLease = driver_.hasLease();
+    // Guards limits against a leader that is cut off and admits requests while its successor does so too, or that is
+    // lost with all that it has just admitted.
+    const bool hasLease = driver_.hasLease() && !limiter_.waitsForReport(account);
     if (hasLease || !leads() || std::chrono::steady_clock::now() >= until) {
         work(hasLease);
         return;
     }
-    after(leasePoll, [this, until, work = std::move(work)]() mutable { withLease(until, std::move(work)); });
+    after(leasePoll,
+          [this, account, until, work = std::move(work)]() mutable { mayAdmit(account, until, std::move(work)); });
 }
 
 void LedgerService::after(Milliseconds delay, std::function<void()> work)
@@ -500,11 +522,17 @@
         callTheSilent();
     }
     if (isLeader != wasLeader_) {
-        limiter_.reset(std::chrono::steady_clock::now());
+        if (isLeader) {
+            refreshClock();
+            offerDocument();
+            const TimePoint now = std::chrono::steady_clock::now();
+            limiter_.takeOver(state_.usage(), clock_.nowMs(now), now);
+        }
         placement_.clear();
     } else {
         placement_.tick(std::chrono::steady_clock::now());
     }
+    reportUsage();
     if (isLeader != wasLeader_ || driver_.leader() != loggedLeader_) {
         wasLeader_ = isLeader;
         logRole();
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -156,8 +156,12 @@
     //! Takes a turn into its account's limit, and goes on with it then or later.
     void limitBegin(const std::shared_ptr<Begin> &begun);
     void noteLimited(const std::string &account, const std::string &id, const RequestLimiter::Verdict &verdict);
-    //! Calls back as soon as no other VM can admit requests besides this one. \param until  give up then
-    void withLease(TimePoint until, std::function<void(bool hasLease)> work);
+    //! Calls back as soon as no other VM can admit the account's requests besides this one, and a successor would know
+    //! of those that were. \param until  give up then, with false
+    void mayAdmit(const std::string &account, TimePoint until, std::function<void(bool)> work);
+    //! Proposes what accounts have used, now and then.
+    void reportUsage();
+    void refreshClock();
     //! Calls back after a time; at once for none.
     void after(Milliseconds delay, std::function<void()> work);
     //! Reads the history that a turn goes on from.
--- a/tests/ledger/cp_ledger_state.tests.cpp
+++ b/tests/ledger/cp_ledger_state.tests.cpp
@@ -209,4 +209,23 @@
     BOOST_TEST(!LedgerState::decode("nonsense, but longer than a word").has_value());
 }
 
+// Guards limits over a change of leaders and a restored snapshot: what accounts used must be known to the next leader.
+BOOST_AUTO_TEST_CASE(what_accounts_used_lately_is_in_the_log_and_in_snapshots)
+{
+    LedgerState state;
+    LogIndex index = 0;
+    const auto report = [&](std::int64_t nowMs, std::vector<AccountUsage> usage) {
+        const std::string bytes = encodeLedgerCommand({nowMs, UsageReport {std::move(usage)}});
+        state.apply(decodeLedgerCommand(bytes).value(), ++index);
+    };
+    report(1000, {{"officers", 3}, {"foremen", 1}});
+    report(2000, {{"officers", 4}});
+    const UsageLog::Items items = LedgerState::decode(state.encode()).value().usage().items();
+    BOOST_TEST((items == state.usage().items()));
+    BOOST_TEST((items.at("officers") == std::deque<UsageLog::Item> {{1000, 3}, {2000, 4}}));
+    report(2000 + UsageLog::keepMs, {{"foremen", 2}});
+    BOOST_TEST(state.usage().items().at("officers").size() == 1U);
+    BOOST_TEST(state.usage().items().at("foremen").size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
