--- a/src/gateway/cp_backend_pool.cpp
+++ b/src/gateway/cp_backend_pool.cpp
@@ -24,8 +24,6 @@
 constexpr double reportHalfLifeMs = 300;
 // What a server in another failure domain costs more, in shares of its slots.
 constexpr double otherDomainCost = 0.2;
-// A sticky request leaves its server once that is loaded to this share of its slots.
-constexpr double stickyLoadLimit = 0.8;
 constexpr std::size_t sampledServers = 3;
 // An entry keeps to so many servers of a service while they have places. Few servers mean connections that are in use
 // again before their servers drop them.
@@ -194,22 +192,22 @@
     if (usable.empty()) {
         return nullptr;
     }
-    return request.stickyPoint != 0 ? pickSticky(usable, request.stickyPoint, now) : pickLeastLoaded(usable, now);
+    return request.stickyPoint != 0 ? pickSticky(usable, request, now) : pickLeastLoaded(usable, now);
 }
 
 std::shared_ptr<BackendState> BackendPool::pickSticky(const std::vector<std::shared_ptr<BackendState>> &usable,
-                                                      std::uint64_t point, TimePoint now) const
+                                                      const PickRequest &request, TimePoint now) const
 {
     // Rendezvous hashing: every entry finds the same order of servers for a point without telling any other, and a
     // server that comes or goes moves only its own share of the points.
     std::vector<std::pair<std::uint64_t, std::shared_ptr<BackendState>>> order;
     for (const auto &backend : usable) {
-        order.emplace_back(stableHash(backend->server_.id, point), backend);
+        order.emplace_back(stableHash(backend->server_.id, request.stickyPoint), backend);
     }
     std::sort(order.begin(), order.end(), [](const auto &left, const auto &right) { return left.first > right.first; });
     const auto share = [&](const auto &item) { return item.second->load(now) / item.second->server().slots; };
     for (const auto &item : order) {
-        if (share(item) < stickyLoadLimit) {
+        if (share(item) < request.stickyLoadLimit) {
             return item.second;
         }
     }
--- a/src/gateway/cp_backend_pool.hpp
+++ b/src/gateway/cp_backend_pool.hpp
@@ -104,7 +104,9 @@
     //! Requests with the same point prefer the same server, whichever entry takes them; 0 for no preference.
     std::uint64_t stickyPoint = 0;
     //! Ids of servers that had this request already.
-    std::set<std::string> tried;
+    std::set<std::string> tried {};
+    //! From this share of its slots on, requests leave the server that they prefer.
+    double stickyLoadLimit = 0.8;
 };
 
 //! The backend servers that an entry may send to, and its connections to them. Thread-safety: none.
@@ -150,7 +152,7 @@
     //! As the list in force has them.
     [[nodiscard]] std::vector<BackendServer> servers() const;
     [[nodiscard]] std::shared_ptr<BackendState> pickSticky(const std::vector<std::shared_ptr<BackendState>> &usable,
-                                                           std::uint64_t point, TimePoint now) const;
+                                                           const PickRequest &request, TimePoint now) const;
     [[nodiscard]] std::shared_ptr<BackendState>
     pickLeastLoaded(const std::vector<std::shared_ptr<BackendState>> &usable, TimePoint now);
     //! Null when all that this entry prefers have much to do.
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -30,6 +30,10 @@
 constexpr Milliseconds comeBackLater {500};
 // Servers that may say that they did not run a request before its caller is told so.
 constexpr unsigned maxSends = 4;
+// Shares of a server's slots from which on requests leave the one that holds what they need. Plain services slow down
+// before they are full, and what they gain by it is less than an engine's prompt.
+constexpr double engineLoadLimit = 0.8;
+constexpr double serverLoadLimit = 0.5;
 constexpr unsigned maxConnectFailures = 6;
 // Repeats for a route's first attempts, so that servers that fail together are not sent several times their load.
 constexpr double repeatsPerAttempt = 0.2;
@@ -213,7 +217,8 @@
     }
     const std::string &unit = stickyUnit(request);
     const bool isSticky = request.route->isSticky && !unit.empty();
-    const PickRequest wanted {request.service->name, isSticky ? stableHash(unit) | 1U : 0, request.tried};
+    const PickRequest wanted {request.service->name, isSticky ? stableHash(unit) | 1U : 0, request.tried,
+                              request.service->isEngine ? engineLoadLimit : serverLoadLimit};
     return parts_.pool.pick(wanted, now);
 }
 
