Give the soak accounts, with keys that come, go and move, and one that asks for several times its limit

Change: servers record the account and whether a key came along; checked are holders, keys that stay, keys that are gone, and every window of the limit, from what the server saw.

--- a/tests/platform/gateway_soak.py
+++ b/tests/platform/gateway_soak.py
@@ -9,11 +9,16 @@
 against a stand-in that is engine, service and list. Checked: a turn arrives with its whole history; nothing that must not be
 repeated runs twice; what was refused as not run has not run; no program gets more than its budget and one turn; a turn that was
 answered whole is never unknown; the newest acknowledged document is read back; an entry that served a route of a document never
-says 404 to it again, while documents grow; service is back once all faults are over, of the newest routes too.
+says 404 to it again, while documents grow; service is back once all faults are over, of the newest routes too. Requests carry keys
+of accounts: a server is told the account that holds the key and never the key; a key that no document had runs nowhere, one that stays
+is never refused, one that was taken away is refused once all is over; an account with a limit gets no more in any window.
 """
 import argparse, asyncio, json, os, random, resource, shutil, signal, socket, sys, tempfile, time
 
 STRIDE, MOST, BUDGET = 10, 50, 400
+# An account's limit: requests a second and at once, the window, and what may come on top.
+RATE, WINDOW, OVER_SHARE, OVER_REQUESTS = 15, 5.0, 0.1, 20
+KEY = "stay-officers"
 DOCUMENT = {"routes": [
     {"name": "plans", "host": "h.example", "path-prefix": "/plans/", "kind": "streaming", "timeout-ms": 4000, "service": "e",
      "max-attempts": 1, "retains-context": True, "retention-s": 60.0, "sticky-sessions": True},
@@ -27,7 +32,20 @@
     """With so many routes besides; later versions keep those of earlier ones."""
     more = [{"name": f"grown-{i}", "host": "h.example", "path-prefix": f"/grown-{i}/", "kind": "unsafe", "timeout-ms": 3000,
              "service": "e", "max-attempts": 1} for i in range(grown)]
-    return json.dumps({**DOCUMENT, "version": version, "routes": DOCUMENT["routes"] + more}).encode()
+    return json.dumps({**DOCUMENT, "version": version, "routes": DOCUMENT["routes"] + more, "tenants": accounts(version)}).encode()
+
+
+def accounts(version):
+    """Some keys stay, one moves between two accounts, and one is there in a single version."""
+    moves = [["mover"], []] if version % 2 == 0 else [[], ["mover"]]
+    return [{"name": "officers", "access-keys": ["stay-officers"] + moves[0]},
+            {"name": "foremen", "access-keys": ["stay-foremen"] + moves[1], "priority": 1},
+            {"name": "bound", "access-keys": ["stay-bound"], "rate-per-s": RATE, "burst": RATE},
+            {"name": "visitors", "access-keys": [f"visit-{version}"]}]
+
+
+# Who may hold a key, whichever document is in force.
+HOLDERS = {"stay-officers": {"officers"}, "stay-foremen": {"foremen"}, "stay-bound": {"bound"}, "mover": {"officers", "foremen"}}
 
 
 async def read_head(reader):
@@ -53,7 +71,10 @@
         reader, writer = await asyncio.open_connection(*address)
         try:
             lines = [f"{method} {path} HTTP/1.1", "Connection: close", f"Content-Length: {len(body)}"]
-            lines += [f"{name}: {value}" for name, value in (headers or {"Host": "x"}).items()]
+            sent = headers or {"Host": "x"}
+            if sent["Host"] == "h.example":
+                sent = {"X-Api-Key": KEY, **sent}
+            lines += [f"{name}: {value}" for name, value in sent.items()]
             writer.write("\r\n".join(lines + ["", ""]).encode() + body)
             status, answer = await read_head(reader)
             return int(status.split()[1]), await read_body(reader, answer)
@@ -104,6 +125,8 @@
 
     def __init__(self, random_):
         self.random, self.runs, self.bodies, self.address = random_, {}, {}, None
+        # The account that each request came with, and when those of the one with a limit came.
+        self.accounts, self.bound_at, self.leaked = {}, [], 0
 
     async def serve(self, reader, writer):
         try:
@@ -118,6 +141,10 @@
                 request = headers["request-id"]
                 self.runs[request] = self.runs.get(request, 0) + 1
                 self.bodies[request] = body
+                self.accounts[request] = headers.get("tenant")
+                self.leaked += "x-api-key" in headers
+                if headers.get("tenant") == "bound":
+                    self.bound_at.append(time.monotonic())
                 fate = self.random.random()
                 if fate < 0.03:
                     writer.transport.abort()
@@ -184,6 +211,7 @@
         self.acked, self.counts, self.serial = 0, {}, 0
         # Routes of the last document that was put, and the last one that each entry has served.
         self.grown, self.served = 1, {}
+        self.keys = {}
         self.next_port = os.getpid() * 211
 
     def fail(self, text):
@@ -204,7 +232,8 @@
             self.ledgers.append(Process(self, f"ledger-{i}", "ledger", {
                 "peer": f"127.0.0.1:{self.peer_ports[i]}", "peer_listen": f"127.0.0.1:{ports[i]}",
                 "control": f"127.0.0.1:{ports[3 + i]}", "directory": f"127.0.0.1:{ports[6 + i]}",
-                "backend_list": "%s:%d" % self.backend.address, "list_interval_ms": 300}))
+                "backend_list": "%s:%d" % self.backend.address, "list_interval_ms": 300, "limit_window_s": WINDOW,
+                "limit_over_share": OVER_SHARE, "limit_over_requests": OVER_REQUESTS}))
         self.fronts = [("127.0.0.1", port) for port in ports[9:11]]
         for i in range(2):
             self.entries.append(Process(self, f"entry-{i}", "entry", {
@@ -273,26 +302,31 @@
             await asyncio.sleep(0.1)
         return False
 
-    async def send(self, path, headers, body):
+    async def send(self, path, headers, body, key=KEY):
         self.serial += 1
         request = f"r{self.seed}x{self.serial}"
+        self.keys[request] = key
+        headers = {"X-Api-Key": key, "Tenant": "forged", **headers}
         status, answer = await call(self.random.choice(self.fronts), "POST", path,
                                     {"Host": "h.example", "Request-Id": request, "Deadline-Milliseconds": 4000, **headers}, body)
         self.counts[status] = self.counts.get(status, 0) + 1
         if self.backend.runs.get(request, 0) > 1:
             self.fail(f"{request} ran {self.backend.runs[request]} times")
-        if status in (402, 404, 408, 421, 429, 503):
+        if status == 401 and key in HOLDERS:
+            self.fail(f"{request} was refused though the key '{key}' is there")
+        if status in (401, 402, 404, 408, 421, 429, 503):
             self.refused.append((request, status))
         return request, status, answer
 
     async def program(self, number):
         previous, history, handed = None, b"", 0
+        key = "stay-officers" if number % 2 else "stay-foremen"
         for turn in range(12):
             headers = {"Program": f"p{self.seed}-{number}", "Session": "s", "Token-Budget": BUDGET, "Token-Usage": f"100,{MOST}"}
             if previous:
                 headers["Previous-Turn"] = previous
             text = f"in-{number}-{turn};".encode()
-            request, status, answer = await self.send("/plans/x", headers, text)
+            request, status, answer = await self.send("/plans/x", headers, text, key)
             handed += answer.count(b"\n\n") * STRIDE
             got = self.backend.bodies.get(request)
             if got is not None and got != history + text:
@@ -304,7 +338,7 @@
             if status == 200:
                 data = b"".join(line[6:] + b"\n" for line in answer.split(b"\n") if line.startswith(b"data: "))
                 previous, history = request, history + text + data
-            await self.send("/tools/x", {}, b"work")
+            await self.send("/tools/x", {}, b"work", self.random.choice([key, "mover", "never"]))
             await asyncio.sleep(self.random.uniform(0.01, 0.1))
         if handed > BUDGET + MOST:
             self.fail(f"program {number} got {handed} tokens of {BUDGET}")
@@ -318,6 +352,46 @@
                 await self.program(number)
         await asyncio.gather(*(one(i) for i in range(6)))
 
+    async def press(self, until):
+        """An account that asks for several times its limit."""
+        async def one():
+            while time.monotonic() < until:
+                await self.send("/tools/x", {}, b"work", "stay-bound")
+                await asyncio.sleep(0.1)
+        await asyncio.gather(*(one() for _ in range(8)))
+
+    def check_accounts(self):
+        if self.backend.leaked:
+            self.fail(f"{self.backend.leaked} requests reached the server with a key")
+        for request, account in self.backend.accounts.items():
+            key = self.keys.get(request, KEY)
+            holders = {"visitors"} if key.startswith("visit-") else HOLDERS.get(key, set())
+            if account not in holders:
+                self.fail(f"{request} with the key '{key}' ran for the account '{account}'")
+        times, first = sorted(self.backend.bound_at), 0
+        most = (RATE * WINDOW + RATE) * (1 + OVER_SHARE) + OVER_REQUESTS
+        for last, at in enumerate(times):
+            while times[first] <= at - WINDOW:
+                first += 1
+            if last - first + 1 > most:
+                self.fail(f"{last - first + 1} requests of the account with a limit within {WINDOW} s, for {most}")
+                break
+
+    async def refuses_old_keys(self, front):
+        """Once all is over: the newest document's key is taken, those of documents before are not."""
+        async def status(version):
+            self.serial += 1
+            request = f"v{self.seed}x{self.serial}"
+            self.keys[request] = f"visit-{version}"
+            headers = {"Host": "h.example", "Request-Id": request, "X-Api-Key": self.keys[request]}
+            return (await call(front, "POST", "/tools/x", headers, b"x", 3.0))[0]
+        for _ in range(40):
+            # The server loses some answers by itself.
+            if await status(self.acked - 1) == 401 and await status(self.acked) == 200:
+                return True
+            await asyncio.sleep(0.1)
+        return False
+
     async def operator(self, until):
         version = 1
         while time.monotonic() < until:
@@ -373,7 +447,7 @@
         self.refused = []
         await self.start()
         until = time.monotonic() + seconds
-        work = asyncio.gather(self.traffic(until), self.operator(until))
+        work = asyncio.gather(self.traffic(until), self.press(until), self.operator(until))
         while time.monotonic() + 6 < until:
             await self.fault()
         await work
@@ -390,6 +464,9 @@
             # One that serves no turn has failed already; asking it for its routes would only take minutes.
             if served and not await self.serves_newest(front):
                 self.fail(f"{front} does not serve the newest of {self.grown} routes")
+            if served and not await self.refuses_old_keys(front):
+                self.fail(f"{front} goes on by keys of a document before {self.acked}")
+        self.check_accounts()
         for request, status in self.refused:
             if request in self.backend.runs:
                 self.fail(f"{request} was refused with {status} and ran")
