Write nothing for a turn that was refused, and keep a request's own functions beside it

Cause: an entry settles each turn that was answered 503, so a ledger that refuses for want of room had one more entry to write for it. Ruled out: a reservation that is left behind: a settled leader has applied what those before it committed.

--- a/src/gateway/cp_forwarded_request.hpp
+++ b/src/gateway/cp_forwarded_request.hpp
@@ -115,6 +115,8 @@
         return static_cast<std::int64_t>(tally.events()) * service->engine.tokensPerEvent;
     }
     [[nodiscard]] TurnFinish finish(TurnEnding ending);
+    //! What it has in common with others that a server which had them answers faster; empty for none.
+    [[nodiscard]] const std::string &stickyUnit() const;
 };
 
 } // namespace cardamompost
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -38,7 +38,6 @@
 // Repeats for a route's first attempts, so that servers that fail together are not sent several times their load.
 constexpr double repeatsPerAttempt = 0.2;
 constexpr double repeatBurst = 20;
-constexpr std::uint32_t defaultRetentionMs = 60'000;
 
 TimePoint timeNow()
 {
@@ -47,25 +46,6 @@
 
 } // namespace
 
-TurnFinish ForwardedRequest::finish(TurnEnding ending)
-{
-    TurnFinish finish;
-    finish.turn = turnId();
-    finish.program = programId();
-    finish.previous = previousTurnId();
-    finish.ending = ending;
-    finish.tokens = tokensHandedOut();
-    finish.backend = lastBackend;
-    finish.retentionMs
-        = route->retention.count() > 0 ? static_cast<std::uint32_t>(route->retention.count()) : defaultRetentionMs;
-    finish.isKept = route->keepsHistory && ending == TurnEnding::Whole;
-    if (finish.isKept) {
-        finish.input = message.body();
-        finish.output = tally.output();
-    }
-    return finish;
-}
-
 Forwarder::Repeats::Repeats()
     : budget(repeatsPerAttempt, repeatBurst)
 {
@@ -188,20 +168,6 @@
     return wish;
 }
 
-namespace
-{
-
-//! What the requests that a server answers faster, one after the other, have in common.
-const std::string &stickyUnit(const ForwardedRequest &request)
-{
-    if (!request.service->isEngine) {
-        return request.facts.affinity;
-    }
-    return request.facts.program.empty() ? request.facts.session : request.facts.program;
-}
-
-} // namespace
-
 std::shared_ptr<BackendState> Forwarder::choose(ForwardedRequest &request)
 {
     const TimePoint now = timeNow();
@@ -215,7 +181,7 @@
             return placed;
         }
     }
-    const std::string &unit = stickyUnit(request);
+    const std::string &unit = request.stickyUnit();
     const bool isSticky = request.route->isSticky && !unit.empty();
     const PickRequest wanted {request.service->name, isSticky ? stableHash(unit) | 1U : 0, request.tried,
                               request.service->isEngine ? engineLoadLimit : serverLoadLimit};
--- a/src/gateway/cp_ledger_begins.cpp
+++ b/src/gateway/cp_ledger_begins.cpp
@@ -314,8 +314,13 @@
     }
     placement_.release(finish.turn, std::chrono::steady_clock::now());
     const std::string turn = finish.turn;
-    if (finish.isKept && state_.hasTurn(turn)) {
-        // Asked again after the reply was lost: what is applied here is on a quorum's disks.
+    // Asked again after the reply was lost: what is applied here is on a quorum's disks.
+    const bool isDone = finish.isKept && state_.hasTurn(turn);
+    // A turn that was refused holds no reservation, and none is under way: a leader has applied what those before it
+    // committed. Nothing is written for it, as it may have been refused for want of room.
+    const bool holdsNothing
+        = finish.ending == TurnEnding::NotRun && !state_.isReserved(finish.program, turn) && !begins_.contains(turn);
+    if (isDone || holdsNothing) {
         replier->reply(TurnFinishReply {true, self_});
         return;
     }
--- a/tests/accounts/cp_accounts.tests.cpp
+++ b/tests/accounts/cp_accounts.tests.cpp
@@ -57,7 +57,7 @@
 BOOST_AUTO_TEST_CASE(names_that_can_not_stand_in_a_header_are_refused)
 {
     for (const std::string &name : {std::string(), std::string("a\r\nHost: b"), std::string("a\nb"), std::string(" a"),
-                                   std::string("a "), std::string("a\0b", 3)}) {
+                                    std::string("a "), std::string("a\0b", 3)}) {
         BOOST_TEST(!checkAccounts({account(name, {"k"})}).has_value(), name);
     }
     BOOST_TEST(!checkAccounts({account("a", {"k"}), account("a", {"l"})}).has_value());
