--- a/tools/scripts/fuzz.sh
+++ b/tools/scripts/fuzz.sh
@@ -8,7 +8,7 @@
 flags=(-std=c++20 -O1 -g -fsanitize=fuzzer,address,undefined -fno-sanitize-recover=undefined -I. -Iinclude -isystem schema/generated
     -DSPDLOG_FMT_EXTERNAL)
 # The parts that the targets reach; none of them uses coroutines, which clang 14 can't read from g++ 12's library.
-sources=(src/cardamompost/core/*.cpp src/cardamompost/config/*.cpp src/cardamompost/control/cp_control_*.cpp
+sources=(src/cardamompost/core/*.cpp src/cardamompost/accounts/*.cpp src/cardamompost/config/*.cpp src/cardamompost/control/cp_control_*.cpp
     src/cardamompost/consensus/cp_membership.cpp src/cardamompost/program/*.cpp src/cardamompost/policy/cp_policy_registry.cpp
     src/plugins/*.cpp src/cardamompost/net/cp_frame.cpp src/cardamompost/net/cp_frame_encoder.cpp
     src/cardamompost/net/cp_frame_decoder.cpp src/cardamompost/net/cp_schema_codec.cpp src/cardamompost/net/cp_ledger_schema.cpp
