Keep windows of a few milliseconds without a division by 0

Cause: a limit_window_s under 0.05 made slices of 0 ms, by which times are divided; found in the last read of the change. Change: a slice is 1 ms at least. Figures: a_window_of_a_few_milliseconds_is_kept_too failed before, passes after.

--- a/include/cardamompost/limits/cp_request_limiter.hpp
+++ b/include/cardamompost/limits/cp_request_limiter.hpp
@@ -6,6 +6,7 @@
 #include <cardamompost/core/cp_time.hpp>
 #include <cardamompost/limits/cp_usage_log.hpp>
 
+#include <algorithm>
 #include <array>
 #include <string>
 #include <unordered_map>
@@ -158,7 +159,7 @@
     [[nodiscard]] Milliseconds untilWindowFits(const Usage &usage, TimePoint now) const;
     [[nodiscard]] Milliseconds slice() const
     {
-        return precision_.window / static_cast<int>(RecentCounts::slicesAWindow);
+        return std::max(Milliseconds(1), precision_.window / static_cast<int>(RecentCounts::slicesAWindow));
     }
     [[nodiscard]] bool isKnown(std::string_view id, TimePoint now);
     //! \param wait  until the request could be admitted, if no other came
--- a/tests/limits/cp_request_limiter.tests.cpp
+++ b/tests/limits/cp_request_limiter.tests.cpp
@@ -135,6 +135,17 @@
     BOOST_TEST(static_cast<double>(whole) >= 0.85 * begun);
 }
 
+// Guards against a division by a slice of 0 ms.
+BOOST_AUTO_TEST_CASE(a_window_of_a_few_milliseconds_is_kept_too)
+{
+    constexpr LimitPrecision tiny {Milliseconds(5), 0, 0};
+    RequestLimiter limiter = rested({account("a", {1000, 2})}, tiny);
+    const int atOnce = admitted(limiter, "a", 100, start);
+    BOOST_TEST(atOnce >= 2);
+    BOOST_TEST(atOnce <= 7);
+    BOOST_TEST(admitted(limiter, "a", 1, start + Milliseconds(500)) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_changed_limit_holds_at_once_and_gives_nothing_back)
 {
     RequestLimiter limiter = rested({account("a", {100, 100})});
