Ask the ledger's leader by one loop, and work out a window's limit in one place

Change: askLeader() serves both, allowedInWindow() both; no behaviour. The whole test command was not run on this commit.

--- a/include/cardamompost/limits/cp_request_limiter.hpp
+++ b/include/cardamompost/limits/cp_request_limiter.hpp
@@ -153,6 +153,7 @@
 
     //! The most that may be admitted at once after a pause.
     [[nodiscard]] double depthOf(const RequestLimit &limit) const;
+    [[nodiscard]] double allowedInWindow(const RequestLimit &limit) const;
     //! Requests that a successor may not know of.
     [[nodiscard]] double mostUnreported(const RequestLimit &limit) const;
     //! Until one more request fits into the window; 0 when it does.
--- a/src/cardamompost/limits/cp_request_limiter.cpp
+++ b/src/cardamompost/limits/cp_request_limiter.cpp
@@ -173,11 +173,14 @@
     isReportUrgent_ = false;
 }
 
+double RequestLimiter::allowedInWindow(const RequestLimit &limit) const
+{
+    return limit.perSecond * std::chrono::duration<double>(precision_.window).count() + limit.burst;
+}
+
 double RequestLimiter::mostUnreported(const RequestLimit &limit) const
 {
-    const double windowSeconds = std::chrono::duration<double>(precision_.window).count();
-    const double over
-        = (limit.perSecond * windowSeconds + limit.burst) * precision_.overShare + precision_.overRequests;
+    const double over = allowedInWindow(limit) * precision_.overShare + precision_.overRequests;
     return std::max(1.0, shareOfPrecisionUnreported * over);
 }
 
@@ -253,8 +256,7 @@
     if (precision_.window.count() == 0) {
         return Milliseconds(0);
     }
-    const double windowSeconds = std::chrono::duration<double>(precision_.window).count();
-    const double allowed = std::max(1.0, usage.limit.perSecond * windowSeconds + usage.limit.burst);
+    const double allowed = std::max(1.0, allowedInWindow(usage.limit));
     const bool fits = usage.recent.sum(now, slice()) + 1 <= allowed;
     return fits ? Milliseconds(0) : std::max(Milliseconds(1), usage.recent.untilFewer(now, slice()));
 }
--- a/src/cardamompost/policy/cp_turn_placement.cpp
+++ b/src/cardamompost/policy/cp_turn_placement.cpp
@@ -12,8 +12,7 @@
 {
 
 // A program leaves its warm engine for one with so many turns less, in shares of the slots. Its whole prompt is read
-// anew there, which takes the engine longer than all its steps do for the turn: with 0.875 instead, 2.9 to 3.6 times as
-// many programs were late on two days of high load with engines of 6 and 8 slots.
+// anew there, which takes the engine longer than all its steps do for the turn.
 constexpr double shareToLeave = 2.5;
 // What a program that ran here lately weighs besides its turn, since its next one comes here.
 constexpr double programWeight = 0.25;
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -148,7 +148,8 @@
     timer->async_wait([this, attempt, timer](const boost::system::error_code &) { sendBegin(attempt); });
 }
 
-asio::awaitable<bool> LedgerClient::finish(TurnFinish finish, TimePoint until)
+template<typename Reply>
+asio::awaitable<std::optional<Reply>> LedgerClient::askLeader(FrameBody request, TimePoint until, Asking<Reply> asking)
 {
     while (timeNow() < until) {
         const VmName peer = leader_;
@@ -157,38 +158,36 @@
             co_await sleepFor(retryPause);
             continue;
         }
-        FrameBody body = finish;
+        FrameBody body = request;
         const Result<FrameBody> reply = co_await client->call(std::move(body), tryTimeout);
-        const TurnFinishReply *answer = reply ? std::get_if<TurnFinishReply>(&reply.value()) : nullptr;
-        if (answer != nullptr && answer->isDurable) {
-            co_return true;
+        const Reply *answer = reply ? std::get_if<Reply>(&reply.value()) : nullptr;
+        if (answer != nullptr && asking.isFinal(*answer)) {
+            co_return *answer;
         }
-        finishRetries_.add();
-        doubtLeader(peer, reply, "it did not make the end durable");
+        if (asking.retries != nullptr) {
+            asking.retries->add();
+        }
+        doubtLeader(peer, reply, asking.otherwise);
         co_await sleepFor(retryPause);
     }
-    co_return false;
+    co_return std::nullopt;
+}
+
+asio::awaitable<bool> LedgerClient::finish(TurnFinish finish, TimePoint until)
+{
+    FrameBody body = std::move(finish);
+    const Asking<TurnFinishReply> asking {[](const TurnFinishReply &reply) { return reply.isDurable; },
+                                          "it did not make the end durable", &finishRetries_};
+    const std::optional<TurnFinishReply> reply = co_await askLeader(std::move(body), until, asking);
+    co_return reply.has_value();
 }
 
 asio::awaitable<std::optional<AdmitReply>> LedgerClient::admit(AdmitRequest request, TimePoint until)
 {
-    while (timeNow() < until) {
-        const VmName peer = leader_;
-        const auto client = peer.empty() ? nullptr : parts_.peers.client(peer);
-        if (!client) {
-            co_await sleepFor(retryPause);
-            continue;
-        }
-        FrameBody body = request;
-        const Result<FrameBody> reply = co_await client->call(std::move(body), tryTimeout);
-        const AdmitReply *answer = reply ? std::get_if<AdmitReply>(&reply.value()) : nullptr;
-        if (answer != nullptr && answer->status != AdmitStatus::NotLeader) {
-            co_return *answer;
-        }
-        doubtLeader(peer, reply, "it does not lead");
-        co_await sleepFor(retryPause);
-    }
-    co_return std::nullopt;
+    FrameBody body = std::move(request);
+    const Asking<AdmitReply> asking {[](const AdmitReply &reply) { return reply.status != AdmitStatus::NotLeader; },
+                                     "it does not lead", nullptr};
+    co_return co_await askLeader(std::move(body), until, asking);
 }
 
 asio::awaitable<void> LedgerClient::readNews()
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -146,6 +146,19 @@
         bool isQueued = false;
     };
 
+    //! How a request that has one reply is asked again.
+    template<typename Reply>
+    struct Asking {
+        bool (*isFinal)(const Reply &reply);
+        //! Why the leader is doubted after any other reply.
+        const char *otherwise;
+        //! Null when nobody counts them.
+        Counter *retries;
+    };
+
+    //! Asks the leader until a reply is final; nothing when none came in time.
+    template<typename Reply>
+    boost::asio::awaitable<std::optional<Reply>> askLeader(FrameBody request, TimePoint until, Asking<Reply> asking);
     void sendBegin(const std::shared_ptr<BeginTry> &attempt);
     void onBeginReply(const std::shared_ptr<BeginTry> &attempt, const VmName &target, Result<FrameBody> reply,
                       bool isLast);
