Bound what a message can declare by its size, in one place

Ruled out: a check at each list, as ControlState::decode() had: the next list is forgotten. Change: readerOptions() sets the limit to eight traversals of the message and 8 KB. Cap'n Proto charges an element without content as a word, so no list can have more elements.

--- a/src/cardamompost/control/cp_control_codec.cpp
+++ b/src/cardamompost/control/cp_control_codec.cpp
@@ -136,15 +136,7 @@
     try {
         AlignedMessage message(bytes);
         const auto in = message.root<schema::ControlSnapshot>();
-        // Read only once: each call counts the whole list against the traversal limit of Cap'n Proto.
         const auto partitions = in.getPartitions();
-        // Bounds the allocation for corrupt bytes: a list of zero-sized structs can declare millions of them in a few
-        // bytes, while each valid record takes at least a word.
-        const std::size_t maxRecords = bytes.size() / sizeof(capnp::word);
-        if (partitions.size() > maxRecords || in.getSections().size() > maxRecords
-            || in.getRequests().size() > maxRecords || in.getVms().size() > maxRecords) {
-            return makeError(ErrorKind::StorageCorrupt, "control snapshot declares more records than its size allows");
-        }
         ControlState state(partitions.size());
         state.version_ = in.getConfigurationVersion();
         DocumentDelta delta;
--- a/src/cardamompost/net/cp_frame.cpp
+++ b/src/cardamompost/net/cp_frame.cpp
@@ -54,7 +54,7 @@
             return decodeFrameMessage(message.root<schema::Frame>());
         }
         kj::ArrayInputStream input(kj::arrayPtr(reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()));
-        capnp::PackedMessageReader message(input, readerOptions());
+        capnp::PackedMessageReader message(input, readerOptions(maxPackedWords));
         return decodeFrameMessage(message.getRoot<schema::Frame>());
     } catch (const kj::Exception &error) {
         return makeError(ErrorKind::InvalidRequest, std::string("malformed frame: ") + error.getDescription().cStr());
--- a/src/cardamompost/net/cp_schema_codec.hpp
+++ b/src/cardamompost/net/cp_schema_codec.hpp
@@ -8,14 +8,19 @@
 #include <capnp/serialize-packed.h>
 #include <capnp/serialize.h>
 
+#include <algorithm>
 #include <cardamompost.capnp.h>
 #include <cstring>
 
 namespace cardamompost
 {
 
-//! Traversal limit for one message, against malicious messages with cyclic pointers.
+//! Upper bound of the traversal limit of one message, in words.
 inline constexpr std::uint64_t maxTraversalWords = 64U << 20U;
+//! Part of the traversal limit that does not depend on the message's size, in words.
+inline constexpr std::uint64_t minTraversalWords = 1024;
+//! Times that a decoder may traverse a message.
+inline constexpr std::uint64_t maxTraversals = 8;
 
 inline capnp::Data::Reader toData(std::string_view bytes)
 {
@@ -53,10 +58,14 @@
     return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
 }
 
-inline capnp::ReaderOptions readerOptions()
+//! Options that bound what a decoder can be made to allocate by the size of the message.
+//!
+//! Cap'n Proto charges every list element to the traversal limit, including elements without content, of which a few
+//! bytes can declare millions.
+inline capnp::ReaderOptions readerOptions(std::uint64_t messageWords)
 {
     capnp::ReaderOptions options;
-    options.traversalLimitInWords = maxTraversalWords;
+    options.traversalLimitInWords = std::min(maxTraversalWords, minTraversalWords + maxTraversals * messageWords);
     return options;
 }
 
@@ -67,7 +76,7 @@
     explicit AlignedMessage(std::string_view bytes)
         : words_(kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word)))
         , reader_((std::memcpy(words_.begin(), bytes.data(), words_.size() * sizeof(capnp::word)), words_),
-                  readerOptions())
+                  readerOptions(words_.size()))
     {
     }
 
--- a/src/cardamompost/routing/cp_bucket_codec.hpp
+++ b/src/cardamompost/routing/cp_bucket_codec.hpp
@@ -25,7 +25,8 @@
     }
     try {
         kj::ArrayInputStream input({reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()});
-        capnp::PackedMessageReader message(input, readerOptions());
+        // A word of valid content takes at least a byte in the packed encoding.
+        capnp::PackedMessageReader message(input, readerOptions(bytes.size()));
         return read(message.getRoot<Root>());
     } catch (const kj::Exception &) {
         return makeError(ErrorKind::InvalidRequest, "malformed bucket");
