Count messages between processes by kind

Cause: the bytes of a process were one sum, so what its traffic consists of could only be worked out. Ruled out: a count at each sender and receiver of a kind: forgotten for the next kind. Change: FrameConnection counts messages and bytes by the alternative of FrameBody; metrics, and a line peer.traffic every 10 s. Two additions for each message.

--- a/src/cardamompost/net/cp_frame_connection.cpp
+++ b/src/cardamompost/net/cp_frame_connection.cpp
@@ -98,6 +98,9 @@
         Result<Frame> frame = decodeFrame(std::string_view(received_).substr(begin + sizeof(length), length));
         begin += sizeof(length) + length;
         isValid = frame.has_value();
+        if (isValid) {
+            traffic_.receivedByBody[frame.value().body.index()].add(sizeof(length) + length);
+        }
         if (isValid && frame.value().kind == FrameKind::Ping) {
             send({frame.value().id, FrameKind::Pong, 0, {}});
         } else if (isValid) {
@@ -126,6 +129,7 @@
     std::string bytes(sizeof(length), '\0');
     std::memcpy(bytes.data(), &length, sizeof(length));
     bytes += body;
+    traffic_.sentByBody[frame.body.index()].add(bytes.size());
     asio::post(socket_.get_executor(),
                [self = shared_from_this(), moved = std::move(bytes)]() mutable { self->enqueue(std::move(moved)); });
 }
--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
+#include <fmt/format.h>
+
 #include <csignal>
 #include <ctime>
 
@@ -29,11 +31,25 @@
 constexpr Milliseconds periodicInterval {200};
 constexpr Milliseconds seedReloadInterval {1000};
 constexpr Milliseconds minReportedStall {800};
+constexpr Milliseconds trafficLogInterval {10'000};
 
 // Segments are small because one is held in memory during compaction and recovery. Most expired records are in the
 // oldest segments, so a high share of live data is cheap to keep.
 constexpr LogStoreOptions ledgerStoreOptions {4U << 20U, 0.6};
 
+//! The exchanged messages by kind, as "name:messages/bytes".
+std::string describeTraffic(const PeerTraffic::CountByBody &counts)
+{
+    std::string text;
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+        if (counts[i].messages != 0) {
+            text += fmt::format("{}{}:{}/{}", text.empty() ? "" : " ", frameBodyNames[i], counts[i].messages.load(),
+                                counts[i].bytes.load());
+        }
+    }
+    return text;
+}
+
 //! Includes time in which the VM was suspended, unlike the steady clock.
 std::chrono::nanoseconds timeSinceBoot()
 {
@@ -76,6 +92,7 @@
     metrics_.gauge("cardamompost_peer_bytes", {{"way", "sent"}}, [this] { return static_cast<double>(traffic_.sent); });
     metrics_.gauge("cardamompost_peer_bytes", {{"way", "received"}},
                    [this] { return static_cast<double>(traffic_.received); });
+    registerTrafficMetrics();
     metrics_.gauge("cardamompost_log_lines_dropped", {}, [this] { return static_cast<double>(log_.dropped()); });
     waitForSignal();
     nextSeedReload_ = std::chrono::steady_clock::now() + seedReloadInterval;
@@ -222,9 +239,39 @@
     lastPeriodicRun_ = uptime;
 }
 
+void Gateway::registerTrafficMetrics()
+{
+    const auto add = [this](const char *way, const PeerTraffic::CountByBody &counts) {
+        for (std::size_t i = 0; i < counts.size(); ++i) {
+            const MetricLabels labels {{"kind", std::string(frameBodyNames[i])}, {"way", way}};
+            metrics_.gauge("cardamompost_peer_messages_total", labels,
+                           [&count = counts[i]] { return static_cast<double>(count.messages); });
+            metrics_.gauge("cardamompost_peer_message_bytes_total", labels,
+                           [&count = counts[i]] { return static_cast<double>(count.bytes); });
+        }
+    };
+    add("sent", traffic_.sentByBody);
+    add("received", traffic_.receivedByBody);
+}
+
+void Gateway::logTraffic()
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (now < nextTrafficLog_) {
+        return;
+    }
+    if (nextTrafficLog_ != TimePoint {}) {
+        log_.info("peer.traffic",
+                  {{"sent", describeTraffic(traffic_.sentByBody)},
+                   {"received", describeTraffic(traffic_.receivedByBody)}});
+    }
+    nextTrafficLog_ = now + trafficLogInterval;
+}
+
 void Gateway::runPeriodicTasks()
 {
     logIfStalled();
+    logTraffic();
     exitIfDiskFailed();
     reloadSeedsIfLeaderless();
     log_.flush();
--- a/src/gateway/cp_gateway.hpp
+++ b/src/gateway/cp_gateway.hpp
@@ -54,6 +54,9 @@
     [[nodiscard]] static Result<std::unique_ptr<IFiles>> openPosixFolder(const std::string &folder);
     void waitForSignal();
     void runPeriodicTasks();
+    void registerTrafficMetrics();
+    //! Logs the messages exchanged with other processes, by kind, at intervals.
+    void logTraffic();
     //! Logs a warning if the process or its VM was suspended since the last call.
     void logIfStalled();
     void onSignal(int signal);
@@ -89,6 +92,7 @@
     int exitCode_ = 0;
     std::chrono::nanoseconds lastPeriodicRun_ {0};
     TimePoint nextSeedReload_ {};
+    TimePoint nextTrafficLog_ {};
 };
 
 } // namespace cardamompost
