Read a long list of servers by failure domain, all at a time

Cause: each page names the next, so 50 pages were read one after the other: a reading of the fleet's list took 1.2 s of its 2.0 s cycle, and would take twice that at twice the size. A server that leaves is known one cycle later; the bound is 5 s. Ruled out: a shorter pause between readings: costs calls and does not change how long one takes; guessed page tokens. Change: PagedList reads the failure domains found by the last whole reading concurrently; every sixteenth reading is whole again, to find new domains. Lists of fewer than eight pages are read as before. One page too many fails the reading instead of cutting the list off.

--- a/include/cardamompost/edge/cp_iplatform_adapter.hpp
+++ b/include/cardamompost/edge/cp_iplatform_adapter.hpp
@@ -67,8 +67,10 @@
 
     //! Errors: InvalidConfiguration if the document is not completely valid.
     [[nodiscard]] virtual Result<RouteDocument> readDocument(std::string_view bytes) const = 0;
-    //! \param page  BackendPage::next of the previous page; empty for the first one
-    [[nodiscard]] virtual std::string backendsTarget(const std::string &page) const = 0;
+    //! \param failureDomain  of the servers to list; empty for all
+    //! \param page           BackendPage::next of the previous page; empty for the first one
+    [[nodiscard]] virtual std::string backendsTarget(const std::string &failureDomain,
+                                                     const std::string &page) const = 0;
     //! Errors: BackendFailed for a malformed page.
     [[nodiscard]] virtual Result<BackendPage> readBackends(std::string_view bytes) const = 0;
     [[nodiscard]] virtual std::string writeDirectory(const std::vector<std::string> &addresses,
--- a/src/gateway/cp_list_reader.cpp
+++ b/src/gateway/cp_list_reader.cpp
@@ -17,12 +17,14 @@
 constexpr Milliseconds retryDelay {250};
 constexpr Milliseconds requestTimeout {700};
 constexpr unsigned statusOk = 200;
-constexpr int maxPages = 1000;
 
 } // namespace
 
 ListReader::ListReader(Parts parts)
     : parts_(parts)
+    , list_([this](std::string failureDomain, std::string page) {
+        return fetch(std::move(failureDomain), std::move(page));
+    })
     , calls_(parts.metrics.counter("cardamompost_list_calls_total"))
     , skipped_(parts.metrics.counter("cardamompost_list_entries_left_out_total"))
     , failures_(parts.metrics.counter("cardamompost_list_failures_total"))
@@ -41,55 +43,33 @@
             co_await sleepFor(leadershipPollInterval);
             continue;
         }
-        const Result<std::vector<BackendServer>> read = co_await readAll();
+        Result<PagedList::Content> read = co_await list_.read();
         recordResult(read);
         // Leadership may have been lost while the list was read.
         if (read && parts_.service.leads()) {
-            parts_.service.setBackends(read.value());
+            parts_.service.setBackends(std::move(read.value().servers));
         }
         const Milliseconds delay = read ? parts_.settings.listInterval : retryDelay;
         co_await sleepFor(delay);
     }
 }
 
-asio::awaitable<Result<std::vector<BackendServer>>> ListReader::readAll()
+asio::awaitable<Result<BackendPage>> ListReader::fetch(std::string failureDomain, std::string page)
 {
-    std::vector<BackendServer> servers;
-    std::string page;
-    std::size_t skipped = 0;
-    std::string reason;
-    for (int count = 0; count < maxPages; ++count) {
-        HttpCall call;
-        call.address = parts_.settings.backendList;
-        call.target = parts_.adapter.backendsTarget(page);
-        call.timeout = requestTimeout;
-        calls_.add();
-        const Result<HttpResponse> response = co_await client_.request(std::move(call));
-        if (!response) {
-            co_return response.error();
-        }
-        if (response.value().status != statusOk) {
-            co_return makeError(ErrorKind::BackendFailed,
-                                "unexpected status " + std::to_string(response.value().status));
-        }
-        Result<BackendPage> read = parts_.adapter.readBackends(response.value().body);
-        if (!read) {
-            co_return read.error();
-        }
-        for (BackendServer &server : read.value().servers) {
-            servers.push_back(std::move(server));
-        }
-        if (read.value().skipped != 0) {
-            skipped += read.value().skipped;
-            reason = read.value().reason;
-        }
-        page = read.value().next;
-        if (page.empty()) {
-            break;
-        }
+    HttpCall call;
+    call.address = parts_.settings.backendList;
+    call.target = parts_.adapter.backendsTarget(failureDomain, page);
+    call.timeout = requestTimeout;
+    calls_.add();
+    const Result<HttpResponse> response = co_await client_.request(std::move(call));
+    if (!response) {
+        co_return response.error();
+    }
+    if (response.value().status != statusOk) {
+        co_return makeError(ErrorKind::BackendFailed,
+                            "unexpected status " + std::to_string(response.value().status));
     }
-    reportSkipped(skipped, reason);
-    co_return latestIncarnations(std::move(servers));
+    co_return parts_.adapter.readBackends(response.value().body);
 }
 
 void ListReader::reportSkipped(std::size_t skipped, const std::string &reason)
@@ -101,15 +81,17 @@
     lastSkipped_ = skipped;
 }
 
-void ListReader::recordResult(const Result<std::vector<BackendServer>> &read)
+void ListReader::recordResult(const Result<PagedList::Content> &read)
 {
     if (!read) {
         failures_.add();
+    } else {
+        reportSkipped(read.value().skipped, read.value().reason);
     }
     if (!read && !isFailing_) {
         parts_.log.warn("list.lost", {{"error", read.error().message}});
     } else if (read && isFailing_) {
-        parts_.log.info("list.regained", {{"servers", read.value().size()}});
+        parts_.log.info("list.regained", {{"servers", read.value().servers.size()}});
     }
     isFailing_ = !read.has_value();
 }
--- a/src/gateway/cp_list_reader.hpp
+++ b/src/gateway/cp_list_reader.hpp
@@ -2,8 +2,8 @@
 #define CARDAMOMPOST_CP_LIST_READER_HPP_INCLUDED
 
 #include "cp_ledger_service.hpp"
+#include "cp_paged_list.hpp"
 
-#include <cardamompost/edge/cp_iplatform_adapter.hpp>
 #include <cardamompost/net/cp_http_client.hpp>
 
 namespace cardamompost
@@ -33,15 +33,16 @@
 
 private:
     boost::asio::awaitable<void> run();
-    //! Reads all pages. Errors: those of the HTTP client and of the adapter; BackendFailed for an error status.
-    boost::asio::awaitable<Result<std::vector<BackendServer>>> readAll();
+    //! Fetches a page. Errors: those of the HTTP client and of the adapter; BackendFailed for an error status.
+    boost::asio::awaitable<Result<BackendPage>> fetch(std::string failureDomain, std::string page);
     //! Counts list entries that could not be parsed, and logs when their number changes.
     void reportSkipped(std::size_t skipped, const std::string &reason);
     //! Counts a failure, and logs when reading starts to fail or recovers.
-    void recordResult(const Result<std::vector<BackendServer>> &read);
+    void recordResult(const Result<PagedList::Content> &read);
 
     Parts parts_;
     HttpClient client_;
+    PagedList list_;
     Counter &calls_;
     Counter &skipped_;
     Counter &failures_;
--- a/tests/platform/cp_platform_adapter.tests.cpp
+++ b/tests/platform/cp_platform_adapter.tests.cpp
@@ -61,7 +61,9 @@
     BOOST_REQUIRE(page.servers.size() == 2U);
     BOOST_TEST(!page.servers[0].isLeaving);
     BOOST_TEST(page.servers[1].isLeaving);
-    BOOST_TEST(adapter.backendsTarget(page.next) == "/instances?page-token=p-50");
+    BOOST_TEST(adapter.backendsTarget({}, page.next) == "/instances?page-token=p-50");
+    BOOST_TEST(adapter.backendsTarget("apapa", {}) == "/instances?zone=apapa");
+    BOOST_TEST(adapter.backendsTarget("apapa", page.next) == "/instances?zone=apapa&page-token=p-50");
     BOOST_TEST(!adapter.readBackends("{}").has_value());
     BOOST_TEST(adapter.readBackends(R"({"instances":[],"next":null})").value().next.empty());
 }
