Send entries the servers that changed, and the ledger VMs only when those changed

Cause: a changed server cost each entry a bucket of 1/64 of the list, 5.6 KB at 10,000 servers, and 92 leaving ones touch nearly all buckets: 275 KB for each of 863 entries, 10 s at the leader's 24 MB a second, where leaving has to be in force within 5 s. Each reply also brought the addresses of all 123 ledger VMs. Ruled out: more buckets: their digests grow in each request; a higher bound on bytes: the leader's link ends at three times that. Change: requests carry the version of the list, replies what changed since (BackendCatalog). A checksum finds versions that do not lead to each other, as after a change of leader; then the list is compared in buckets as before (ContentReplica). Ledger VMs are sent with their failure domain, which their record in the log now has, and only if the request's digest of them differs. Conclusion: the bound on bytes binds only for a start or a list that changes by more than 1,024 servers at once. The leader still answers every entry.

--- a/include/cardamompost/ledger/cp_ledger_command.hpp
+++ b/include/cardamompost/ledger/cp_ledger_command.hpp
@@ -23,6 +23,7 @@
     //! Address of the VM, which is also its name in the consensus group.
     std::string peer;
     bool isRetiring = false;
+    std::string failureDomain {};
 
     friend bool operator==(const LedgerVm &, const LedgerVm &) = default;
 };
--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -1,8 +1,9 @@
 #ifndef CARDAMOMPOST_CP_LEDGER_MESSAGE_HPP_INCLUDED
 #define CARDAMOMPOST_CP_LEDGER_MESSAGE_HPP_INCLUDED
 
-#include <cardamompost/core/cp_ids.hpp>
+#include <cardamompost/ledger/cp_ledger_peers.hpp>
 #include <cardamompost/routing/cp_backend_buckets.hpp>
+#include <cardamompost/routing/cp_backend_catalog.hpp>
 #include <cardamompost/routing/cp_document_buckets.hpp>
 
 #include <optional>
@@ -159,9 +160,12 @@
     //! Version of the complete document that the entry uses.
     std::uint64_t documentVersion = 0;
     BackendListVersion list;
-    //! Digests of all content held, including parts of a newer version received so far.
+    //! Digests of the document held, including parts of a newer version received so far.
     DocumentBuckets::Digests documentDigests;
+    //! The same for the list, while it is compared bucket by bucket; else empty.
     BackendBuckets::Digests listDigests;
+    //! Digest of the ledger VMs that the entry knows.
+    std::uint64_t peersDigest = 0;
     //! Time since the entry learned that its content is stale; 0 if it is not known to be.
     std::uint32_t staleMs = 0;
     //! How long the receiver may wait before it answers. With wantsContent, a leader waits for newer content; without
@@ -176,15 +180,20 @@
     VmName leader;
     //! Term of the leader that replies; replies from a lower term are outdated.
     Term term = 0;
-    //! Addresses of all ledger VMs, members or not.
-    std::vector<VmName> members;
+    //! All ledger VMs, members or not; empty if the request has their digest.
+    std::vector<LedgerPeer> peers;
+    std::uint64_t peersDigest = 0;
     //! Addresses of the voters; only from a leader.
     std::vector<VmName> voters;
     std::uint64_t documentVersion = 0;
     BackendListVersion list;
     //! Content that the request's digests lack; empty if there is nothing newer to send.
     std::optional<ContentDelta> documentDelta;
+    std::optional<BackendChanges> listChanges;
+    //! Sent in place of listChanges to a request with digests, and to one without a list.
     std::optional<ContentDelta> listDelta;
+    //! The changes don't lead from the requester's version: it has to send the digests of its list.
+    bool mustResyncList = false;
     //! Time since the backend list was read.
     std::uint32_t listAgeMs = 0;
 };
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -364,6 +364,18 @@
   }
 }
 
+# Servers that differ between two versions of the list.
+struct BackendChanges {
+  changed @0 :List(BackendServer);
+  removed @1 :List(Text);
+  checksum @2 :UInt64;
+}
+
+struct LedgerPeer {
+  peer @0 :Text;
+  failureDomain @1 :Text;
+}
+
 struct NewsRequest {
   documentVersion @0 :UInt64;
   listTerm @1 :UInt64;
@@ -373,12 +385,14 @@
   listDigests @5 :List(UInt32);
   documentDigests @6 :List(UInt32);
   behindMs @7 :UInt32;
+  peersDigest @8 :UInt64;
 }
 
 struct NewsReply {
   isLeader @0 :Bool;
   leader @1 :Text;
-  members @2 :List(Text);
+  # Left out if the request's digest matches.
+  peers @2 :List(LedgerPeer);
   documentVersion @3 :UInt64;
   listTerm @4 :UInt64;
   listSequence @5 :UInt64;
@@ -387,6 +401,9 @@
   document @8 :ContentDelta;
   list @9 :ContentDelta;
   voters @10 :List(Text);
+  peersDigest @11 :UInt64;
+  listChanges @12 :BackendChanges;
+  mustResyncList @13 :Bool;
 }
 
 struct Presence {
@@ -578,6 +595,7 @@
   vm @0 :Text;
   peer @1 :Text;
   isRetiring @2 :Bool;
+  failureDomain @3 :Text;
 }
 
 struct LedgerCommand {
--- a/src/cardamompost/ledger/cp_ledger_codec.cpp
+++ b/src/cardamompost/ledger/cp_ledger_codec.cpp
@@ -13,11 +13,12 @@
     out.setVm(toText(in.vm));
     out.setPeer(toText(in.peer));
     out.setIsRetiring(in.isRetiring);
+    out.setFailureDomain(toText(in.failureDomain));
 }
 
 LedgerVm decodeVmRecord(schema::LedgerVm::Reader in)
 {
-    return {fromText(in.getVm()), fromText(in.getPeer()), in.getIsRetiring()};
+    return {fromText(in.getVm()), fromText(in.getPeer()), in.getIsRetiring(), fromText(in.getFailureDomain())};
 }
 
 void encodeUsage(const UsageReport &in, capnp::List<schema::AccountUsage>::Builder out)
--- a/src/cardamompost/net/cp_ledger_schema.cpp
+++ b/src/cardamompost/net/cp_ledger_schema.cpp
@@ -53,6 +53,44 @@
     return delta;
 }
 
+void encodePeers(const std::vector<LedgerPeer> &in, capnp::List<schema::LedgerPeer>::Builder out)
+{
+    for (unsigned i = 0; i < out.size(); ++i) {
+        out[i].setPeer(toText(in[i].peer));
+        out[i].setFailureDomain(toText(in[i].failureDomain));
+    }
+}
+
+std::vector<LedgerPeer> decodePeers(capnp::List<schema::LedgerPeer>::Reader in)
+{
+    std::vector<LedgerPeer> peers;
+    for (const auto peer : in) {
+        peers.push_back({fromText(peer.getPeer()), fromText(peer.getFailureDomain())});
+    }
+    return peers;
+}
+
+void encodeChanges(const BackendChanges &in, schema::BackendChanges::Builder out)
+{
+    auto changed = out.initChanged(static_cast<unsigned>(in.changed.size()));
+    for (unsigned i = 0; i < changed.size(); ++i) {
+        encodeBackendServer(in.changed[i], changed[i]);
+    }
+    encodeTexts(in.removed, out.initRemoved(static_cast<unsigned>(in.removed.size())));
+    out.setChecksum(in.checksum);
+}
+
+BackendChanges decodeChanges(schema::BackendChanges::Reader in)
+{
+    BackendChanges changes;
+    for (const auto server : in.getChanged()) {
+        changes.changed.push_back(decodeBackendServer(server));
+    }
+    changes.removed = decodeTexts(in.getRemoved());
+    changes.checksum = in.getChecksum();
+    return changes;
+}
+
 void encodeDigests(const BucketBytes::Digests &in, capnp::List<std::uint32_t>::Builder out)
 {
     for (unsigned i = 0; i < out.size(); ++i) {
@@ -140,6 +178,7 @@
     out.setWaitMs(in.waitMs);
     out.setWantsContent(in.wantsContent);
     out.setBehindMs(in.staleMs);
+    out.setPeersDigest(in.peersDigest);
     encodeDigests(in.documentDigests, out.initDocumentDigests(static_cast<unsigned>(in.documentDigests.size())));
     encodeDigests(in.listDigests, out.initListDigests(static_cast<unsigned>(in.listDigests.size())));
 }
@@ -152,6 +191,7 @@
     request.documentDigests = decodeDigests(in.getDocumentDigests());
     request.listDigests = decodeDigests(in.getListDigests());
     request.staleMs = in.getBehindMs();
+    request.peersDigest = in.getPeersDigest();
     request.waitMs = in.getWaitMs();
     request.wantsContent = in.getWantsContent();
     return request;
@@ -162,7 +202,8 @@
     out.setIsLeader(in.isLeader);
     out.setLeader(toText(in.leader));
     out.setTerm(in.term);
-    encodeTexts(in.members, out.initMembers(static_cast<unsigned>(in.members.size())));
+    encodePeers(in.peers, out.initPeers(static_cast<unsigned>(in.peers.size())));
+    out.setPeersDigest(in.peersDigest);
     encodeTexts(in.voters, out.initVoters(static_cast<unsigned>(in.voters.size())));
     out.setDocumentVersion(in.documentVersion);
     out.setListTerm(in.list.term);
@@ -174,6 +215,10 @@
     if (in.listDelta) {
         encodeDelta(*in.listDelta, out.initList());
     }
+    if (in.listChanges) {
+        encodeChanges(*in.listChanges, out.initListChanges());
+    }
+    out.setMustResyncList(in.mustResyncList);
 }
 
 UpdateReply decodeUpdateReply(schema::NewsReply::Reader in)
@@ -182,7 +227,8 @@
     reply.isLeader = in.getIsLeader();
     reply.leader = fromText(in.getLeader());
     reply.term = in.getTerm();
-    reply.members = decodeTexts(in.getMembers());
+    reply.peers = decodePeers(in.getPeers());
+    reply.peersDigest = in.getPeersDigest();
     reply.voters = decodeTexts(in.getVoters());
     reply.documentVersion = in.getDocumentVersion();
     reply.list = {in.getListTerm(), in.getListSequence()};
@@ -193,6 +239,10 @@
     if (in.hasList()) {
         reply.listDelta = decodeDelta(in.getList());
     }
+    if (in.hasListChanges()) {
+        reply.listChanges = decodeChanges(in.getListChanges());
+    }
+    reply.mustResyncList = in.getMustResyncList();
     return reply;
 }
 
--- a/src/cardamompost/net/cp_schema_codec.cpp
+++ b/src/cardamompost/net/cp_schema_codec.cpp
@@ -50,6 +50,28 @@
     return vm;
 }
 
+void encodeBackendServer(const BackendServer &server, schema::BackendServer::Builder out)
+{
+    out.setId(toText(server.id));
+    out.setService(toText(server.service));
+    out.setAddress(toText(server.address.toString()));
+    out.setFailureDomain(toText(server.failureDomain));
+    out.setSlots(server.slots);
+    out.setIsLeaving(server.isLeaving);
+    out.setBorn(server.incarnation);
+}
+
+BackendServer decodeBackendServer(schema::BackendServer::Reader in)
+{
+    return {fromText(in.getId()),
+            fromText(in.getService()),
+            parseAddress(fromText(in.getAddress())).value_or(Address {}),
+            fromText(in.getFailureDomain()),
+            in.getSlots(),
+            in.getIsLeaving(),
+            in.getBorn()};
+}
+
 std::vector<std::string> decodeTexts(capnp::List<capnp::Text>::Reader in)
 {
     std::vector<std::string> texts;
--- a/src/cardamompost/net/cp_schema_codec.hpp
+++ b/src/cardamompost/net/cp_schema_codec.hpp
@@ -3,6 +3,7 @@
 
 #include <cardamompost/consensus/cp_log_entry.hpp>
 #include <cardamompost/control/cp_control_command.hpp>
+#include <cardamompost/routing/cp_backend_list.hpp>
 
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
@@ -95,6 +96,8 @@
 [[nodiscard]] std::vector<LogEntry> decodeEntries(capnp::List<schema::Entry>::Reader in);
 void encodeVm(const VmRecord &vm, schema::Vm::Builder out);
 [[nodiscard]] VmRecord decodeVm(schema::Vm::Reader in);
+void encodeBackendServer(const BackendServer &server, schema::BackendServer::Builder out);
+[[nodiscard]] BackendServer decodeBackendServer(schema::BackendServer::Reader in);
 [[nodiscard]] std::vector<std::string> decodeTexts(capnp::List<capnp::Text>::Reader in);
 void encodeTexts(const std::vector<std::string> &texts, capnp::List<capnp::Text>::Builder out);
 
--- a/src/cardamompost/routing/cp_backend_buckets.cpp
+++ b/src/cardamompost/routing/cp_backend_buckets.cpp
@@ -22,14 +22,7 @@
     capnp::MallocMessageBuilder message;
     auto out = message.initRoot<schema::ServerBucket>().initServers(static_cast<unsigned>(servers.size()));
     for (unsigned i = 0; i < out.size(); ++i) {
-        const BackendServer &server = *servers[i];
-        out[i].setId(toText(server.id));
-        out[i].setService(toText(server.service));
-        out[i].setAddress(toText(server.address.toString()));
-        out[i].setFailureDomain(toText(server.failureDomain));
-        out[i].setSlots(server.slots);
-        out[i].setIsLeaving(server.isLeaving);
-        out[i].setBorn(server.incarnation);
+        encodeBackendServer(*servers[i], out[i]);
     }
     return toPackedBytes(message);
 }
@@ -51,9 +44,7 @@
 {
     return readBucket<schema::ServerBucket>(bytes, [&](schema::ServerBucket::Reader bucket) -> Result<void> {
         for (const auto in : bucket.getServers()) {
-            const Address address = parseAddress(fromText(in.getAddress())).value_or(Address {});
-            servers.push_back({fromText(in.getId()), fromText(in.getService()), address,
-                               fromText(in.getFailureDomain()), in.getSlots(), in.getIsLeaving(), in.getBorn()});
+            servers.push_back(decodeBackendServer(in));
         }
         return boost::outcome_v2::success();
     });
--- a/src/gateway/cp_entry_replica.hpp
+++ b/src/gateway/cp_entry_replica.hpp
@@ -3,11 +3,13 @@
 
 #include "cp_forwarder.hpp"
 
+#include <cardamompost/ledger/cp_content_replica.hpp>
+
 namespace cardamompost
 {
 
-//! Replicates the route document and the backend list from the ledger's leader. Deltas accumulate in buckets; a new
-//! version is applied only once it is complete. Thread-safety: none.
+//! Replicates the route document and the backend list from the ledger, and applies complete versions to the entry's
+//! routing. Thread-safety: none.
 class EntryReplica
 {
 public:
@@ -31,15 +33,13 @@
     }
 
 private:
-    [[nodiscard]] std::uint64_t documentVersion() const;
-    void applyDocumentDelta(const UpdateReply &update);
-    void applyBackendListDelta(const UpdateReply &update);
+    void applyDocument(RouteDocument document, std::uint64_t versionBefore);
+    void applyServers(const BackendChanges &changes, const UpdateReply &update);
     //! Logs a warning once per period in which the document is stale for too long.
     void logIfStale();
 
     Parts parts_;
-    DocumentBuckets documentBuckets_;
-    BackendBuckets listBuckets_;
+    ContentReplica content_;
     bool hasLoggedStale_ = false;
 };
 
--- a/src/gateway/cp_entry_server.cpp
+++ b/src/gateway/cp_entry_server.cpp
@@ -106,7 +106,7 @@
 {
     ledger_.announcePresence(isReady());
     pool_.closeIdle(std::chrono::steady_clock::now());
-    const Milliseconds interval = heartbeatIntervalPerVm * static_cast<int>(ledger_.ledgerVmCount());
+    const Milliseconds interval = heartbeatIntervalPerVm * static_cast<int>(ledger_.heartbeatTargetCount());
     timer_.expires_after(std::clamp(interval, minHeartbeatInterval, maxHeartbeatInterval));
     timer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -56,6 +56,7 @@
     , leaderSwitches_(parts.metrics.counter("cardamompost_ledger_told_by_successor_total"))
     , finishRetries_(parts.metrics.counter("cardamompost_ledger_finish_retries_total"))
 {
+    setPeers({});
     parts.metrics.gauge("cardamompost_document_behind_seconds", {},
                         [this] { return std::chrono::duration<double>(staleness_.staleFor(timeNow())).count(); });
 }
@@ -217,7 +218,9 @@
 
 void LedgerClient::applyUpdate(const UpdateReply &update)
 {
-    ledgerVms_ = update.members;
+    if (update.peersDigest != ledgerVms_.digest()) {
+        setPeers(update.peers);
+    }
     voters_ = update.voters;
     leaderTerm_ = update.term;
     const Milliseconds age = updateAge();
@@ -236,13 +239,32 @@
     }
 }
 
-void LedgerClient::setHeldContent(HeldContent content)
+void LedgerClient::setHeldContent(const ContentReplica &content)
+{
+    content.describe(updateRequest_);
+    staleness_.recordAppliedVersion(content.documentVersion());
+}
+
+void LedgerClient::setPeers(std::vector<LedgerPeer> peers)
+{
+    ledgerVms_ = LedgerPeers(std::move(peers));
+    updateRequest_.peersDigest = ledgerVms_.digest();
+    // Seeds may have been replaced by VMs that the leader doesn't know yet.
+    std::vector<LedgerPeer> known = ledgerVms_.list();
+    for (const VmName &seed : seeds_) {
+        const bool isListed
+            = std::any_of(known.begin(), known.end(), [&](const LedgerPeer &peer) { return peer.peer == seed; });
+        if (!isListed) {
+            known.push_back({seed, {}});
+        }
+    }
+    heartbeatTargets_ = heartbeatTargets(known, parts_.settings.vm, parts_.settings.failureDomain);
+}
+
+void LedgerClient::setSeeds(std::vector<VmName> seeds)
 {
-    updateRequest_.documentVersion = content.documentVersion;
-    updateRequest_.list = content.list;
-    updateRequest_.documentDigests = std::move(content.documentDigests);
-    updateRequest_.listDigests = std::move(content.listDigests);
-    staleness_.recordAppliedVersion(content.documentVersion);
+    seeds_ = std::move(seeds);
+    setPeers(ledgerVms_.list());
 }
 
 void LedgerClient::announcePresence(bool isReady)
@@ -250,7 +272,7 @@
     watchVoters();
     const Presence presence {parts_.settings.vm, parts_.settings.front.toString(), parts_.settings.failureDomain,
                              isReady};
-    for (const VmName &peer : knownLedgerVms()) {
+    for (const VmName &peer : heartbeatTargets_) {
         if (const auto client = parts_.peers.client(peer)) {
             client->notify(presence);
         }
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -5,6 +5,7 @@
 #include "cp_gateway_settings.hpp"
 #include "cp_peer_clients.hpp"
 
+#include <cardamompost/ledger/cp_content_replica.hpp>
 #include <cardamompost/observe/cp_event_log.hpp>
 #include <cardamompost/observe/cp_metrics.hpp>
 
@@ -100,21 +101,15 @@
     boost::asio::awaitable<bool> finish(TurnFinish finish, TimePoint deadline);
     //! Checks a request against its account's limit; nothing when no leader has answered before the deadline.
     boost::asio::awaitable<std::optional<AdmitReply>> admit(AdmitRequest request, TimePoint deadline);
-    //! Announces to all known ledger VMs whether this entry accepts requests.
+    //! Announces to some ledger VMs whether this entry accepts requests.
     void announcePresence(bool isReady);
 
-    //! Versions and digests of the content that an entry holds, as sent with its next update request.
-    struct HeldContent {
-        std::uint64_t documentVersion = 0;
-        BackendListVersion list;
-        DocumentBuckets::Digests documentDigests;
-        BackendBuckets::Digests listDigests;
-    };
-    void setHeldContent(HeldContent content);
-    //! Number of known ledger VMs.
-    [[nodiscard]] std::size_t ledgerVmCount() const
+    //! Sets the content that the next update request describes.
+    void setHeldContent(const ContentReplica &content);
+    //! Number of ledger VMs that receive this entry's heartbeats.
+    [[nodiscard]] std::size_t heartbeatTargetCount() const
     {
-        return knownLedgerVms().size();
+        return heartbeatTargets_.size();
     }
     //! Time since the last reply of a leader.
     [[nodiscard]] Milliseconds updateAge() const;
@@ -133,10 +128,7 @@
     {
         return hasLeader_;
     }
-    void setSeeds(std::vector<VmName> seeds)
-    {
-        seeds_ = std::move(seeds);
-    }
+    void setSeeds(std::vector<VmName> seeds);
 
 private:
     struct BeginAttempt {
@@ -183,11 +175,13 @@
     //! The VMs that the next round of a search queries.
     [[nodiscard]] std::vector<VmName> nextSearchTargets();
     [[nodiscard]] std::set<VmName> knownLedgerVms() const;
+    void setPeers(std::vector<LedgerPeer> peers);
 
     Parts parts_;
     std::vector<VmName> seeds_;
     //! All ledger VMs, members or not, as reported by a leader or, during a search, by other VMs.
-    std::vector<VmName> ledgerVms_;
+    LedgerPeers ledgerVms_;
+    std::vector<VmName> heartbeatTargets_;
     //! The voters, as last reported by a leader.
     std::vector<VmName> voters_;
     //! Empty during a search.
--- a/src/gateway/cp_ledger_members.cpp
+++ b/src/gateway/cp_ledger_members.cpp
@@ -224,10 +224,14 @@
     }
     joinRequesters_[request.peer] = {std::chrono::steady_clock::now(), request.completeUpTo, request.failureDomain};
     const auto known = state_.vms().find(request.vm);
-    const bool isKnown = known != state_.vms().end() && known->second.peer == request.peer;
+    const bool isKnown = known != state_.vms().end() && known->second.peer == request.peer
+        && known->second.failureDomain == request.failureDomain;
     // Retries while the record is being committed don't propose it again.
     if (!isKnown && proposedVms_.insert(request.vm).second) {
-        propose(LedgerVm {request.vm, request.peer, false}, [this, vm = request.vm](bool) { proposedVms_.erase(vm); });
+        const bool isRetiring = known != state_.vms().end() && known->second.peer == request.peer
+            && known->second.isRetiring;
+        propose(LedgerVm {request.vm, request.peer, isRetiring, request.failureDomain},
+                [this, vm = request.vm](bool) { proposedVms_.erase(vm); });
     }
     if (!replier) {
         return;
@@ -256,7 +260,8 @@
             done(OperationResult::NotEnoughVms);
             return;
         }
-        propose(LedgerVm {vm, found->second.peer, true}, [this, vm, done](bool isCommitted) {
+        propose(LedgerVm {vm, found->second.peer, true, found->second.failureDomain},
+                [this, vm, done](bool isCommitted) {
             parts_.log.info("retire.accepted", {{"target", vm}, {"committed", isCommitted}});
             done(isCommitted ? OperationResult::Done : OperationResult::Unknown);
         });
--- a/src/gateway/cp_ledger_search.cpp
+++ b/src/gateway/cp_ledger_search.cpp
@@ -38,7 +38,9 @@
 std::set<VmName> LedgerClient::knownLedgerVms() const
 {
     std::set<VmName> all(seeds_.begin(), seeds_.end());
-    all.insert(ledgerVms_.begin(), ledgerVms_.end());
+    for (const LedgerPeer &peer : ledgerVms_.list()) {
+        all.insert(peer.peer);
+    }
     return all;
 }
 
@@ -157,10 +159,12 @@
         }
         // The seeds may have been replaced since, and the leader may be an unknown VM: the reply's members are queried
         // next.
-        ledgerVms_.insert(ledgerVms_.end(), update->members.begin(), update->members.end());
+        std::vector<LedgerPeer> known = ledgerVms_.list();
+        known.insert(known.end(), update->peers.begin(), update->peers.end());
         if (!update->leader.empty()) {
-            ledgerVms_.push_back(update->leader);
+            known.push_back({update->leader, {}});
         }
+        setPeers(std::move(known));
     });
 }
 
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -145,6 +145,7 @@
         // The leader tracks placements itself, including those of turns in progress.
         placement_.recordLastEngine(finish->program, finish->backend, std::chrono::steady_clock::now());
     }
+    arePeersCurrent_ = arePeersCurrent_ && !std::holds_alternative<LedgerVm>(command.value().action);
     const std::uint64_t before = state_.documentVersion();
     lastApplyStatus_ = state_.apply(command.value(), entry.index);
     if (state_.documentVersion() != before) {
@@ -160,6 +161,7 @@
     BOOST_OUTCOME_TRY(LedgerState fresh, LedgerState::decode(snapshot.state));
     fresh.adoptTexts(std::move(state_.texts()));
     state_ = std::move(fresh);
+    arePeersCurrent_ = false;
     texts_.fetchMissing();
     parts_.log.info("ledger.restored", {{"index", snapshot.index}, {"turns", state_.turnCount()}});
     return boost::outcome_v2::success();
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -198,6 +198,12 @@
     void serveUpdates();
     //! \returns the bytes of the deltas sent
     std::size_t replyUpdate(const UpdateRequest &request, const Replier &replier, bool withContent);
+    //! Adds the list's changes to a reply, or buckets of it.
+    void addList(const UpdateRequest &request, UpdateReply &reply);
+    //! The current list in buckets, which are built when they are first needed.
+    [[nodiscard]] const BackendBuckets &listBuckets();
+    //! All ledger VMs, or on a VM outside of the group, those that it remembers.
+    [[nodiscard]] const LedgerPeers &ledgerPeers();
     //! Replies to watch requests once this VM leads or their deadline has passed.
     //! \param isStopping  replies to all of them now
     void replyToWatchers(bool isStopping);
@@ -265,8 +271,13 @@
     std::uint64_t publishedVersion_ = 0;
     //! The last version that was decoded, successfully or not.
     std::uint64_t lastReadVersion_ = 0;
-    BackendList backends_;
+    BackendCatalog backends_;
     BackendBuckets listBuckets_;
+    //! Version of the list in the buckets.
+    BackendListVersion bucketsVersion_;
+    LedgerPeers peers_;
+    //! False when the records of VMs have changed since peers_ was built.
+    bool arePeersCurrent_ = false;
     PresenceTable presence_;
     TimePoint listReadAt_ {};
     TimePoint nextPlanAt_ {};
--- a/src/gateway/cp_ledger_updates.cpp
+++ b/src/gateway/cp_ledger_updates.cpp
@@ -1,5 +1,7 @@
 #include "cp_ledger_service.hpp"
 
+#include <cardamompost/core/cp_invariant.hpp>
+
 namespace cardamompost
 {
 
@@ -8,10 +10,15 @@
 
 // Bounds each delta of a reply, so that both arrive within the request's timeout on a slow link.
 constexpr std::size_t maxUpdateBytes = 128U << 10U;
+// Changes to the list in one reply. Beyond that the list is compared bucket by bucket, which takes several replies.
+constexpr std::size_t maxListChanges = 1024;
 // How long a request with an update waits for bandwidth at least. Then it is answered without content, which shows the
 // entry that the leader is alive.
 constexpr Milliseconds minUpdateWait {300};
 
+// Approximate size of a server in a message, as counted towards the limit on bytes.
+constexpr std::size_t bytesPerServer = 128;
+
 std::size_t byteSize(const std::optional<ContentDelta> &delta)
 {
     std::size_t bytes = 0;
@@ -23,6 +30,12 @@
     return bytes;
 }
 
+std::size_t byteSize(const UpdateReply &reply)
+{
+    const std::size_t changes = reply.listChanges ? reply.listChanges->size() : 0;
+    return byteSize(reply.listDelta) + byteSize(reply.documentDelta) + changes * bytesPerServer;
+}
+
 } // namespace
 
 bool LedgerService::hasNewDocument(const UpdateRequest &request) const
@@ -32,7 +45,7 @@
 
 bool LedgerService::hasNewList(const UpdateRequest &request) const
 {
-    return backends_.version.term != 0 && request.list < backends_.version;
+    return backends_.version().term != 0 && request.list < backends_.version();
 }
 
 bool LedgerService::hasNewContent(const UpdateRequest &request) const
@@ -116,34 +129,76 @@
     UpdateReply reply;
     reply.isLeader = leads();
     reply.leader = leader();
-    // All ledger VMs, members or not: each serves the directory, which needs the entries' presence.
-    for (const auto &[vm, record] : state_.vms()) {
-        reply.members.push_back(record.peer);
-    }
-    if (reply.members.empty()) {
-        // A VM outside the group has no replicated list of VMs and falls back to the peers that it remembers.
-        reply.members = groupView().members;
+    const LedgerPeers &peers = ledgerPeers();
+    reply.peersDigest = peers.digest();
+    if (request.peersDigest != reply.peersDigest) {
+        reply.peers = peers.list();
     }
     if (reply.isLeader) {
         const Membership &members = driver_.node().membership();
         reply.voters.assign(members.voters.begin(), members.voters.end());
         reply.term = driver_.node().term();
         reply.documentVersion = state_.documentVersion();
-        reply.list = backends_.version;
+        reply.list = backends_.version();
         reply.listAgeMs = static_cast<std::uint32_t>(toMs(std::chrono::steady_clock::now() - listReadAt_));
     }
     if (reply.isLeader && withContent && hasNewList(request)) {
-        reply.listDelta = listBuckets_.deltaFrom(request.listDigests, maxUpdateBytes);
+        addList(request, reply);
     }
     if (reply.isLeader && withContent && hasNewDocument(request)) {
         reply.documentVersion = publishedVersion_;
         reply.documentDelta = documentBuckets_.deltaFrom(request.documentDigests, maxUpdateBytes);
     }
-    const std::size_t bytes = byteSize(reply.listDelta) + byteSize(reply.documentDelta);
+    const std::size_t bytes = byteSize(reply);
     replier->reply(std::move(reply));
     return bytes;
 }
 
+void LedgerService::addList(const UpdateRequest &request, UpdateReply &reply)
+{
+    if (request.list.term == 0 || !request.listDigests.empty()) {
+        reply.listDelta = listBuckets().deltaFrom(request.listDigests, maxUpdateBytes);
+        return;
+    }
+    reply.listChanges = backends_.changesSince(request.list);
+    if (!reply.listChanges || reply.listChanges->size() > maxListChanges) {
+        reply.listChanges.reset();
+        reply.mustResyncList = true;
+    }
+}
+
+const BackendBuckets &LedgerService::listBuckets()
+{
+    if (bucketsVersion_ != backends_.version()) {
+        listBuckets_.set(backends_.servers());
+        bucketsVersion_ = backends_.version();
+    }
+    return listBuckets_;
+}
+
+const LedgerPeers &LedgerService::ledgerPeers()
+{
+    // Rebuilt only when the records have changed, since each reply has the digest.
+    if (!state_.vms().empty()) {
+        if (!arePeersCurrent_) {
+            std::vector<LedgerPeer> peers;
+            for (const auto &[vm, record] : state_.vms()) {
+                peers.push_back({record.peer, record.failureDomain});
+            }
+            peers_ = LedgerPeers(std::move(peers));
+            arePeersCurrent_ = true;
+        }
+        return peers_;
+    }
+    // A VM outside the group has no replicated records and falls back to the peers that it remembers.
+    std::vector<LedgerPeer> remembered;
+    for (const VmName &peer : groupView().members) {
+        remembered.push_back({peer, {}});
+    }
+    peers_ = LedgerPeers(std::move(remembered));
+    return peers_;
+}
+
 void LedgerService::replyToWatchers(bool isStopping)
 {
     const TimePoint now = std::chrono::steady_clock::now();
@@ -161,21 +216,29 @@
 {
     listReadAt_ = std::chrono::steady_clock::now();
     const std::uint64_t term = driver_.node().term();
-    servers = latestIncarnations(std::move(servers), backends_.servers);
-    if (backends_.version.term == term && backends_.servers == servers) {
+    for (BackendServer &server : servers) {
+        // A stale read may list a server as it was before its restart.
+        const BackendServer *known = backends_.find(server.id);
+        if (known != nullptr && known->incarnation > server.incarnation) {
+            server = *known;
+        }
+    }
+    const BackendChanges changes = backends_.changesTo(servers);
+    if (backends_.version().term == term && changes.size() == 0) {
         return;
     }
-    const std::uint64_t sequence = backends_.version.term == term ? backends_.version.sequence + 1 : 1;
-    backends_ = {{term, sequence}, std::move(servers)};
-    listBuckets_.set(backends_.servers);
-    placement_.setServers(backends_.servers, listReadAt_);
-    std::size_t leaving = 0;
-    for (const BackendServer &server : backends_.servers) {
-        leaving += server.isLeaving ? 1 : 0;
-    }
-    parts_.log.info(
-        "backends.changed",
-        {{"term", term}, {"sequence", sequence}, {"servers", backends_.servers.size()}, {"leaving", leaving}});
+    const std::uint64_t sequence = backends_.version().term == term ? backends_.version().sequence + 1 : 1;
+    checkInvariant(backends_.apply(changes, {term, sequence}), "changes to a list match its checksum");
+    placement_.updateServers(changes.changed, changes.removed, listReadAt_);
+    const auto leaving = std::count_if(changes.changed.begin(), changes.changed.end(),
+                                       [](const BackendServer &server) { return server.isLeaving; });
+    parts_.log.info("backends.changed",
+                    {{"term", term},
+                     {"sequence", sequence},
+                     {"servers", backends_.size()},
+                     {"changed", changes.changed.size()},
+                     {"leaving", leaving},
+                     {"removed", changes.removed.size()}});
     serveUpdates();
 }
 
