Entries send heartbeats to a bounded number of ledger VMs

Cause: each entry told every ledger VM that it is there, 410 messages a second at each entry and 2,900 at each ledger VM of the fleet, most of what all but the leader do and of the 3.0 GB between failure domains. A directory then listed the first 64 by address, so most entries were never listed where a domain has more. Change: an entry chooses six ledger VMs of its own failure domain and six of others by rendezvous hashing (deterministic subsetting), all of them where there are no more. A directory lists a sample of those it knows that depends on its own name. Figures: targets of an entry, before 123 and 246, now at most 12 (test, 865 and 1,730 entries); each directory hears from half to twice the mean number of entries of its domain. Addresses listed by the 25 directories of a domain with 170 entries: 64 before, all 170 now (test). Conclusion: an entry's heartbeats no longer depend on the fleet, a ledger VM's on the ratio of entries to ledger VMs.

--- a/src/gateway/cp_directory_server.cpp
+++ b/src/gateway/cp_directory_server.cpp
@@ -38,7 +38,8 @@
     const TimePoint now = std::chrono::steady_clock::now();
     const auto zone = request.query.find("zone");
     const std::string failureDomain = zone == request.query.end() ? std::string() : zone->second;
-    const std::vector<std::string> addresses = addressesFor(failureDomain, parts_.presence.ready(now), maxAddresses);
+    const std::vector<std::string> addresses
+        = addressesFor(failureDomain, parts_.presence.ready(now), maxAddresses, stableHash(parts_.settings.vm));
     if (addresses.empty()) {
         return unavailableResponse("no entry is ready");
     }
--- a/src/gateway/cp_presence_table.hpp
+++ b/src/gateway/cp_presence_table.hpp
@@ -44,8 +44,10 @@
 };
 
 //! At most maxCount addresses of entries, those in the given failure domain first.
+//! \param seed  selects the entries if there are more, so that directories with different seeds list different ones
 [[nodiscard]] std::vector<std::string> addressesFor(std::string_view failureDomain,
-                                                    const std::vector<EntryEndpoint> &entries, std::size_t maxCount);
+                                                    const std::vector<EntryEndpoint> &entries, std::size_t maxCount,
+                                                    std::uint64_t seed);
 
 } // namespace cardamompost
 
--- a/tests/gateway/cp_presence_table.tests.cpp
+++ b/tests/gateway/cp_presence_table.tests.cpp
@@ -11,6 +11,7 @@
 
 const TimePoint now = TimePoint() + std::chrono::hours(1);
 constexpr std::size_t maxCount = 64;
+constexpr std::uint64_t seed = 1;
 
 Presence presence(const std::string &vm, const std::string &domain, bool isReady = true)
 {
@@ -27,8 +28,28 @@
     table.record(presence("a", "apapa"), now);
     table.record(presence("b", "onne"), now);
     const std::vector<EntryEndpoint> entries = table.ready(now);
-    BOOST_TEST((addressesFor("onne", entries, maxCount) == std::vector<std::string> {"b:80", "a:80"}));
-    BOOST_TEST(addressesFor("onne", entries, 1).size() == 1U);
+    BOOST_TEST((addressesFor("onne", entries, maxCount, seed) == std::vector<std::string> {"b:80", "a:80"}));
+    BOOST_TEST(addressesFor("onne", entries, 1, seed).size() == 1U);
+}
+
+// Guards against entries that no directory ever lists because others have lower addresses.
+BOOST_AUTO_TEST_CASE(directories_of_a_large_domain_list_every_entry_between_them)
+{
+    constexpr std::size_t directoryCount = 25;
+    constexpr std::size_t entryCount = 170;
+    std::vector<EntryEndpoint> entries;
+    for (std::size_t i = 0; i < entryCount; ++i) {
+        entries.push_back({"10.0.0." + std::to_string(i) + ":80", "apapa"});
+    }
+    std::map<std::string, std::size_t> listed;
+    for (std::uint64_t directory = 0; directory < directoryCount; ++directory) {
+        const std::vector<std::string> addresses = addressesFor("apapa", entries, maxCount, directory);
+        BOOST_TEST(addresses.size() == maxCount);
+        for (const std::string &address : addresses) {
+            ++listed[address];
+        }
+    }
+    BOOST_TEST(listed.size() == entryCount);
 }
 
 // Callers must not be sent to an entry that was killed, or that is about to close its connections.
@@ -39,7 +60,7 @@
     BOOST_TEST(!table.record(presence("a", "apapa"), now));
     BOOST_TEST(table.record(presence("b", "apapa"), now));
     BOOST_TEST(table.record(presence("b", "apapa", false), now));
-    BOOST_TEST((addressesFor("apapa", table.ready(now), maxCount) == std::vector<std::string> {"a:80"}));
+    BOOST_TEST((addressesFor("apapa", table.ready(now), maxCount, seed) == std::vector<std::string> {"a:80"}));
     BOOST_TEST(table.ready(now + PresenceTable::entrySuspicion.ceiling).empty());
 }
 
@@ -61,7 +82,7 @@
         table.record(presence("a", "apapa"), time);
         table.record(presence("b", "apapa"), time);
     }
-    BOOST_TEST((addressesFor("apapa", table.ready(time), maxCount) == std::vector<std::string> {"a:80", "b:80"}));
+    BOOST_TEST((addressesFor("apapa", table.ready(time), maxCount, seed) == std::vector<std::string> {"a:80", "b:80"}));
 }
 
 BOOST_AUTO_TEST_CASE(the_share_of_unreachable_directories_is_counted_per_failure_domain)
--- a/tests/ledger/cp_ledger_peers.tests.cpp
+++ b/tests/ledger/cp_ledger_peers.tests.cpp
@@ -31,6 +31,35 @@
 
 BOOST_AUTO_TEST_SUITE(ledger_peers)
 
+// Guards against heartbeats that grow with the product of entries and ledger VMs.
+BOOST_AUTO_TEST_CASE(an_entry_sends_its_heartbeats_to_a_bounded_number_of_ledger_vms)
+{
+    constexpr std::size_t maxTargets = 12;
+    for (const std::size_t scale : {1U, 2U}) {
+        const std::vector<LedgerPeer> peers = ledgerVms(125 * scale);
+        const std::size_t entries = 865 * scale;
+        std::map<VmName, std::size_t> localEntries;
+        std::size_t localTargets = 0;
+        for (std::size_t i = 0; i < entries; ++i) {
+            const std::vector<VmName> targets = heartbeatTargets(peers, "entry-" + std::to_string(i), domainOf(i));
+            BOOST_TEST(targets.size() <= maxTargets);
+            for (const VmName &target : targets) {
+                const auto peer = std::find_if(peers.begin(), peers.end(),
+                                               [&](const LedgerPeer &other) { return other.peer == target; });
+                const std::size_t isLocal = peer->failureDomain == domainOf(i) ? 1 : 0;
+                localEntries[target] += isLocal;
+                localTargets += isLocal;
+            }
+        }
+        // Each directory can offer a choice of entries in its own failure domain, and hears from few of all entries.
+        BOOST_TEST(localEntries.size() == peers.size());
+        for (const auto &[peer, count] : localEntries) {
+            BOOST_TEST(2 * count * peers.size() >= localTargets);
+            BOOST_TEST(count * peers.size() <= 2 * localTargets);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(all_ledger_vms_of_a_small_deployment_are_targets)
 {
     for (const std::size_t count : {1U, 3U, 8U}) {
@@ -39,6 +68,22 @@
     BOOST_TEST(heartbeatTargets({}, "entry", "onne").empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_ledger_vm_that_leaves_changes_only_the_subsets_that_it_belongs_to)
+{
+    std::vector<LedgerPeer> peers = ledgerVms(100);
+    const std::vector<LedgerPeer> all = peers;
+    const VmName gone = peers.back().peer;
+    peers.pop_back();
+    for (std::size_t i = 0; i < 200; ++i) {
+        const std::string entry = "entry-" + std::to_string(i);
+        const std::vector<VmName> before = heartbeatTargets(all, entry, domainOf(i));
+        const std::vector<VmName> after = heartbeatTargets(peers, entry, domainOf(i));
+        if (std::find(before.begin(), before.end(), gone) == before.end()) {
+            BOOST_TEST((before == after));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(the_digest_depends_on_the_set_and_not_on_its_order)
 {
     std::vector<LedgerPeer> peers = ledgerVms(10);
