A silent connection fails its requests as unanswered, not as a lost peer

Cause: when one request had no reply in its time, PeerClient reset the connection, and all others on it failed with PeerLost. Ruled out: a longer time-out: the same at a slower leader. Change: a connection that is dropped for silence fails its requests with DeadlineExceeded; PeerLost is what the transport reports. Figures: requests_pending_on_a_silent_connection_are_not_reported_as_a_lost_peer failed before.

--- a/include/cardamompost/net/cp_peer_client.hpp
+++ b/include/cardamompost/net/cp_peer_client.hpp
@@ -27,7 +27,7 @@
 //! Sends requests to one peer over a single connection, which is opened on demand.
 //!
 //! While requests are pending, an idle connection is pinged. A connection that stays silent is closed, its requests
-//! fail with PeerLost, and the next request opens a new one.
+//! fail with DeadlineExceeded, and the next request opens a new one.
 //! Thread-safety: all functions from any thread; handlers run on the client's strand and must not block.
 class PeerClient : public std::enable_shared_from_this<PeerClient>
 {
@@ -39,8 +39,8 @@
                PeerTraffic &traffic);
 
     //! Each reply but the last restarts the timeout.
-    //! Errors passed to the handler: PeerLost (the peer may have received the request), DeadlineExceeded.
-    //! \returns the request's id, for cancel()
+    //! Errors passed to the handler: PeerLost if the connection failed, DeadlineExceeded if the peer was silent. The
+    //! peer may have received the request, unless the outcome is NotRun. \returns the request's id, for cancel()
     std::uint64_t request(FrameBody body, Milliseconds timeout, ReplyHandler handler);
     //! As request(), for a single reply.
     boost::asio::awaitable<Result<FrameBody>> call(FrameBody body, Milliseconds timeout);
@@ -67,6 +67,8 @@
     boost::asio::awaitable<void> connectAndRead();
     boost::asio::awaitable<Result<std::shared_ptr<FrameConnection>>> connect();
     void onFrame(Frame frame);
+    //! Closes the connection and fails its requests.
+    void dropConnection(const Error &error);
     void failAll(const Error &error);
     void scheduleCheck();
     void check();
--- a/src/cardamompost/net/cp_peer_client.cpp
+++ b/src/cardamompost/net/cp_peer_client.cpp
@@ -96,13 +96,18 @@
 void PeerClient::resetConnection()
 {
     asio::post(strand_, [self = shared_from_this()] {
-        if (const auto old = std::exchange(self->connection_, nullptr)) {
-            old->close();
-            self->failAll(makeError(ErrorKind::PeerLost, self->address_.toString() + ": the connection was reset"));
-        }
+        self->dropConnection(makeError(ErrorKind::PeerLost, self->address_.toString() + ": the connection was reset"));
     });
 }
 
+void PeerClient::dropConnection(const Error &error)
+{
+    if (const auto old = std::exchange(connection_, nullptr)) {
+        old->close();
+        failAll(error);
+    }
+}
+
 void PeerClient::close()
 {
     asio::post(strand_, [self = shared_from_this()] {
@@ -266,16 +271,17 @@
 void PeerClient::check()
 {
     const TimePoint now = std::chrono::steady_clock::now();
+    const Error silent = makeError(ErrorKind::DeadlineExceeded, address_.toString() + ": the connection is silent");
     if (expireOverdue(now)) {
         // Nothing was received while a request waited for its whole timeout: retries must not wait until the pings
         // below detect the dead connection.
-        resetConnection();
+        dropConnection(silent);
     }
     if (connection_ && !pending_.empty()) {
         const auto silence = now - connection_->lastReceived();
         // Detects a half-open connection by unanswered pings; the next request opens a new one.
         if (silence > silenceTimeout && now - lastPing_ < silenceTimeout) {
-            connection_->close();
+            dropConnection(silent);
         } else if (silence > pingIdleTime && now - lastPing_ > pingIdleTime) {
             lastPing_ = now;
             connection_->send({0, FrameKind::Ping, 0, {}});
--- a/tests/net/cp_peer_client.tests.cpp
+++ b/tests/net/cp_peer_client.tests.cpp
@@ -86,4 +86,28 @@
     BOOST_TEST(connections == expected, boost::test_tools::per_element());
 }
 
+// Guards against taking a slow peer for a lost one: all requests on a silent connection fail as unanswered.
+BOOST_AUTO_TEST_CASE(requests_pending_on_a_silent_connection_are_not_reported_as_a_lost_peer)
+{
+    asio::io_context io;
+    PeerTraffic traffic;
+    SilentPeer peer(io);
+    const auto client = std::make_shared<PeerClient>(io.get_executor(), peer.address(), nullptr, traffic);
+    std::vector<ErrorKind> failures;
+    const auto onReply = [&](Result<FrameBody> reply, bool) {
+        BOOST_REQUIRE(!reply.has_value());
+        failures.push_back(reply.error().kind);
+        if (failures.size() == 2) {
+            io.stop();
+        }
+    };
+    client->request(UpdateRequest {}, Milliseconds(400), onReply);
+    client->request(UpdateRequest {}, Milliseconds(60'000), onReply);
+    io.run();
+    BOOST_TEST(failures.size() == 2U);
+    for (const ErrorKind kind : failures) {
+        BOOST_TEST((kind == ErrorKind::DeadlineExceeded));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
