Entries get updates from relays, and a slow leader is not a lost one

Cause: all 863 entries of the fleet polled the leader, waited at every other voter, and searched at all voters ten times a second once it was slow. Ruled out: more bytes a second at the leader (a constant); gossip for content (an unbounded delay, where a bound has to hold); fewer ledger VMs (bytes, not the leader's polls); all ledger VMs as relays (the leader's work would grow with them). Change: UpdateRelay on every ledger VM serves entries from a copy (ContentReplica), which it keeps by polling the leader while entries poll it; replies carry the leader's term and the time since it was heard. RelaySelector: four VMs of each failure domain, the same for all entries, by rendezvous hashing; a failed one is left for a time, the next is in another domain. A new leader notifies all ledger VMs, and goes on from its copy. A request without content waits at the next relay for a later leader. An entry keeps a leader that is silent; it is replaced by a later one, or dropped when its connection fails or it says that it does not lead. Join requests of VMs with a term are answered under the leader's lease, without a quorum round each (246 a second in the fleet). Tests: update_relay, 865 and 1,730 entries in virtual time: the leader serves a fixed number of relays, two relays of a domain lost, a domain's relays cut off from the leader, a new leader. changes_of_leaders_and_refused_turns_are_counted counted ledger_lost alone; an entry may now have the successor's word first, so it counts both ways of noticing, as strictly. Conclusion: the leader's work for updates follows the failure domains.

--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -20,6 +20,8 @@
     //! Log index up to which the VM holds all state, including turn texts; 0 while any is missing.
     LogIndex completeUpTo = 0;
     std::string failureDomain;
+    //! The VM has a term. One without needs a term that a quorum has confirmed for this request.
+    bool hasTerm = false;
 };
 
 //! Leader and members of the consensus group as known to one VM.
@@ -155,7 +157,7 @@
     VmName leader;
 };
 
-//! Long poll of an entry to the leader for changes since the versions that the entry holds.
+//! Long poll of an entry to a relay, or of a relay to the leader, for changes since the versions that the sender holds.
 struct UpdateRequest {
     //! Version of the complete document that the entry uses.
     std::uint64_t documentVersion = 0;
@@ -164,27 +166,31 @@
     DocumentBuckets::Digests documentDigests;
     //! The same for the list, while it is compared bucket by bucket; else empty.
     BackendBuckets::Digests listDigests;
-    //! Digest of the ledger VMs that the entry knows.
+    //! Digest of the ledger VMs that the sender knows.
     std::uint64_t peersDigest = 0;
-    //! Time since the entry learned that its content is stale; 0 if it is not known to be.
+    //! Term of the latest leader that the sender knows.
+    Term knownTerm = 0;
+    //! Time since the sender learned that its content is stale; 0 if it is not known to be.
     std::uint32_t staleMs = 0;
-    //! How long the receiver may wait before it answers. With wantsContent, a leader waits for newer content; without
-    //! it, any other VM waits until it leads.
+    //! How long the receiver may wait for newer content or a later leader before it answers.
     std::uint32_t waitMs = 0;
-    //! False to ask only for the leader and members.
+    //! False to ask only for the leader and the ledger VMs.
     bool wantsContent = true;
 };
 
 struct UpdateReply {
+    //! The sender is the leader.
     bool isLeader = false;
+    //! The leader that the sender has heard from last; empty if there was none.
     VmName leader;
-    //! Term of the leader that replies; replies from a lower term are outdated.
+    //! Term of that leader; replies from a lower term are outdated.
     Term term = 0;
+    //! Time since the sender has heard from the leader.
+    std::uint32_t ageMs = 0;
     //! All ledger VMs, members or not; empty if the request has their digest.
     std::vector<LedgerPeer> peers;
     std::uint64_t peersDigest = 0;
-    //! Addresses of the voters; only from a leader.
-    std::vector<VmName> voters;
+    //! Newest version that the sender knows; of the document in documentDelta if there is one.
     std::uint64_t documentVersion = 0;
     BackendListVersion list;
     //! Content that the request's digests lack; empty if there is nothing newer to send.
--- a/include/cardamompost/net/cp_frame.hpp
+++ b/include/cardamompost/net/cp_frame.hpp
@@ -49,13 +49,12 @@
 
 //! Names of the alternatives of FrameBody, in their order.
 inline constexpr std::array<std::string_view, std::variant_size_v<FrameBody>> frameBodyNames {
-    "none",          "raft",          "seal",         "seal_reply",        "append",       "append_reply",
-    "read",          "read_reply",    "forget",       "lease",             "lease_reply",  "propose",
-    "propose_reply", "pull",          "pull_reply",   "status",            "status_reply", "probe",
-    "probe_reply",   "limit",         "limit_reply",  "api",               "api_chunk",    "failure",
-    "join",          "join_reply",    "begin",        "begin_reply",       "finish",       "finish_reply",
-    "update",        "update_reply",  "presence",     "turn_texts",        "texts_reply",  "leader_notice",
-    "admit",         "admit_reply"};
+    "none",          "raft",         "seal",         "seal_reply",   "append",      "append_reply",  "read",
+    "read_reply",    "forget",       "lease",        "lease_reply",  "propose",     "propose_reply", "pull",
+    "pull_reply",    "status",       "status_reply", "probe",        "probe_reply", "limit",         "limit_reply",
+    "api",           "api_chunk",    "failure",      "join",         "join_reply",  "begin",         "begin_reply",
+    "finish",        "finish_reply", "update",       "update_reply", "presence",    "turn_texts",    "texts_reply",
+    "leader_notice", "admit",        "admit_reply"};
 
 //! One message on a connection between two peers.
 struct Frame {
--- a/include/cardamompost/policy/cp_engine_load_index.hpp
+++ b/include/cardamompost/policy/cp_engine_load_index.hpp
@@ -25,8 +25,8 @@
 
 //! The usable engines of one service, ordered by load within each failure domain.
 //!
-//! A selection examines two engines of each failure domain, however many engines there are. Engines with equal loads are
-//! in random order, so that successive selections are spread over them. Thread-safety: none.
+//! A selection examines two engines of each failure domain, however many engines there are. Engines with equal loads
+//! are in random order, so that successive selections are spread over them. Thread-safety: none.
 class EngineLoadIndex
 {
 public:
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -203,6 +203,7 @@
   peer @1 :Text;
   holdsUpTo @2 :UInt64;
   failureDomain @3 :Text;
+  hasTerm @4 :Bool;
 }
 
 struct JoinReply {
@@ -386,6 +387,7 @@
   documentDigests @6 :List(UInt32);
   behindMs @7 :UInt32;
   peersDigest @8 :UInt64;
+  knownTerm @9 :UInt64;
 }
 
 struct NewsReply {
@@ -400,10 +402,10 @@
   term @7 :UInt64;
   document @8 :ContentDelta;
   list @9 :ContentDelta;
-  voters @10 :List(Text);
-  peersDigest @11 :UInt64;
-  listChanges @12 :BackendChanges;
-  mustResyncList @13 :Bool;
+  peersDigest @10 :UInt64;
+  listChanges @11 :BackendChanges;
+  mustResyncList @12 :Bool;
+  ageMs @13 :UInt32;
 }
 
 struct Presence {
--- a/src/cardamompost/net/cp_frame_decoder.cpp
+++ b/src/cardamompost/net/cp_frame_decoder.cpp
@@ -133,7 +133,8 @@
     switch (in.which()) {
     case Body::JOIN:
         return JoinRequest {fromText(in.getJoin().getVm()), fromText(in.getJoin().getPeer()),
-                            in.getJoin().getHoldsUpTo(), fromText(in.getJoin().getFailureDomain())};
+                            in.getJoin().getHoldsUpTo(), fromText(in.getJoin().getFailureDomain()),
+                            in.getJoin().getHasTerm()};
     case Body::JOIN_REPLY:
         return JoinReply {in.getJoinReply().getIsConfirmed(), decodeGroupView(in.getJoinReply())};
     case Body::LEADER_NOTICE:
--- a/src/cardamompost/net/cp_frame_encoder.cpp
+++ b/src/cardamompost/net/cp_frame_encoder.cpp
@@ -253,6 +253,7 @@
         message.setPeer(toText(in.peer));
         message.setHoldsUpTo(in.completeUpTo);
         message.setFailureDomain(toText(in.failureDomain));
+        message.setHasTerm(in.hasTerm);
     }
 
     void operator()(const JoinReply &in)
--- a/src/cardamompost/net/cp_ledger_schema.cpp
+++ b/src/cardamompost/net/cp_ledger_schema.cpp
@@ -179,6 +179,7 @@
     out.setWantsContent(in.wantsContent);
     out.setBehindMs(in.staleMs);
     out.setPeersDigest(in.peersDigest);
+    out.setKnownTerm(in.knownTerm);
     encodeDigests(in.documentDigests, out.initDocumentDigests(static_cast<unsigned>(in.documentDigests.size())));
     encodeDigests(in.listDigests, out.initListDigests(static_cast<unsigned>(in.listDigests.size())));
 }
@@ -192,6 +193,7 @@
     request.listDigests = decodeDigests(in.getListDigests());
     request.staleMs = in.getBehindMs();
     request.peersDigest = in.getPeersDigest();
+    request.knownTerm = in.getKnownTerm();
     request.waitMs = in.getWaitMs();
     request.wantsContent = in.getWantsContent();
     return request;
@@ -204,7 +206,7 @@
     out.setTerm(in.term);
     encodePeers(in.peers, out.initPeers(static_cast<unsigned>(in.peers.size())));
     out.setPeersDigest(in.peersDigest);
-    encodeTexts(in.voters, out.initVoters(static_cast<unsigned>(in.voters.size())));
+    out.setAgeMs(in.ageMs);
     out.setDocumentVersion(in.documentVersion);
     out.setListTerm(in.list.term);
     out.setListSequence(in.list.sequence);
@@ -229,7 +231,7 @@
     reply.term = in.getTerm();
     reply.peers = decodePeers(in.getPeers());
     reply.peersDigest = in.getPeersDigest();
-    reply.voters = decodeTexts(in.getVoters());
+    reply.ageMs = in.getAgeMs();
     reply.documentVersion = in.getDocumentVersion();
     reply.list = {in.getListTerm(), in.getListSequence()};
     reply.listAgeMs = in.getListAgeMs();
--- a/src/gateway/cp_backend_pool.cpp
+++ b/src/gateway/cp_backend_pool.cpp
@@ -195,8 +195,7 @@
 
 void BackendPool::addToServices(Servers added)
 {
-    const auto isPreferred
-        = [](const auto &left, const auto &right) { return left->preference_ < right->preference_; };
+    const auto isPreferred = [](const auto &left, const auto &right) { return left->preference_ < right->preference_; };
     std::unordered_map<std::string, Servers> addedByService;
     for (auto &state : added) {
         addedByService[state->server_.service].push_back(std::move(state));
@@ -225,7 +224,8 @@
 
 std::vector<std::string> BackendPool::ejected(std::string_view service, TimePoint now)
 {
-    std::erase_if(ejected_, [&](const auto &backend) { return !backend->isEjected(now) || backend->server_.isLeaving; });
+    std::erase_if(ejected_,
+                  [&](const auto &backend) { return !backend->isEjected(now) || backend->server_.isLeaving; });
     std::vector<std::string> ids;
     for (const auto &backend : ejected_) {
         if (backend->server_.service == service) {
--- a/src/gateway/cp_entry_replica.cpp
+++ b/src/gateway/cp_entry_replica.cpp
@@ -60,10 +60,9 @@
     const DocumentStaleness &staleness = parts_.ledger.staleness();
     const Milliseconds staleFor = staleness.staleFor(std::chrono::steady_clock::now());
     if (staleFor > maxStaleness && !hasLoggedStale_) {
-        parts_.log.warn("document.behind",
-                        {{"version", content_.documentVersion()},
-                         {"newest", staleness.latestVersion()},
-                         {"ms", staleFor.count()}});
+        parts_.log.warn(
+            "document.behind",
+            {{"version", content_.documentVersion()}, {"newest", staleness.latestVersion()}, {"ms", staleFor.count()}});
     }
     hasLoggedStale_ = staleFor > maxStaleness;
 }
--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-
 #include <fmt/format.h>
 
 #include <csignal>
@@ -261,9 +260,9 @@
         return;
     }
     if (nextTrafficLog_ != TimePoint {}) {
-        log_.info("peer.traffic",
-                  {{"sent", describeTraffic(traffic_.sentByBody)},
-                   {"received", describeTraffic(traffic_.receivedByBody)}});
+        log_.info(
+            "peer.traffic",
+            {{"sent", describeTraffic(traffic_.sentByBody)}, {"received", describeTraffic(traffic_.receivedByBody)}});
     }
     nextTrafficLog_ = now + trafficLogInterval;
 }
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -17,8 +17,12 @@
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 constexpr Milliseconds attemptTimeout {400};
 constexpr Milliseconds retryInterval {10};
-constexpr Milliseconds updateWait {500};
-constexpr Milliseconds updateTimeout {900};
+// How long a relay holds a request if there is nothing new, and the margin for its reply.
+constexpr Milliseconds updateWait {300};
+constexpr Milliseconds updateMargin {300};
+// A relay that has not heard from the leader for longer is left.
+constexpr Milliseconds maxRelayAge {800};
+constexpr Milliseconds relayRetryInterval {50};
 
 TimePoint timeNow()
 {
@@ -49,12 +53,14 @@
 LedgerClient::LedgerClient(Parts parts)
     : parts_(parts)
     , seeds_(parts.settings.seedPeers())
+    , relays_(parts.settings.vm, parts.settings.failureDomain)
     , searchTimer_(parts.io)
     , beginRetries_(parts.metrics.counter("cardamompost_ledger_begin_retries_total"))
     , slowLeaders_(parts.metrics.counter("cardamompost_ledger_slow_total"))
     , lostLeaders_(parts.metrics.counter("cardamompost_ledger_lost_total"))
     , leaderSwitches_(parts.metrics.counter("cardamompost_ledger_told_by_successor_total"))
     , finishRetries_(parts.metrics.counter("cardamompost_ledger_finish_retries_total"))
+    , relayFailures_(parts.metrics.counter("cardamompost_relay_failures_total"))
 {
     setPeers({});
     parts.metrics.gauge("cardamompost_document_behind_seconds", {},
@@ -107,7 +113,7 @@
         return;
     }
     if (answer == nullptr) {
-        suspectLeader(peer, reply, "unexpected reply type");
+        handleFailure(peer, reply, "unexpected reply type");
         resendLater(attempt);
         return;
     }
@@ -169,7 +175,7 @@
         if (policy.retries != nullptr) {
             policy.retries->add();
         }
-        suspectLeader(peer, reply, policy.failureReason);
+        handleFailure(peer, reply, policy.failureReason);
         co_await sleepFor(retryInterval);
     }
     co_return std::nullopt;
@@ -197,45 +203,56 @@
 {
     dropLeader({}, "entry is starting");
     while (!isStopped_) {
-        const VmName peer = leader_;
-        const auto client = peer.empty() ? nullptr : parts_.peers.client(peer);
+        const VmName relay = relays_.current(timeNow());
+        const auto client = relay.empty() ? nullptr : parts_.peers.client(relay);
         if (!client) {
             co_await sleepFor(retryInterval);
             continue;
         }
         updateRequest_.waitMs = static_cast<std::uint32_t>(updateWait.count());
         updateRequest_.staleMs = staleSince_ ? static_cast<std::uint32_t>(toMs(timeNow() - *staleSince_)) : 0;
+        updateRequest_.knownTerm = leaderTerm_;
         FrameBody body = updateRequest_;
-        const Result<FrameBody> reply = co_await client->call(std::move(body), updateTimeout);
+        const Result<FrameBody> reply = co_await client->call(std::move(body), updateWait + updateMargin);
         const UpdateReply *update = reply ? std::get_if<UpdateReply>(&reply.value()) : nullptr;
-        if (update != nullptr && update->isLeader && update->term >= leaderTerm_) {
-            applyUpdate(*update);
-        } else if (leader_ == peer) {
-            dropLeader(peer, reply ? "peer is not the leader" : reply.error().message);
+        if (update != nullptr) {
+            applyUpdate(relay, *update);
+        } else {
+            suspectRelay(relay, reply ? "unexpected reply type" : reply.error().message);
+            co_await sleepFor(relayRetryInterval);
         }
     }
 }
 
-void LedgerClient::applyUpdate(const UpdateReply &update)
+void LedgerClient::suspectRelay(const VmName &relay, const std::string &reason)
 {
-    if (update.peersDigest != ledgerVms_.digest()) {
-        setPeers(update.peers);
+    relayFailures_.add();
+    if (relays_.suspect(relay, timeNow())) {
+        parts_.log.info("relay.left", {{"peer", relay}, {"reason", reason}, {"news_age_ms", updateAge().count()}});
     }
-    voters_ = update.voters;
-    leaderTerm_ = update.term;
-    const Milliseconds age = updateAge();
-    lastUpdateAt_ = timeNow();
-    if (!hasLeader_) {
-        hasLeader_ = true;
-        parts_.log.info("ledger.found", {{"leader", leader_}, {"news_age_ms", age.count()}});
+}
+
+void LedgerClient::applyUpdate(const VmName &relay, const UpdateReply &update)
+{
+    const TimePoint now = timeNow();
+    const Milliseconds age(update.ageMs);
+    if (age > maxRelayAge) {
+        suspectRelay(relay, "the relay does not hear from the leader");
+    } else {
+        relays_.trust(relay);
+        lastUpdateAt_ = std::max(lastUpdateAt_, now - age);
+        if (!update.peers.empty() && update.peersDigest != ledgerVms_.digest()) {
+            setPeers(update.peers);
+        }
     }
-    staleness_.recordLatestVersion(update.documentVersion, lastUpdateAt_);
+    recordLeader(update);
+    staleness_.recordLatestVersion(update.documentVersion, now);
     onUpdate_(update);
     const bool isListStale = updateRequest_.list < update.list;
     if (!staleness_.isStale() && !isListStale) {
         staleSince_.reset();
     } else if (!staleSince_) {
-        staleSince_ = lastUpdateAt_;
+        staleSince_ = now;
     }
 }
 
@@ -259,6 +276,7 @@
         }
     }
     heartbeatTargets_ = heartbeatTargets(known, parts_.settings.vm, parts_.settings.failureDomain);
+    relays_.setPeers(known);
 }
 
 void LedgerClient::setSeeds(std::vector<VmName> seeds)
@@ -269,7 +287,7 @@
 
 void LedgerClient::announcePresence(bool isReady)
 {
-    watchVoters();
+    watchStandby();
     const Presence presence {parts_.settings.vm, parts_.settings.front.toString(), parts_.settings.failureDomain,
                              isReady};
     for (const VmName &peer : heartbeatTargets_) {
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -6,14 +6,13 @@
 #include "cp_peer_clients.hpp"
 
 #include <cardamompost/ledger/cp_content_replica.hpp>
+#include <cardamompost/ledger/cp_relay_selector.hpp>
 #include <cardamompost/observe/cp_event_log.hpp>
 #include <cardamompost/observe/cp_metrics.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
-#include <set>
-
 namespace cardamompost
 {
 
@@ -76,7 +75,12 @@
     Milliseconds retryAfter_ {0};
 };
 
-//! An entry's client of the ledger: finds the leader, retries requests and polls for updates.
+//! An entry's client of the ledger: sends requests to the leader, retries them, and polls a relay for updates, which
+//! also tell who leads.
+//!
+//! A leader that does not answer in time is kept: only a later leader replaces it, and only a failed connection or its
+//! own word that it does not lead makes the entry look for another one. A slow leader thus gets no more requests than
+//! before.
 class LedgerClient
 {
 public:
@@ -91,7 +95,7 @@
 
     explicit LedgerClient(Parts parts);
 
-    //! Starts polling for updates; the handler is called with each reply of a leader.
+    //! Starts polling for updates; the handler is called with each reply of a relay.
     void start(UpdateHandler onUpdate);
     void stop();
 
@@ -111,13 +115,13 @@
     {
         return heartbeatTargets_.size();
     }
-    //! Time since the last reply of a leader.
+    //! Time since a leader was last heard from, by this entry's relay or directly.
     [[nodiscard]] Milliseconds updateAge() const;
     [[nodiscard]] const DocumentStaleness &staleness() const
     {
         return staleness_;
     }
-    //! Updates arrive at least twice a second; beyond this age an entry's data counts as stale.
+    //! Beyond this age an entry's data counts as stale.
     static constexpr Milliseconds maxUpdateAge {1000};
     //! A recent reply of the leader confirms that this entry's document is the newest.
     [[nodiscard]] bool hasNewestDocument() const
@@ -158,23 +162,23 @@
                       bool isLast);
     void resendLater(const std::shared_ptr<BeginAttempt> &attempt);
     boost::asio::awaitable<void> pollUpdates();
-    void applyUpdate(const UpdateReply &update);
-    //! Queries several ledger VMs at a time until one reports that it is the leader.
+    void applyUpdate(const VmName &relay, const UpdateReply &update);
+    //! Keeps a request pending at another relay, which answers as soon as it hears of a later leader: the leader and
+    //! this entry's relay may fail together.
+    void watchStandby();
+    void suspectRelay(const VmName &relay, const std::string &reason);
+    //! Queries ledger VMs, a few at a time, until one names a leader.
     boost::asio::awaitable<void> search();
     void queryLeader(const VmName &peer);
     //! Logs a search that takes long, with the known ledger VMs.
     void logSearch();
-    //! Keeps a request pending at each voter except the leader; the voter answers as soon as it becomes the leader.
-    void watchVoters();
-    void watch(const VmName &peer);
-    void adoptLeader(const VmName &peer, const UpdateReply &update);
+    //! Adopts the leader that a ledger VM has heard from, unless the one known is as recent.
+    void recordLeader(const UpdateReply &update);
     void dropLeader(const VmName &peer, const std::string &reason);
-    //! Handles a request that the leader did not answer as expected. After a timeout, the leader is kept if it confirms
-    //! that it still leads.
-    void suspectLeader(const VmName &peer, const Result<FrameBody> &reply, const std::string &reason);
+    //! Handles a request that the leader did not answer as expected.
+    void handleFailure(const VmName &peer, const Result<FrameBody> &reply, const std::string &reason);
     //! The VMs that the next round of a search queries.
     [[nodiscard]] std::vector<VmName> nextSearchTargets();
-    [[nodiscard]] std::set<VmName> knownLedgerVms() const;
     void setPeers(std::vector<LedgerPeer> peers);
 
     Parts parts_;
@@ -182,21 +186,21 @@
     //! All ledger VMs, members or not, as reported by a leader or, during a search, by other VMs.
     LedgerPeers ledgerVms_;
     std::vector<VmName> heartbeatTargets_;
-    //! The voters, as last reported by a leader.
-    std::vector<VmName> voters_;
+    RelaySelector relays_;
     //! Empty during a search.
     VmName leader_;
     Term leaderTerm_ = 0;
+    //! The leader that was dropped last, and when.
+    VmName droppedLeader_;
+    TimePoint droppedAt_ {};
     bool isSearching_ = false;
-    //! A check whether the leader still leads is in flight.
-    bool isCheckingLeader_ = false;
-    //! Rounds of searches so far; selects the non-voters to query next.
+    //! A request is pending at the standby relay.
+    bool isWatching_ = false;
+    //! Rounds of searches so far; selects the VMs to query next.
     std::size_t searchRounds_ = 0;
     TimePoint searchingSince_ {};
     TimePoint lastSearchLogAt_ {};
     boost::asio::steady_timer searchTimer_;
-    //! Voters with a pending watch request.
-    std::set<VmName> watched_;
     UpdateRequest updateRequest_;
     DocumentStaleness staleness_;
     //! When the leader was first known to have a newer document or list; empty while this entry is up to date.
@@ -210,6 +214,7 @@
     Counter &lostLeaders_;
     Counter &leaderSwitches_;
     Counter &finishRetries_;
+    Counter &relayFailures_;
 };
 
 } // namespace cardamompost
--- a/src/gateway/cp_ledger_members.cpp
+++ b/src/gateway/cp_ledger_members.cpp
@@ -96,6 +96,32 @@
     });
 }
 
+std::set<VmName> LedgerService::allPeers() const
+{
+    const std::vector<VmName> known = knownPeers();
+    std::set<VmName> peers(known.begin(), known.end());
+    for (const auto &[vm, record] : state_.vms()) {
+        peers.insert(record.peer);
+    }
+    peers.erase(self_);
+    return peers;
+}
+
+void LedgerService::notify(const std::set<VmName> &peers)
+{
+    const LeaderNotice notice {groupView()};
+    for (const VmName &peer : peers) {
+        if (const auto client = parts_.peers.client(peer)) {
+            client->notify(notice);
+        }
+    }
+}
+
+void LedgerService::notifyAllPeers()
+{
+    notify(allPeers());
+}
+
 void LedgerService::notifySilentPeers()
 {
     if (!leads()) {
@@ -104,26 +130,17 @@
     // After a full outage, a VM outside the group may know only seeds that aren't members, and so may the entries that
     // query it. The leader knows the VMs from its state and settings, and notifies those that send it no join requests.
     const TimePoint now = std::chrono::steady_clock::now();
-    const LeaderNotice notice {groupView()};
-    const std::vector<VmName> peers = knownPeers();
-    std::set<VmName> known(peers.begin(), peers.end());
-    for (const auto &[vm, record] : state_.vms()) {
-        known.insert(record.peer);
-    }
-    known.erase(self_);
-    for (const VmName &peer : known) {
+    std::set<VmName> silent = allPeers();
+    std::erase_if(silent, [&](const VmName &peer) {
         const auto requester = joinRequesters_.find(peer);
-        const bool isSilent
-            = requester == joinRequesters_.end() || now - requester->second.requestedAt > silentPeerTimeout;
-        const auto client = isSilent ? parts_.peers.client(peer) : nullptr;
-        if (client) {
-            client->notify(notice);
-        }
-    }
+        return requester != joinRequesters_.end() && now - requester->second.requestedAt <= silentPeerTimeout;
+    });
+    notify(silent);
 }
 
 void LedgerService::onLeaderNotice(const LeaderNotice &notice)
 {
+    updates_.onLeaderNotice(notice.group.leader, notice.group.term);
     const bool isNewLeader = discovery_.recordNotice(notice.group);
     if (isNewLeader && driver_.leader().empty()) {
         parts_.log.info("ledger.called", {{"leader", notice.group.leader}, {"term", notice.group.term}});
@@ -168,7 +185,8 @@
 {
     // Join requests also report the address of members, and that VMs outside the group are live.
     const LogIndex completeUpTo = driver_.isStarted() && state_.texts().missing().empty() ? driver_.applied() : 0;
-    const JoinRequest request {parts_.settings.vm, self_, completeUpTo, parts_.settings.failureDomain};
+    const JoinRequest request {parts_.settings.vm, self_, completeUpTo, parts_.settings.failureDomain,
+                               driver_.isStarted()};
     if (leads()) {
         onJoin(request, nullptr);
         return;
@@ -228,14 +246,19 @@
         && known->second.failureDomain == request.failureDomain;
     // Retries while the record is being committed don't propose it again.
     if (!isKnown && proposedVms_.insert(request.vm).second) {
-        const bool isRetiring = known != state_.vms().end() && known->second.peer == request.peer
-            && known->second.isRetiring;
+        const bool isRetiring
+            = known != state_.vms().end() && known->second.peer == request.peer && known->second.isRetiring;
         propose(LedgerVm {request.vm, request.peer, isRetiring, request.failureDomain},
                 [this, vm = request.vm](bool) { proposedVms_.erase(vm); });
     }
     if (!replier) {
         return;
     }
+    if (request.hasTerm && driver_.hasLease()) {
+        // Requests come from all ledger VMs at intervals; a quorum round for each would grow with their number.
+        replier->reply(JoinReply {true, groupView()});
+        return;
+    }
     driver_.confirmRead([this, replier](bool isConfirmed) { replier->reply(JoinReply {isConfirmed, groupView()}); });
 }
 
@@ -262,9 +285,9 @@
         }
         propose(LedgerVm {vm, found->second.peer, true, found->second.failureDomain},
                 [this, vm, done](bool isCommitted) {
-            parts_.log.info("retire.accepted", {{"target", vm}, {"committed", isCommitted}});
-            done(isCommitted ? OperationResult::Done : OperationResult::Unknown);
-        });
+                    parts_.log.info("retire.accepted", {{"target", vm}, {"committed", isCommitted}});
+                    done(isCommitted ? OperationResult::Done : OperationResult::Unknown);
+                });
     });
 }
 
--- a/src/gateway/cp_ledger_search.cpp
+++ b/src/gateway/cp_ledger_search.cpp
@@ -15,16 +15,16 @@
 {
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
-// Long enough for an overloaded leader to confirm that it leads.
-constexpr Milliseconds leaderCheckTimeout {400};
 constexpr Milliseconds searchTimeout {300};
-// Non-voters queried in one round of a search.
-constexpr std::size_t nonVotersPerSearch = 8;
-constexpr Milliseconds searchInterval {100};
+// Ledger VMs queried in one round of a search.
+constexpr std::size_t queriesPerSearch = 3;
+// Pause after a round, which doubles with each round up to the maximum.
+constexpr Milliseconds minSearchInterval {100};
+constexpr Milliseconds maxSearchInterval {400};
 // Shorter searches are part of an ordinary leader election.
 constexpr Milliseconds minLoggedSearch {1000};
 constexpr Milliseconds searchLogInterval {2000};
-// How long a voter holds a watch request, and the margin for its reply.
+// How long the standby relay holds a request, and the margin for its reply.
 constexpr Milliseconds watchWait {2000};
 constexpr Milliseconds watchMargin {500};
 
@@ -35,22 +35,16 @@
 
 } // namespace
 
-std::set<VmName> LedgerClient::knownLedgerVms() const
-{
-    std::set<VmName> all(seeds_.begin(), seeds_.end());
-    for (const LedgerPeer &peer : ledgerVms_.list()) {
-        all.insert(peer.peer);
-    }
-    return all;
-}
-
 void LedgerClient::dropLeader(const VmName &peer, const std::string &reason)
 {
     // A late reply of a former leader doesn't concern the current one.
     if (!leader_.empty() && leader_ != peer) {
         return;
     }
-    leader_.clear();
+    if (!leader_.empty()) {
+        droppedLeader_ = std::exchange(leader_, {});
+        droppedAt_ = timeNow();
+    }
     if (hasLeader_) {
         hasLeader_ = false;
         lostLeaders_.add();
@@ -65,60 +59,49 @@
 
 asio::awaitable<void> LedgerClient::search()
 {
-    // Queries run in parallel, since each unreachable VM would otherwise delay all turns by its timeout.
+    // A relay also tells of a new leader, but the relay may be lost together with the former one.
+    Milliseconds interval = minSearchInterval;
     while (leader_.empty() && !isStopped_) {
+        // Queries run in parallel, since each unreachable VM would otherwise delay all turns by its timeout.
         for (const VmName &peer : nextSearchTargets()) {
             queryLeader(peer);
         }
         logSearch();
-        searchTimer_.expires_after(searchInterval);
+        searchTimer_.expires_after(interval);
         co_await searchTimer_.async_wait(asTuple);
+        interval = std::min(2 * interval, maxSearchInterval);
     }
     isSearching_ = false;
 }
 
 std::vector<VmName> LedgerClient::nextSearchTargets()
 {
-    const std::set<VmName> all = knownLedgerVms();
-    std::vector<VmName> others;
+    const std::vector<VmName> &order = relays_.order();
     std::vector<VmName> targets;
-    for (const VmName &peer : all) {
-        const bool isVoter = std::find(voters_.begin(), voters_.end(), peer) != voters_.end();
-        (isVoter ? targets : others).push_back(peer);
+    // The dropped leader may lead still, if only its connection was lost.
+    if (!droppedLeader_.empty()) {
+        targets.push_back(droppedLeader_);
     }
-    // Voters are queried in each round and the others in rotation, which bounds the load from many searching entries.
-    const std::size_t count = std::min(nonVotersPerSearch, others.size());
+    const std::size_t count = std::min(queriesPerSearch, order.size());
     for (std::size_t i = 0; i < count; ++i) {
-        targets.push_back(others[(searchRounds_ * nonVotersPerSearch + i) % others.size()]);
+        targets.push_back(order[(searchRounds_ * queriesPerSearch + i) % order.size()]);
     }
     ++searchRounds_;
     return targets;
 }
 
-void LedgerClient::suspectLeader(const VmName &peer, const Result<FrameBody> &reply, const std::string &reason)
+void LedgerClient::handleFailure(const VmName &peer, const Result<FrameBody> &reply, const std::string &reason)
 {
-    const bool isTimeout = !reply && reply.error().kind == ErrorKind::DeadlineExceeded;
-    const auto client = parts_.peers.client(peer);
-    if (!isTimeout || leader_ != peer || !client) {
-        dropLeader(peer, reply ? reason : reply.error().message);
+    if (leader_ != peer) {
         return;
     }
-    if (isCheckingLeader_) {
+    const bool isSilent = !reply && reply.error().kind == ErrorKind::DeadlineExceeded;
+    if (isSilent) {
+        // Silence doesn't tell a slow leader from a lost one. A later leader is reported by the relay.
+        slowLeaders_.add();
         return;
     }
-    // Checking first keeps entries from searching when the leader is only overloaded, which would add to its load.
-    isCheckingLeader_ = true;
-    UpdateRequest request;
-    request.wantsContent = false;
-    client->request(request, leaderCheckTimeout, [this, peer](Result<FrameBody> answer, bool) {
-        isCheckingLeader_ = false;
-        const UpdateReply *update = answer ? std::get_if<UpdateReply>(&answer.value()) : nullptr;
-        if (update != nullptr && update->isLeader && update->term >= leaderTerm_) {
-            slowLeaders_.add();
-            return;
-        }
-        dropLeader(peer, answer ? "peer is not the leader" : answer.error().message);
-    });
+    dropLeader(peer, reply ? reason : reply.error().message);
 }
 
 void LedgerClient::logSearch()
@@ -130,7 +113,7 @@
     lastSearchLogAt_ = now;
     parts_.log.warn(
         "ledger.searching",
-        {{"for_ms", toMs(now - searchingSince_)}, {"known", fmt::format("{}", fmt::join(knownLedgerVms(), ","))}});
+        {{"for_ms", toMs(now - searchingSince_)}, {"known", fmt::format("{}", fmt::join(relays_.order(), ","))}});
 }
 
 void LedgerClient::queryLeader(const VmName &peer)
@@ -139,76 +122,83 @@
     if (!client) {
         return;
     }
-    // Without content, which would exhaust the leader's memory when many entries search. The next update request
-    // fetches it.
     UpdateRequest request;
     request.wantsContent = false;
-    client->request(request, searchTimeout, [this, peer](Result<FrameBody> reply, bool) {
+    request.peersDigest = ledgerVms_.digest();
+    client->request(request, searchTimeout, [this](Result<FrameBody> reply, bool) {
         const UpdateReply *update = reply ? std::get_if<UpdateReply>(&reply.value()) : nullptr;
         if (update == nullptr) {
             return;
         }
-        // A deposed leader that is cut off from the other members may still answer, even first. The leader with the
-        // higher term is kept, in whichever order the replies arrive.
-        const bool isNewer = leader_.empty() ? update->term >= leaderTerm_ : update->term > leaderTerm_;
-        if (update->isLeader && isNewer) {
-            adoptLeader(peer, *update);
-        }
-        if (update->isLeader || !leader_.empty()) {
+        recordLeader(*update);
+        if (!leader_.empty() || update->peersDigest == ledgerVms_.digest()) {
             return;
         }
-        // The seeds may have been replaced since, and the leader may be an unknown VM: the reply's members are queried
+        // The seeds may have been replaced since, and the leader may be an unknown VM: the reply's VMs are queried
         // next.
         std::vector<LedgerPeer> known = ledgerVms_.list();
-        known.insert(known.end(), update->peers.begin(), update->peers.end());
-        if (!update->leader.empty()) {
-            known.push_back({update->leader, {}});
+        for (const LedgerPeer &reported : update->peers) {
+            const bool isKnown = std::any_of(known.begin(), known.end(),
+                                             [&](const LedgerPeer &other) { return other.peer == reported.peer; });
+            if (!isKnown) {
+                known.push_back(reported);
+            }
         }
         setPeers(std::move(known));
     });
 }
 
-void LedgerClient::adoptLeader(const VmName &peer, const UpdateReply &update)
-{
-    const VmName before = std::exchange(leader_, peer);
-    applyUpdate(update);
-    searchTimer_.cancel();
-    if (!before.empty() && before != peer) {
-        leaderSwitches_.add();
-        // Fails requests pending at the former leader, so that they are retried here at once and not after their
-        // timeout.
-        parts_.peers.reconnect(before);
-    }
-}
-
-void LedgerClient::watchVoters()
+void LedgerClient::watchStandby()
 {
-    // Only voters can be elected. Watching all ledger VMs would cause much traffic between failure domains.
-    for (const VmName &peer : voters_) {
-        if (peer != leader_ && watched_.insert(peer).second) {
-            watch(peer);
-        }
-    }
-}
-
-void LedgerClient::watch(const VmName &peer)
-{
-    const auto client = parts_.peers.client(peer);
+    const VmName standby = isWatching_ ? VmName {} : relays_.standby(timeNow());
+    const auto client = standby.empty() ? nullptr : parts_.peers.client(standby);
     if (!client) {
-        watched_.erase(peer);
         return;
     }
+    isWatching_ = true;
     UpdateRequest request;
     request.wantsContent = false;
     request.waitMs = static_cast<std::uint32_t>(watchWait.count());
-    client->request(request, watchWait + watchMargin, [this, peer](Result<FrameBody> reply, bool) {
-        // watchVoters() sends the next request, so that an immediate reply doesn't cause a busy loop.
-        watched_.erase(peer);
+    request.knownTerm = leaderTerm_;
+    request.peersDigest = ledgerVms_.digest();
+    client->request(request, watchWait + watchMargin, [this, standby](Result<FrameBody> reply, bool) {
+        // The next heartbeat sends the next request, so that an immediate reply doesn't cause a busy loop.
+        isWatching_ = false;
         const UpdateReply *update = reply ? std::get_if<UpdateReply>(&reply.value()) : nullptr;
-        if (update != nullptr && update->isLeader && update->term > leaderTerm_) {
-            adoptLeader(peer, *update);
+        if (update != nullptr) {
+            recordLeader(*update);
+        } else {
+            relays_.suspect(standby, timeNow());
         }
     });
 }
 
+void LedgerClient::recordLeader(const UpdateReply &update)
+{
+    if (update.leader.empty()) {
+        return;
+    }
+    // A deposed leader that is cut off from the other members may still answer, and a relay may not know yet that the
+    // leader was lost.
+    const bool isHeardSinceDrop = timeNow() - Milliseconds(update.ageMs) > droppedAt_;
+    const bool isNewer = update.term > leaderTerm_
+        || (leader_.empty() && update.term == leaderTerm_ && (update.isLeader || isHeardSinceDrop));
+    if (!isNewer) {
+        return;
+    }
+    const VmName before = std::exchange(leader_, update.leader);
+    leaderTerm_ = update.term;
+    if (!hasLeader_) {
+        hasLeader_ = true;
+        parts_.log.info("ledger.found", {{"leader", leader_}, {"news_age_ms", updateAge().count()}});
+    }
+    searchTimer_.cancel();
+    if (!before.empty() && before != leader_) {
+        leaderSwitches_.add();
+        // Fails requests pending at the former leader, so that they are retried here at once and not after their
+        // timeout.
+        parts_.peers.reconnect(before);
+    }
+}
+
 } // namespace cardamompost
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -16,9 +16,6 @@
 // Appends in flight to a lagging member; bounds the leader's memory on small VMs.
 constexpr std::size_t maxAppendBytes = 256U << 10U;
 constexpr std::size_t maxAppendsInFlight = 16;
-// Content sent to all entries together; bounds the share of the leader's link and the memory held by pending replies.
-constexpr double updateBytesPerSecond = 24.0 * (1U << 20U);
-constexpr double updateBurstBytes = 4.0 * (1U << 20U);
 constexpr LogIndex foundingIndex = 1;
 constexpr Term foundingTerm = 1;
 
@@ -35,8 +32,8 @@
     , discovery_({parts.io, parts.disk, parts.log})
     , placement_(randomIdentity())
     , limiter_(parts.settings.limitTolerance)
-    , pendingUpdates_({updateBytesPerSecond, updateBurstBytes})
-    , deferredUpdates_(parts.metrics.counter("cardamompost_news_put_off_total"))
+    , updates_({parts.io, parts.peers, parts.log, parts.metrics, self_, [this] { return updateSource(); },
+                [this] { return groupView().members; }})
     , placementSeconds_(parts.metrics.histogram("cardamompost_turn_place_seconds"))
     , takeovers_(parts.metrics.counter("cardamompost_ledger_takeovers_total"))
     , exhaustedTurns_(parts.metrics.counter("cardamompost_turns_refused_total", {{"reason", "spent"}}))
@@ -76,13 +73,16 @@
         return driver_.isStarted() && !driver_.node().isUninitialized() && state_.texts().missing().empty() ? 1.0 : 0.0;
     });
     parts_.metrics.gauge("cardamompost_list_age_seconds", {}, [this] {
-        return leads() ? std::chrono::duration<double>(std::chrono::steady_clock::now() - listReadAt_).count() : 0.0;
+        return leads()
+            ? std::chrono::duration<double>(std::chrono::steady_clock::now() - updates_.relay().listReadAt()).count()
+            : 0.0;
     });
     if (stored.hard.term != 0) {
         BOOST_OUTCOME_TRYV(startMember(std::move(stored)));
     } else {
         parts_.log.warn("ledger.blank", {{"self", self_}});
     }
+    updates_.start();
     joinPeriodically();
     announcePeriodically();
     return boost::outcome_v2::success();
@@ -111,10 +111,7 @@
     presenceTimer_.cancel();
     texts_.stop();
     discovery_.stop();
-    for (const PendingUpdates::PendingRequest &pending : pendingUpdates_.takeAll()) {
-        replyUpdate(pending.request, pending.replier, false);
-    }
-    replyToWatchers(true);
+    updates_.stop();
     driver_.stop();
 }
 
@@ -145,14 +142,14 @@
         // The leader tracks placements itself, including those of turns in progress.
         placement_.recordLastEngine(finish->program, finish->backend, std::chrono::steady_clock::now());
     }
-    arePeersCurrent_ = arePeersCurrent_ && !std::holds_alternative<LedgerVm>(command.value().action);
+    arePeersPublished_ = arePeersPublished_ && !std::holds_alternative<LedgerVm>(command.value().action);
     const std::uint64_t before = state_.documentVersion();
     lastApplyStatus_ = state_.apply(command.value(), entry.index);
     if (state_.documentVersion() != before) {
         parts_.log.info(
             "document.in_force",
             {{"version", state_.documentVersion()}, {"before", before}, {"bytes", state_.document().size()}});
-        serveUpdates();
+        publishDocument();
     }
 }
 
@@ -161,7 +158,7 @@
     BOOST_OUTCOME_TRY(LedgerState fresh, LedgerState::decode(snapshot.state));
     fresh.adoptTexts(std::move(state_.texts()));
     state_ = std::move(fresh);
-    arePeersCurrent_ = false;
+    arePeersPublished_ = false;
     texts_.fetchMissing();
     parts_.log.info("ledger.restored", {{"index", snapshot.index}, {"turns", state_.turnCount()}});
     return boost::outcome_v2::success();
@@ -199,18 +196,11 @@
     const bool isLeader = leads();
     if (isLeader && !wasLeader_) {
         leadingSince_ = std::chrono::steady_clock::now();
-        backends_ = {};
         takeovers_.add();
-        notifySilentPeers();
+        notifyAllPeers();
     }
     if (isLeader != wasLeader_) {
-        if (isLeader) {
-            refreshClock();
-            publishDocument();
-            const TimePoint now = std::chrono::steady_clock::now();
-            limiter_.restoreUsage(state_.usage(), clock_.nowMs(now), now);
-        }
-        placement_.clear();
+        updateLeadership(isLeader);
     } else {
         placement_.tick(std::chrono::steady_clock::now());
     }
@@ -219,10 +209,12 @@
         wasLeader_ = isLeader;
         logRole();
     }
-    serveUpdates();
-    if (!watchers_.empty()) {
-        replyToWatchers(false);
+    if (isLeader && !arePeersPublished_) {
+        updates_.relay().setPeers(ledgerPeers());
+        arePeersPublished_ = true;
     }
+    const Membership &members = driver_.node().membership();
+    updates_.tick(members.voters.contains(self_) || members.learners.contains(self_));
     planMembers();
 }
 
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -6,13 +6,13 @@
 #include "cp_group_discovery.hpp"
 #include "cp_presence_table.hpp"
 #include "cp_turn_text_store.hpp"
+#include "cp_update_service.hpp"
 
 #include <cardamompost/accounts/cp_scoped_id.hpp>
 #include <cardamompost/edge/cp_iplatform_adapter.hpp>
 #include <cardamompost/ledger/cp_ledger_clock.hpp>
 #include <cardamompost/ledger/cp_ledger_state.hpp>
 #include <cardamompost/ledger/cp_member_planner.hpp>
-#include <cardamompost/ledger/cp_update_queue.hpp>
 #include <cardamompost/limits/cp_request_limiter.hpp>
 #include <cardamompost/net/cp_peer_server.hpp>
 #include <cardamompost/policy/cp_turn_placement.hpp>
@@ -65,7 +65,10 @@
     void onBegin(TurnBegin begin, const Replier &replier);
     void onAdmit(const AdmitRequest &request, const Replier &replier);
     void onFinish(TurnFinish finish, const Replier &replier);
-    void onUpdateRequest(const UpdateRequest &request, const Replier &replier);
+    void onUpdateRequest(const UpdateRequest &request, const Replier &replier)
+    {
+        updates_.onRequest(request, replier);
+    }
     void onPresence(const Presence &presence);
     void onTurnTexts(const TurnTextsRequest &request, const Replier &replier)
     {
@@ -137,12 +140,6 @@
         //! The quorum's decision; empty while it is pending.
         std::optional<TurnBeginStatus> decided;
     };
-    using PendingUpdates = UpdateQueue<Replier>;
-    struct Watcher {
-        UpdateRequest request;
-        Replier replier;
-        TimePoint deadline;
-    };
 
     Result<void> startMember(RaftStoredState stored);
     void joinPeriodically();
@@ -150,8 +147,15 @@
     void onJoinReply(const VmName &target, const JoinReply &reply);
     //! Leader and members as known to this VM, for VMs that look for the group.
     [[nodiscard]] GroupView groupView() const;
+    //! The leader to poll for updates; empty while none is known.
+    [[nodiscard]] VmName updateSource() const;
     //! Sends a leader notice to the VMs that sent no join request recently; on the leader only.
     void notifySilentPeers();
+    //! Sends a leader notice to all VMs, so that relays and their entries turn to this leader at once.
+    void notifyAllPeers();
+    void notify(const std::set<VmName> &peers);
+    //! All VMs that may be part of the system, without this one.
+    [[nodiscard]] std::set<VmName> allPeers() const;
     //! Logs a search for the leader that takes long.
     void logSearch(const VmName &target, const std::vector<VmName> &peers);
     //! Proposes a command with the ledger's time.
@@ -187,26 +191,12 @@
     //! Time since the oldest undecided begin was proposed; 0 when there is none.
     [[nodiscard]] Milliseconds commitDelay(TimePoint now);
     [[nodiscard]] bool isOverloaded(const TurnBegin &begin, TimePoint now);
-    [[nodiscard]] bool hasNewDocument(const UpdateRequest &request) const;
-    [[nodiscard]] bool hasNewList(const UpdateRequest &request) const;
-    //! There is a newer document or list than the requester holds.
-    [[nodiscard]] bool hasNewContent(const UpdateRequest &request) const;
-    //! Splits the current document into buckets for delta updates, and applies its limits.
+    //! Offers the current document to entries, and applies its limits; on the leader only.
     void publishDocument();
-    //! Replies to pending update requests: with deltas, or without content at their deadline or if this VM doesn't
-    //! lead.
-    void serveUpdates();
-    //! \returns the bytes of the deltas sent
-    std::size_t replyUpdate(const UpdateRequest &request, const Replier &replier, bool withContent);
-    //! Adds the list's changes to a reply, or buckets of it.
-    void addList(const UpdateRequest &request, UpdateReply &reply);
-    //! The current list in buckets, which are built when they are first needed.
-    [[nodiscard]] const BackendBuckets &listBuckets();
-    //! All ledger VMs, or on a VM outside of the group, those that it remembers.
-    [[nodiscard]] const LedgerPeers &ledgerPeers();
-    //! Replies to watch requests once this VM leads or their deadline has passed.
-    //! \param isStopping  replies to all of them now
-    void replyToWatchers(bool isStopping);
+    //! Starts or stops to serve updates as the leader.
+    void updateLeadership(bool isLeader);
+    //! All ledger VMs by the replicated records.
+    [[nodiscard]] LedgerPeers ledgerPeers() const;
     void planMembers();
     [[nodiscard]] MemberCandidates candidates() const;
     [[nodiscard]] std::size_t desiredVoters() const
@@ -245,8 +235,7 @@
     std::unordered_map<std::string, Replier> finishRepliers_;
     TurnPlacement placement_;
     RequestLimiter limiter_;
-    PendingUpdates pendingUpdates_;
-    Counter &deferredUpdates_;
+    UpdateService updates_;
     Histogram &placementSeconds_;
     Counter &takeovers_;
     Counter &exhaustedTurns_;
@@ -264,22 +253,11 @@
     std::unordered_map<VmName, JoinRequester> joinRequesters_;
     //! VMs whose record is being committed.
     std::set<VmName> proposedVms_;
-    //! Pending requests of entries, answered as soon as this VM becomes the leader.
-    std::vector<Watcher> watchers_;
-    DocumentBuckets documentBuckets_;
-    //! Version of the document in the buckets.
-    std::uint64_t publishedVersion_ = 0;
-    //! The last version that was decoded, successfully or not.
+    //! The last document version that was decoded, successfully or not.
     std::uint64_t lastReadVersion_ = 0;
-    BackendCatalog backends_;
-    BackendBuckets listBuckets_;
-    //! Version of the list in the buckets.
-    BackendListVersion bucketsVersion_;
-    LedgerPeers peers_;
-    //! False when the records of VMs have changed since peers_ was built.
-    bool arePeersCurrent_ = false;
+    //! False when the records of VMs have changed since they were published.
+    bool arePeersPublished_ = false;
     PresenceTable presence_;
-    TimePoint listReadAt_ {};
     TimePoint nextPlanAt_ {};
     bool wasLeader_ = false;
     TimePoint leadingSince_ {};
--- a/src/gateway/cp_list_reader.cpp
+++ b/src/gateway/cp_list_reader.cpp
@@ -66,8 +66,7 @@
         co_return response.error();
     }
     if (response.value().status != statusOk) {
-        co_return makeError(ErrorKind::BackendFailed,
-                            "unexpected status " + std::to_string(response.value().status));
+        co_return makeError(ErrorKind::BackendFailed, "unexpected status " + std::to_string(response.value().status));
     }
     co_return parts_.adapter.readBackends(response.value().body);
 }
--- a/src/gateway/cp_paged_list.hpp
+++ b/src/gateway/cp_paged_list.hpp
@@ -14,13 +14,14 @@
 //! Reads a list of backend servers that the platform hands out in pages.
 //!
 //! Each page names the next one, so the time of a read grows with the number of pages. A long list is therefore read by
-//! failure domain, all of them at a time. The failure domains are known from reads of the whole list, which are repeated
-//! now and then to find new ones. Thread-safety: none.
+//! failure domain, all of them at a time. The failure domains are known from reads of the whole list, which are
+//! repeated now and then to find new ones. Thread-safety: none.
 class PagedList
 {
 public:
     //! Fetches a page of a failure domain, or of the whole list if it is empty.
-    using Fetch = std::function<boost::asio::awaitable<Result<BackendPage>>(std::string failureDomain, std::string page)>;
+    using Fetch
+        = std::function<boost::asio::awaitable<Result<BackendPage>>(std::string failureDomain, std::string page)>;
 
     struct Content {
         //! One item per server, of its latest incarnation.
