--- a/src/gateway/cp_ledger_search.cpp
+++ b/src/gateway/cp_ledger_search.cpp
@@ -188,10 +188,8 @@
     }
     const VmName before = std::exchange(leader_, update.leader);
     leaderTerm_ = update.term;
-    if (!hasLeader_) {
-        hasLeader_ = true;
-        parts_.log.info("ledger.found", {{"leader", leader_}, {"news_age_ms", updateAge().count()}});
-    }
+    hasLeader_ = true;
+    parts_.log.info("ledger.found", {{"leader", leader_}, {"term", leaderTerm_}, {"news_age_ms", updateAge().count()}});
     searchTimer_.cancel();
     if (!before.empty() && before != leader_) {
         leaderSwitches_.add();
