--- a/include/cardamompost/ledger/cp_update_relay.hpp
+++ b/include/cardamompost/ledger/cp_update_relay.hpp
@@ -13,9 +13,9 @@
 //! Distributes the route document and the list of backend servers from the ledger's leader to the entries.
 //!
 //! Every ledger VM has one. At the leader it holds the published content; elsewhere a copy, which it keeps up to date
-//! by polling the leader while entries poll it. Each reply tells how long ago the leader was heard, so that content
-//! looks no newer for having passed a relay. The leader's work thus grows with the number of relays, and a relay's with
-//! its share of the entries. Thread-safety: none. Time is an argument; no input or output.
+//! by polling the leader while entries poll it. Each reply carries the time since the leader was heard from, so that
+//! content does not seem newer after it has passed a relay. The leader's work grows with the number of relays, and a
+//! relay's with its share of the entries. Thread-safety: none. Time is an argument; no input or output.
 template<typename Replier>
 class UpdateRelay
 {
@@ -155,7 +155,7 @@
         queue_.add(std::move(request), std::move(replier), now, maxWait);
         serve(now);
     }
-    //! Answers the pending requests for which there is news or whose time has passed.
+    //! Answers the pending requests for which there is an update or whose time has passed.
     void serve(TimePoint now)
     {
         if (queue_.isEmpty()) {
--- a/include/cardamompost/routing/cp_backend_catalog.hpp
+++ b/include/cardamompost/routing/cp_backend_catalog.hpp
@@ -27,10 +27,10 @@
 };
 
 //! The list of backend servers with the history of its changes, so that a receiver of an older version gets the
-//! servers that differ and not the whole list.
+//! servers that differ and not the complete list.
 //!
 //! Versions of two leaders may differ in content although one follows the other. The checksum detects a receiver whose
-//! version the history doesn't lead to; it then needs the whole list. Thread-safety: none.
+//! version the history doesn't lead to; it then needs the complete list. Thread-safety: none.
 class BackendCatalog
 {
 public:
@@ -52,7 +52,7 @@
     //! Null if the server is not listed.
     [[nodiscard]] const BackendServer *find(const std::string &id) const;
 
-    //! What a whole list would change.
+    //! What a complete list would change.
     [[nodiscard]] BackendChanges changesTo(const std::vector<BackendServer> &servers) const;
     //! Applies changes, which result in the given version.
     //! \returns false, leaving everything unchanged, if the result doesn't match the checksum of the changes
--- a/src/cardamompost/ledger/cp_relay_selector.cpp
+++ b/src/cardamompost/ledger/cp_relay_selector.cpp
@@ -37,7 +37,7 @@
     std::sort(local.begin(), local.end());
     std::sort(remote.begin(), remote.end());
     order_.clear();
-    // Alternates between the domains, so that the loss of a whole domain costs an entry one time-out.
+    // Alternates between the domains, so that the loss of a domain costs an entry one timeout.
     for (std::size_t i = 0; i < std::max(local.size(), remote.size()); ++i) {
         for (const Ranked *ranked : {&local, &remote}) {
             if (i < ranked->size()) {
--- a/src/gateway/cp_backend_pool.hpp
+++ b/src/gateway/cp_backend_pool.hpp
@@ -116,7 +116,7 @@
     //! \param vm  the entry's name, which seeds its order of preference
     BackendPool(std::string vm, std::string failureDomain, MetricRegistry &metrics);
 
-    //! Applies a whole list unless a newer one is known. Servers that are leaving or gone get no new requests.
+    //! Applies a complete list unless a newer one is known. Servers that are leaving or gone get no new requests.
     //! \returns true if the list was applied
     bool setList(const BackendList &list);
     //! Applies the changes that lead to a version. The work grows with the changes, and not with the list.
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -76,10 +76,10 @@
 };
 
 //! An entry's client of the ledger: sends requests to the leader, retries them, and polls a relay for updates, which
-//! also tell who leads.
+//! also name the leader.
 //!
 //! A leader that does not answer in time is kept: only a later leader replaces it, and only a failed connection or its
-//! own word that it does not lead makes the entry look for another one. A slow leader thus gets no more requests than
+//! own reply that it does not lead makes the entry look for another one. A slow leader thus gets no more requests than
 //! before.
 class LedgerClient
 {
--- a/src/gateway/cp_ledger_search.cpp
+++ b/src/gateway/cp_ledger_search.cpp
@@ -59,7 +59,7 @@
 
 asio::awaitable<void> LedgerClient::search()
 {
-    // A relay also tells of a new leader, but the relay may be lost together with the former one.
+    // A relay also reports a new leader, but the relay may be lost together with the former one.
     Milliseconds interval = minSearchInterval;
     while (leader_.empty() && !isStopped_) {
         // Queries run in parallel, since each unreachable VM would otherwise delay all turns by its timeout.
@@ -97,7 +97,7 @@
     }
     const bool isSilent = !reply && reply.error().kind == ErrorKind::DeadlineExceeded;
     if (isSilent) {
-        // Silence doesn't tell a slow leader from a lost one. A later leader is reported by the relay.
+        // A slow leader and a lost one are silent alike. A later leader is reported by the relay.
         slowLeaders_.add();
         return;
     }
--- a/src/gateway/cp_paged_list.cpp
+++ b/src/gateway/cp_paged_list.cpp
@@ -16,9 +16,9 @@
 {
 
 constexpr std::size_t maxPages = 1000;
-// A shorter list is read as a whole, which takes fewer calls.
+// A shorter list is read page by page, which takes fewer calls.
 constexpr std::size_t minPagesToSplit = 8;
-// Reads by failure domain between two reads of the whole list.
+// Reads by failure domain between two reads of the complete list.
 constexpr unsigned maxSplitReads = 15;
 
 } // namespace
--- a/src/gateway/cp_paged_list.hpp
+++ b/src/gateway/cp_paged_list.hpp
@@ -14,12 +14,12 @@
 //! Reads a list of backend servers that the platform hands out in pages.
 //!
 //! Each page names the next one, so the time of a read grows with the number of pages. A long list is therefore read by
-//! failure domain, all of them at a time. The failure domains are known from reads of the whole list, which are
+//! failure domain, all of them at a time. The failure domains are known from reads of the complete list, which are
 //! repeated now and then to find new ones. Thread-safety: none.
 class PagedList
 {
 public:
-    //! Fetches a page of a failure domain, or of the whole list if it is empty.
+    //! Fetches a page of a failure domain, or of the complete list if it is empty.
     using Fetch
         = std::function<boost::asio::awaitable<Result<BackendPage>>(std::string failureDomain, std::string page)>;
 
@@ -46,7 +46,7 @@
     [[nodiscard]] bool isSplit() const;
 
     Fetch fetch_;
-    //! Of the last whole read.
+    //! Of the last read of the complete list.
     std::set<std::string> failureDomains_;
     std::size_t pages_ = 0;
     unsigned readsSinceWhole_ = 0;
