A notice of the leader does not make a relay's content recent

The relay had left the group: its raft node still named the leader of term 2, so it polled that one in vain, and its join requests went there, too. The leader of term 3 took it for silent and sent it a notice every 250 ms, and each notice counted as hearing the leader. Ruled out: a lost update (54 entries took the document at once, from other relays); slow entries (behind by 0 to 2 ms as they knew). Change: only the leader's replies to a relay's polls set the time since it was heard; a notice only names the leader. The leader of the later term, by notice or by the log, is the one that is polled. Figures: entries_leave_a_relay_that_is_cut_off_from_the_leader now has notices every 250 ms; a_notice_of_a_later_leader_ends_leading.

--- a/include/cardamompost/ledger/cp_ledger_peers.hpp
+++ b/include/cardamompost/ledger/cp_ledger_peers.hpp
@@ -3,9 +3,9 @@
 
 #include <cardamompost/core/cp_ids.hpp>
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace cardamompost
@@ -18,7 +18,11 @@
     //! Empty if unknown.
     std::string failureDomain;
 
-    friend auto operator<=>(const LedgerPeer &, const LedgerPeer &) = default;
+    friend bool operator==(const LedgerPeer &, const LedgerPeer &) = default;
+    friend bool operator<(const LedgerPeer &left, const LedgerPeer &right)
+    {
+        return std::tie(left.peer, left.failureDomain) < std::tie(right.peer, right.failureDomain);
+    }
 };
 
 //! A set of ledger VMs with a digest, by which two VMs find out whether they know the same ones. Thread-safety: none.
--- a/include/cardamompost/ledger/cp_update_relay.hpp
+++ b/include/cardamompost/ledger/cp_update_relay.hpp
@@ -41,22 +41,22 @@
     void lead(Term term, TimePoint now)
     {
         isLeading_ = true;
-        confirmLeader(self_, term, now);
+        noteLeader(self_, term, now);
     }
     //! Stops to do so.
     void stopLeading()
     {
         isLeading_ = false;
     }
-    //! Records that a leader was heard from, directly or by its notice.
-    void confirmLeader(const VmName &leader, Term term, TimePoint now)
+    //! Records the notice of a leader. It brings no content, so this copy does not count as recent for it.
+    void noteLeader(const VmName &leader, Term term, TimePoint now)
     {
         if (term < term_) {
             return;
         }
+        isLeading_ = isLeading_ && leader == self_;
         leader_ = leader;
         term_ = term;
-        heardAt_ = now;
         serve(now);
     }
 
@@ -135,7 +135,8 @@
         } else if (!staleSince_) {
             staleSince_ = now;
         }
-        confirmLeader(sender, reply.term, now);
+        heardAt_ = now;
+        noteLeader(sender, reply.term, now);
         return true;
     }
 
@@ -183,7 +184,7 @@
     {
         return !queue_.isEmpty();
     }
-    //! The last confirmed leader; empty if there was none.
+    //! The leader of the latest term known; empty if there was none.
     [[nodiscard]] const VmName &leader() const
     {
         return leader_;
@@ -260,7 +261,7 @@
     bool isFeedRequired_ = false;
     VmName leader_;
     Term term_ = 0;
-    //! When the leader was last heard from.
+    //! When the leader last answered a request of this VM.
     std::optional<TimePoint> heardAt_;
     std::uint64_t newestDocument_ = 0;
     TimePoint listReadAt_ {};
--- a/include/cardamompost/routing/cp_backend_list.hpp
+++ b/include/cardamompost/routing/cp_backend_list.hpp
@@ -3,6 +3,7 @@
 
 #include <cardamompost/config/cp_section_reader.hpp>
 
+#include <tuple>
 #include <vector>
 
 namespace cardamompost
@@ -37,7 +38,19 @@
     std::uint64_t term = 0;
     std::uint64_t sequence = 0;
 
-    friend auto operator<=>(const BackendListVersion &, const BackendListVersion &) = default;
+    friend bool operator==(const BackendListVersion &, const BackendListVersion &) = default;
+    friend bool operator<(const BackendListVersion &left, const BackendListVersion &right)
+    {
+        return std::tie(left.term, left.sequence) < std::tie(right.term, right.sequence);
+    }
+    friend bool operator>(const BackendListVersion &left, const BackendListVersion &right)
+    {
+        return right < left;
+    }
+    friend bool operator<=(const BackendListVersion &left, const BackendListVersion &right)
+    {
+        return !(right < left);
+    }
 };
 
 //! A complete list as read by one reader.
--- a/src/gateway/cp_ledger_updates.cpp
+++ b/src/gateway/cp_ledger_updates.cpp
@@ -12,7 +12,11 @@
 
 VmName LedgerService::updateSource() const
 {
-    const VmName known = leader();
+    // A VM that has left the group gets no more messages of it, and may know its former leader only.
+    const UpdateRelay<Replier> &relay = updates_.relay();
+    const bool isNoticeLater
+        = !relay.leader().empty() && (driver_.leader().empty() || relay.term() > driver_.node().term());
+    const VmName known = isNoticeLater ? relay.leader() : leader();
     return known == self_ ? VmName {} : known;
 }
 
--- a/src/gateway/cp_update_service.cpp
+++ b/src/gateway/cp_update_service.cpp
@@ -100,7 +100,7 @@
     if (term < relay_.term()) {
         return;
     }
-    relay_.confirmLeader(leader, term, timeNow());
+    relay_.noteLeader(leader, term, timeNow());
     if (!fedBy_.empty() && fedBy_ != leader) {
         // Fails the pending request to the former leader, so that the next one goes to its successor at once.
         parts_.peers.reconnect(std::exchange(fedBy_, {}));
--- a/tests/ledger/cp_update_relay.tests.cpp
+++ b/tests/ledger/cp_update_relay.tests.cpp
@@ -19,6 +19,7 @@
 constexpr Milliseconds pollWait {300};
 constexpr Milliseconds pollTimeout {600};
 constexpr Milliseconds feedTimeout {500};
+constexpr Milliseconds noticeInterval {250};
 constexpr Milliseconds maxRelayAge {800};
 constexpr Milliseconds tick {10};
 constexpr double bytesPerSecond = 24.0 * (1U << 20U);
@@ -90,12 +91,19 @@
         for (std::size_t i = 0; i < vms_.size(); ++i) {
             after(oneWay, [this, i, vm, term] {
                 if (vms_[i]->isAlive && i != vm) {
-                    vms_[i]->relay.stopLeading();
-                    vms_[i]->relay.confirmLeader(nameOf(vm), term, now_);
+                    vms_[i]->relay.noteLeader(nameOf(vm), term, now_);
                 }
             });
         }
     }
+    //! Sends notices of the leader to all VMs at intervals, as a leader does to those that it does not hear from.
+    void noticePeriodically(Term term)
+    {
+        for (const auto &vm : vms_) {
+            vm->relay.noteLeader(nameOf(leader_), term, now_);
+        }
+        after(noticeInterval, [this, term] { noticePeriodically(term); });
+    }
     void kill(std::size_t vm)
     {
         vms_[vm]->isAlive = false;
@@ -383,6 +391,8 @@
     for (const std::size_t relay : fleet.relaysOf("onne")) {
         fleet.cutFromLeader(relay);
     }
+    // Notices say who leads, and not that the relay's content is recent.
+    fleet.noticePeriodically(1);
     fleet.run(Milliseconds(50));
     list[7].isLeaving = true;
     fleet.publish(list);
@@ -391,6 +401,25 @@
     BOOST_TEST(fleet.oldestUpdate().count() <= 1500);
 }
 
+// Guards against a deposed leader that answers as the leader of a later term.
+BOOST_AUTO_TEST_CASE(a_notice_of_a_later_leader_ends_leading)
+{
+    std::vector<UpdateReply> replies;
+    const TimePoint now {std::chrono::hours(1)};
+    UpdateRelay<int> relay("a", {1, 1}, [&](int, UpdateReply reply) { replies.push_back(std::move(reply)); });
+    relay.lead(1, now);
+    relay.onRequest({}, 1, now);
+    relay.noteLeader("b", 2, now);
+    relay.onRequest({}, 2, now + Milliseconds(100));
+    BOOST_REQUIRE(replies.size() == 2U);
+    BOOST_TEST(replies[0].isLeader);
+    BOOST_TEST(replies[0].leader == "a");
+    BOOST_TEST(!replies[1].isLeader);
+    BOOST_TEST(replies[1].leader == "b");
+    // No word of the new leader has brought content yet.
+    BOOST_TEST(replies[1].ageMs > 100'000U);
+}
+
 // Guards against entries that go on asking a deposed leader.
 BOOST_AUTO_TEST_CASE(all_entries_learn_of_a_new_leader_within_round_trips)
 {
