Send consensus messages that need no disk while a member writes

What callers saw: with ledger disks of 0.45 s a sync, turns under way end with 502 or with a cut connection, all of them at once, although every VM works. Cause: ConsensusDriver handles one RaftReady at a time and sent nothing until its write had ended. A leader's heartbeats and a follower's answers to them waited for the disk, one write of their own and often one more. The leader heard no quorum for two election time-outs (600 ms) and stepped down; everything it had accepted failed. Change: RaftNode::takeUnblockedMessages() gives, at each tick during a write, the messages that promise nothing beyond what is synced: a heartbeat is answered up to the last synced entry, a vote always waits, and so does everything of a term that is not stored yet. Two things would have become worse and are part of this: (1) Appends in flight are counted by the entries they carry, since early answers would have released them and let a leader send to a slow follower without a bound; (2) a leader whose own write takes longer than two election time-outs hands over, since it would go on leading without being able to answer; before, its silence deposed it. A follower in that state falls silent, as before. Why it works: contact with a member no longer depends on its disk, only what it acknowledges does. No check changed.

--- a/include/cardamompost/consensus/cp_raft_node.hpp
+++ b/include/cardamompost/consensus/cp_raft_node.hpp
@@ -7,7 +7,9 @@
 #include <cardamompost/core/cp_time.hpp>
 #include <cardamompost/liveness/cp_failure_detector.hpp>
 
+#include <deque>
 #include <map>
+#include <optional>
 #include <random>
 
 namespace cardamompost
@@ -55,7 +57,8 @@
     LogIndex index = 0;
 };
 
-//! Pending work for the driver, in this order: store and sync, call persisted(), send messages, apply entries.
+//! Pending work for the driver, in this order: store and sync, call persisted(), send messages, apply entries. While it
+//! is being stored, the driver sends takeUnblockedMessages() at each tick.
 struct RaftReady {
     std::optional<RaftHardState> hard;
     //! A received snapshot replaces the whole log.
@@ -114,8 +117,12 @@
 
     [[nodiscard]] bool hasReady() const;
     [[nodiscard]] RaftReady takeReady();
+    //! Messages that promise nothing beyond what is synced, to be sent while the last RaftReady is being stored, so
+    //! that a slow disk does not look like a lost member. If storing takes longer than a leader may be without a
+    //! quorum, a leader hands over and a follower falls silent.
+    [[nodiscard]] std::vector<RaftMessage> takeUnblockedMessages();
     //! Reports that the entries, hard state and snapshot of the last RaftReady are synced.
-    void persisted(LogIndex lastIndex, Term lastTerm);
+    void persisted(const RaftReady &ready);
 
     [[nodiscard]] RaftRole role() const
     {
@@ -162,7 +169,8 @@
         bool isProbing = true;
         //! Set by a probe until its reply or the next heartbeat; no other probe is sent meanwhile.
         bool isProbePending = false;
-        std::size_t inFlight = 0;
+        //! Last entry of each unacknowledged Append message with entries.
+        std::deque<LogIndex> inFlight;
         TimePoint lastContact {};
         std::uint64_t ackedRound = 0;
         LogIndex snapshotIndex = 0;
@@ -206,6 +214,10 @@
     RaftMessage makeMessage(RaftMessageType type, const VmName &to) const;
     [[nodiscard]] std::set<VmName> peers() const;
     [[nodiscard]] bool isVoter(const VmName &name) const;
+    [[nodiscard]] bool isUnblocked(const RaftMessage &message) const;
+    //! The last RaftReady has been stored for so long that this member's disk counts as lost.
+    [[nodiscard]] bool isDiskStalled() const;
+    void handOverIfDiskStalled();
     [[nodiscard]] bool hasRecentLeader() const;
     void recordLeaderContact(const VmName &leader);
 
@@ -214,6 +226,10 @@
     RaftLog log_;
     RaftHardState hard_;
     RaftHardState lastReadyHard_;
+    //! Last hard state that is synced locally.
+    RaftHardState stableHard_;
+    //! Set while a RaftReady with data to store is not persisted.
+    std::optional<TimePoint> storingSince_;
     RaftRole role_ = RaftRole::Follower;
     VmName leader_;
     LogIndex commitIndex_ = 0;
--- a/src/cardamompost/consensus/cp_raft_node.cpp
+++ b/src/cardamompost/consensus/cp_raft_node.cpp
@@ -12,6 +12,7 @@
     , log_(std::move(stored.snapshot), std::move(stored.entries), initial)
     , hard_(std::move(stored.hard))
     , lastReadyHard_(hard_)
+    , stableHard_(hard_)
     , commitIndex_(log_.snapshot().index)
     , deliveredIndex_(commitIndex_)
     , unstableFrom_(log_.lastIndex() + 1)
@@ -33,13 +34,14 @@
     now_ = std::max(now_, now);
     if (role_ == RaftRole::Leader) {
         checkQuorumContact();
+        handOverIfDiskStalled();
         if (role_ == RaftRole::Leader && now_ >= nextHeartbeatAt_) {
             nextHeartbeatAt_ = now_ + options_.heartbeatInterval;
             broadcastAppend(true);
         }
         return;
     }
-    if (now_ >= electionDeadline_ && isVoter(options_.self) && !isUninitialized()) {
+    if (now_ >= electionDeadline_ && isVoter(options_.self) && !isUninitialized() && !isDiskStalled()) {
         startElection(true);
     }
 }
@@ -136,18 +138,83 @@
     for (; deliveredIndex_ < std::min(commitIndex_, stableIndex_); ++deliveredIndex_) {
         ready.committed.push_back(log_.at(deliveredIndex_ + 1));
     }
+    if (ready.hard || ready.snapshot || !ready.entries.empty()) {
+        storingSince_ = now_;
+    }
     ready.reads = std::exchange(readyReads_, {});
     ready.failedReads = std::exchange(failedReads_, {});
     return ready;
 }
 
-void RaftNode::persisted(LogIndex lastIndex, Term lastTerm)
+bool RaftNode::isDiskStalled() const
+{
+    return storingSince_ && now_ - *storingSince_ > 2 * options_.electionTimeout;
+}
+
+void RaftNode::handOverIfDiskStalled()
+{
+    if (role_ != RaftRole::Leader || !isDiskStalled()) {
+        return;
+    }
+    // A leader answers only for entries that it has stored itself, so a quorum of other members does not help.
+    VmName successor;
+    for (const auto &[name, progress] : progress_) {
+        const bool isRecent = now_ - progress.lastContact < 2 * options_.electionTimeout;
+        if (isVoter(name) && isRecent && (successor.empty() || progress.match > matchIndexOf(successor))) {
+            successor = name;
+        }
+    }
+    if (!successor.empty()) {
+        outbox_.push_back(makeMessage(RaftMessageType::TimeoutNow, successor));
+        becomeFollower(hard_.term, {});
+    }
+}
+
+bool RaftNode::isUnblocked(const RaftMessage &message) const
+{
+    if (isDiskStalled()) {
+        return message.type == RaftMessageType::TimeoutNow;
+    }
+    switch (message.type) {
+    case RaftMessageType::Vote:
+    case RaftMessageType::VoteReply:
+        return false;
+    case RaftMessageType::AppendReply:
+    case RaftMessageType::SnapshotReply:
+        return !message.granted || message.index <= stableIndex_;
+    default:
+        return true;
+    }
+}
+
+std::vector<RaftMessage> RaftNode::takeUnblockedMessages()
 {
+    std::vector<RaftMessage> unblocked;
+    if (hard_.term != stableHard_.term) {
+        return unblocked;
+    }
+    std::vector<RaftMessage> blocked;
+    for (RaftMessage &message : outbox_) {
+        (isUnblocked(message) ? unblocked : blocked).push_back(std::move(message));
+    }
+    outbox_ = std::move(blocked);
+    return unblocked;
+}
+
+void RaftNode::persisted(const RaftReady &ready)
+{
+    storingSince_.reset();
+    if (ready.hard) {
+        stableHard_ = *ready.hard;
+    }
+    if (ready.snapshot) {
+        stableIndex_ = std::max(stableIndex_, ready.snapshot->index);
+    }
     // The log may have been truncated since; the synced entries are then not part of it.
-    if (log_.termAt(lastIndex) != lastTerm) {
+    if (ready.entries.empty() || log_.termAt(ready.entries.back().index) != ready.entries.back().term) {
         return;
     }
-    stableIndex_ = std::max(stableIndex_, lastIndex);
+    stableIndex_ = std::max(stableIndex_, ready.entries.back().index);
     if (role_ == RaftRole::Leader) {
         advanceCommit();
     }
--- a/src/cardamompost/consensus/cp_raft_replication.cpp
+++ b/src/cardamompost/consensus/cp_raft_replication.cpp
@@ -78,7 +78,8 @@
         sendSnapshotChunk(to, progress);
         return;
     }
-    const bool isBlocked = progress.isProbing ? progress.isProbePending : progress.inFlight >= options_.maxInFlight;
+    const bool isBlocked
+        = progress.isProbing ? progress.isProbePending : progress.inFlight.size() >= options_.maxInFlight;
     if (isBlocked && !isHeartbeat) {
         return;
     }
@@ -98,9 +99,9 @@
     if (progress.isProbing) {
         // A probe is repeated with every heartbeat, since the previous one or its reply may be lost.
         progress.isProbePending = !isHeartbeat;
-    } else {
+    } else if (!message.entries.empty()) {
         progress.next += message.entries.size();
-        progress.inFlight += message.entries.empty() ? 0 : 1;
+        progress.inFlight.push_back(message.entries.back().index);
     }
     outbox_.push_back(std::move(message));
 }
@@ -148,7 +149,9 @@
         outbox_.push_back(std::move(reply));
         return;
     }
-    reply.index = message.index + message.entries.size();
+    const LogIndex lastMatch = message.index + message.entries.size();
+    // A heartbeat is acknowledged up to the last synced entry, so that its reply does not wait for a write.
+    reply.index = message.entries.empty() ? std::min(lastMatch, stableIndex_) : lastMatch;
     for (LogEntry &entry : message.entries) {
         if (entry.index <= log_.snapshot().index || log_.termAt(entry.index) == entry.term) {
             continue;
@@ -161,7 +164,7 @@
         }
         log_.append(std::move(entry));
     }
-    commitIndex_ = std::max(commitIndex_, std::min(message.commit, reply.index));
+    commitIndex_ = std::max(commitIndex_, std::min(message.commit, lastMatch));
     initializeIfCaughtUp(message);
     reply.granted = true;
     outbox_.push_back(std::move(reply));
@@ -192,7 +195,9 @@
         return;
     }
     progress.isProbePending = false;
-    progress.inFlight -= std::min<std::size_t>(progress.inFlight, 1);
+    while (!progress.inFlight.empty() && progress.inFlight.front() <= message.index) {
+        progress.inFlight.pop_front();
+    }
     if (message.index > progress.match) {
         progress.match = message.index;
         progress.next = std::max(progress.next, message.index + 1);
@@ -208,7 +213,7 @@
 {
     progress.isProbing = true;
     progress.isProbePending = false;
-    progress.inFlight = 0;
+    progress.inFlight.clear();
     if (message.isUninitialized) {
         // Entries that the member acknowledged before it lost its disk do not count as replicated.
         progress.match = std::min(progress.match, message.index);
@@ -242,11 +247,12 @@
     reply.offset = incomingSnapshot_.state.size();
     reply.index = message.snapshot.index;
     if (reply.granted) {
+        // Until the snapshot is synced, only the committed part of the stored log matches it.
+        stableIndex_ = std::min(stableIndex_, commitIndex_);
         log_.restore(incomingSnapshot_);
         receivedSnapshot_ = std::exchange(incomingSnapshot_, {});
         commitIndex_ = log_.snapshot().index;
         deliveredIndex_ = commitIndex_;
-        stableIndex_ = commitIndex_;
         unstableFrom_ = commitIndex_ + 1;
     }
     outbox_.push_back(std::move(reply));
--- a/src/daemon/cp_control_runner.cpp
+++ b/src/daemon/cp_control_runner.cpp
@@ -161,9 +161,7 @@
 
 void ControlRunner::completeReady(RaftReady &ready)
 {
-    if (!ready.entries.empty()) {
-        node_->persisted(ready.entries.back().index, ready.entries.back().term);
-    }
+    node_->persisted(ready);
     if (ready.snapshot) {
         const Result<void> restored = parts_.replica.restore(ready.snapshot->index, ready.snapshot->state);
         checkInvariant(restored.has_value(), "a received snapshot can be read");
--- a/src/gateway/cp_consensus_driver.cpp
+++ b/src/gateway/cp_consensus_driver.cpp
@@ -77,6 +77,9 @@
     node_->tick(now);
     expireProposals(now);
     processReady();
+    if (isProcessingReady_) {
+        send(node_->takeUnblockedMessages());
+    }
     state_.onChange();
 }
 
@@ -199,9 +202,7 @@
 
 void ConsensusDriver::complete(RaftReady &ready)
 {
-    if (!ready.entries.empty()) {
-        node_->persisted(ready.entries.back().index, ready.entries.back().term);
-    }
+    node_->persisted(ready);
     if (ready.snapshot) {
         const Result<void> restored = state_.restore(*ready.snapshot);
         checkInvariant(restored.has_value(), "a received snapshot can be read");
--- a/tests/consensus/cp_raft_election_timeout.tests.cpp
+++ b/tests/consensus/cp_raft_election_timeout.tests.cpp
@@ -29,7 +29,7 @@
             append.to = "vm-2";
             append.term = 1;
             node.step(now, append);
-            static_cast<void>(node.takeReady());
+            node.persisted(node.takeReady());
         }
     }
     //! \returns time without heartbeats after which the follower starts an election
--- a/tests/consensus/cp_raft_fault_simulation.tests.cpp
+++ b/tests/consensus/cp_raft_fault_simulation.tests.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::uint64_t seedsInCi = 30;
 constexpr int steps = 600;
+constexpr Milliseconds longestWrite {300};
 
 } // namespace
 
@@ -56,6 +57,46 @@
     BOOST_TEST(acknowledged > 1000U);
 }
 
+// Messages are sent during writes that take up to a third of a second, and crashes interrupt such writes.
+BOOST_AUTO_TEST_CASE(acknowledged_commands_survive_random_failures_with_slow_disks)
+{
+    const ThrowingInvariants guard;
+    std::size_t acknowledged = 0;
+    std::size_t reads = 0;
+    for (std::uint64_t seed = 1; seed <= seedsInCi; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            RaftFaultSimulation simulation(seed, seed % 2 == 0 ? 3 : 5);
+            simulation.cluster().setLongestWrite(longestWrite);
+            simulation.wipesDisks = seed % 2 == 0;
+            FaultSimulationResult result;
+            BOOST_REQUIRE_NO_THROW(result = simulation.run(steps));
+            acknowledged += result.acknowledged;
+            reads += result.reads;
+        }
+    }
+    BOOST_TEST(acknowledged > 1000U);
+    BOOST_TEST(reads > 1000U);
+}
+
+// Verifies the checks of the simulation: acknowledged entries are lost if members answer before they have stored.
+BOOST_AUTO_TEST_CASE(the_simulation_detects_answers_that_are_sent_before_the_write)
+{
+    const ThrowingInvariants guard;
+    bool isDetected = false;
+    for (std::uint64_t seed = 1; seed <= 20 * seedsInCi && !isDetected; ++seed) {
+        RaftFaultSimulation simulation(seed, 3);
+        simulation.cluster().setLongestWrite(longestWrite);
+        simulation.cluster().answersBeforeWriting = true;
+        try {
+            simulation.run(steps);
+        } catch (const Violation &) {
+            isDetected = true;
+        }
+    }
+    BOOST_TEST(isDetected);
+}
+
 // Verifies the checks of the simulation: committed commands are lost if a member votes after it has lost its disk.
 BOOST_AUTO_TEST_CASE(the_simulation_detects_votes_of_members_without_their_disk)
 {
--- a/tests/consensus/cp_raft_node.tests.cpp
+++ b/tests/consensus/cp_raft_node.tests.cpp
@@ -28,9 +28,7 @@
 {
     while (node.hasReady()) {
         const RaftReady ready = node.takeReady();
-        if (!ready.entries.empty()) {
-            node.persisted(ready.entries.back().index, ready.entries.back().term);
-        }
+        node.persisted(ready);
         for (const RaftMessage &message : ready.messages) {
             if (message.to != "vm-2") {
                 continue;
@@ -231,6 +229,86 @@
     BOOST_TEST(!isIn(next->applied, "never"));
 }
 
+// Guards against leaders that step down, and followers that start elections, because messages wait for slow disks.
+BOOST_AUTO_TEST_CASE(a_leader_stays_while_writes_take_longer_than_the_election_timeout)
+{
+    const ThrowingInvariants guard;
+    constexpr std::uint64_t seeds = 20;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            RaftCluster cluster(threeVms, seed);
+            RaftCluster::Member *leader = cluster.waitForLeader();
+            BOOST_REQUIRE(leader != nullptr);
+            const Term term = leader->node->term();
+            const Milliseconds longestWrite = 3 * RaftOptions {}.electionTimeout / 2;
+            cluster.setLongestWrite(longestWrite);
+            constexpr int commands = 100;
+            for (int i = 0; i < commands; ++i) {
+                BOOST_REQUIRE(cluster.propose(*leader, std::to_string(i)));
+                cluster.run(Milliseconds(70));
+            }
+            cluster.run(5 * longestWrite);
+            for (const auto &[name, member] : cluster.members) {
+                BOOST_TEST(member->node->term() == term);
+                BOOST_TEST(member->applied.size() == static_cast<std::size_t>(commands));
+            }
+        }
+    }
+}
+
+// Guards against an outage that lasts as long as the disk of a leader, which keeps leading, stores nothing.
+BOOST_AUTO_TEST_CASE(a_leader_whose_disk_stalls_hands_over)
+{
+    const ThrowingInvariants guard;
+    RaftCluster cluster(threeVms, 31);
+    RaftCluster::Member *stalled = cluster.waitForLeader();
+    BOOST_REQUIRE(stalled != nullptr);
+    stalled->longestWrite = std::chrono::hours(2);
+    BOOST_TEST(cluster.propose(*stalled, "during the stall"));
+    cluster.run(4 * RaftOptions {}.electionTimeout);
+    RaftCluster::Member *successor = cluster.waitForLeader();
+    BOOST_REQUIRE(successor != nullptr);
+    BOOST_TEST(successor->name != stalled->name);
+    BOOST_TEST(cluster.propose(*successor, "after"));
+    cluster.run(Milliseconds(500));
+    BOOST_TEST(isIn(successor->applied, "during the stall"));
+    BOOST_TEST(isIn(successor->applied, "after"));
+}
+
+// Guards against a follower with a slow disk that is sent more and more entries, since its answers to heartbeats come
+// before it has stored any.
+BOOST_AUTO_TEST_CASE(answers_to_heartbeats_do_not_release_unacknowledged_appends)
+{
+    RaftOptions options;
+    options.self = "vm-1";
+    RaftNode node(options, {}, {{threeVms.begin(), threeVms.end()}, {}}, TimePoint() + std::chrono::hours(1));
+    TimePoint now = TimePoint() + std::chrono::hours(2);
+    node.tick(now);
+    exchangeWithVm2(node, now);
+    BOOST_REQUIRE(node.role() == RaftRole::Leader);
+    const LogIndex acknowledged = node.matchIndexOf("vm-2");
+    std::size_t appends = 0;
+    const std::size_t proposals = 3 * options.maxInFlight;
+    for (std::size_t i = 0; i < proposals; ++i) {
+        BOOST_REQUIRE(node.propose("command").has_value());
+        const RaftReady ready = node.takeReady();
+        node.persisted(ready);
+        appends += static_cast<std::size_t>(
+            std::count_if(ready.messages.begin(), ready.messages.end(),
+                          [](const RaftMessage &message) { return message.to == "vm-2" && !message.entries.empty(); }));
+        RaftMessage reply;
+        reply.type = RaftMessageType::AppendReply;
+        reply.from = "vm-2";
+        reply.to = "vm-1";
+        reply.term = node.term();
+        reply.granted = true;
+        reply.index = acknowledged;
+        node.step(now, reply);
+    }
+    BOOST_TEST(appends <= options.maxInFlight);
+}
+
 // Guards against unbounded memory use of a leader that answers each rejected heartbeat with the same entries.
 BOOST_AUTO_TEST_CASE(a_member_is_sent_no_entries_until_a_probe_has_found_its_last_matching_entry)
 {
--- a/tests/support/cp_raft_cluster.hpp
+++ b/tests/support/cp_raft_cluster.hpp
@@ -54,6 +54,11 @@
         std::unique_ptr<RaftNode> node;
         double clockRate = 1.0;
         TimePoint pausedUntil {};
+        //! Writes take between half and all of this, in virtual time.
+        Milliseconds longestWrite {0};
+        bool isWriting = false;
+        //! Incremented by each start.
+        std::uint64_t process = 0;
         std::vector<std::string> applied;
         LogIndex appliedIndex = 0;
         std::map<std::uint64_t, LogIndex> reads;
@@ -104,6 +109,8 @@
         options.self = member.name;
         options.seed = network.random();
         options.snapshotChunkBytes = 64;
+        member.isWriting = false;
+        ++member.process;
         member.node = std::make_unique<RaftNode>(options, std::move(stored), initialMembership, localTime(member));
     }
 
@@ -122,6 +129,13 @@
         }
     }
 
+    void setLongestWrite(Milliseconds time)
+    {
+        for (auto &[name, member] : members) {
+            member->longestWrite = time;
+        }
+    }
+
     void run(Milliseconds time)
     {
         network.runUntil(network.now + time);
@@ -165,24 +179,13 @@
     //! Does the pending work of a member: stores, sends, applies and compacts.
     void drive(Member &member)
     {
-        while (member.node && member.node->hasReady()) {
+        while (member.node && !member.isWriting && member.node->hasReady()) {
             RaftReady ready = member.node->takeReady();
-            if (!storeReady(member, ready)) {
-                member.node.reset();
-                return;
-            }
-            for (RaftMessage &message : ready.messages) {
-                sendMessage(std::move(message));
-            }
-            for (const LogEntry &entry : ready.committed) {
-                apply(member, entry);
-            }
-            for (const RaftReadyRead &read : ready.reads) {
-                member.reads[read.id] = read.index;
-            }
-            if (member.node->log().lastIndex() > compactAfter
-                && member.appliedIndex >= member.node->log().snapshot().index + compactAfter) {
-                compact(member);
+            const bool needsDisk = ready.hard || ready.snapshot || !ready.entries.empty();
+            if (!needsDisk || member.longestWrite.count() == 0) {
+                complete(member, ready);
+            } else {
+                startWrite(member, std::move(ready));
             }
         }
     }
@@ -209,11 +212,59 @@
     std::map<VmName, std::unique_ptr<Member>> members;
     //! The longest sequence of commands that any member has applied.
     std::vector<std::string> longestApplied;
+    //! Injected defect: members answer before they have stored.
+    bool answersBeforeWriting = false;
     //! Number of applied entries after which a member replaces its log with a snapshot.
     LogIndex compactAfter = 40;
     std::map<Term, VmName> leaderByTerm;
 
 private:
+    void sendAll(std::vector<RaftMessage> messages)
+    {
+        for (RaftMessage &message : messages) {
+            sendMessage(std::move(message));
+        }
+    }
+
+    void startWrite(Member &member, RaftReady ready)
+    {
+        member.isWriting = true;
+        if (answersBeforeWriting || (!ready.hard && member.node->role() == RaftRole::Leader)) {
+            sendAll(std::exchange(ready.messages, {}));
+        }
+        std::uniform_int_distribution<std::int64_t> spread(member.longestWrite.count() / 2,
+                                                           member.longestWrite.count());
+        const Milliseconds duration(spread(network.random));
+        const auto pending = std::make_shared<RaftReady>(std::move(ready));
+        network.at(network.now + duration, [this, &member, pending, process = member.process] {
+            // The unfinished write of a process that has ended is lost.
+            if (member.node && member.process == process) {
+                member.isWriting = false;
+                complete(member, *pending);
+                drive(member);
+            }
+        });
+    }
+
+    void complete(Member &member, RaftReady &ready)
+    {
+        if (!storeReady(member, ready)) {
+            member.node.reset();
+            return;
+        }
+        sendAll(std::move(ready.messages));
+        for (const LogEntry &entry : ready.committed) {
+            apply(member, entry);
+        }
+        for (const RaftReadyRead &read : ready.reads) {
+            member.reads[read.id] = read.index;
+        }
+        if (member.node->log().lastIndex() > compactAfter
+            && member.appliedIndex >= member.node->log().snapshot().index + compactAfter) {
+            compact(member);
+        }
+    }
+
     bool storeReady(Member &member, const RaftReady &ready)
     {
         LogBatch batch;
@@ -234,9 +285,7 @@
             member.applied = decodeState(ready.snapshot->state);
             checkApplied(member);
         }
-        if (!ready.entries.empty()) {
-            member.node->persisted(ready.entries.back().index, ready.entries.back().term);
-        }
+        member.node->persisted(ready);
         return true;
     }
 
@@ -263,6 +312,9 @@
             if (member.node && network.now >= member.pausedUntil) {
                 member.node->tick(localTime(member));
                 drive(member);
+                if (member.node && member.isWriting) {
+                    sendAll(member.node->takeUnblockedMessages());
+                }
                 checkLeader(member);
             }
             scheduleTick(name);
