Let the daemon's keepers answer heartbeats while they write

What callers saw: nothing yet; the same fault as in the gateway's ledger, found by looking for it: with slow keeper disks the leader of the control log steps down, leases lapse and calls wait for an owner. Cause: ControlRunner holds back all messages of a RaftReady, and all that arise meanwhile, until its write has ended. Change: it sends takeUnblockedMessages() at each tick of a write, as ConsensusDriver does. Conclusion: no other user of RaftNode exists. The journals' writers do not elect.

--- a/src/daemon/cp_control_runner.cpp
+++ b/src/daemon/cp_control_runner.cpp
@@ -87,6 +87,18 @@
     expireProposals(now);
     runLeaderTasks(now);
     processReady();
+    if (isProcessingReady_) {
+        send(node_->takeUnblockedMessages());
+    }
+}
+
+void ControlRunner::send(std::vector<RaftMessage> messages)
+{
+    for (RaftMessage &message : messages) {
+        if (const auto client = parts_.hub.client(message.to)) {
+            client->notify(std::move(message));
+        }
+    }
 }
 
 void ControlRunner::onRaft(RaftMessage message)
@@ -169,11 +181,7 @@
     }
     isFormed_ = node_->log().lastIndex() > 0;
     term_ = node_->term();
-    for (RaftMessage &message : ready.messages) {
-        if (const auto client = parts_.hub.client(message.to)) {
-            client->notify(std::move(message));
-        }
-    }
+    send(std::move(ready.messages));
     applyCommitted(ready.committed);
     for (const RaftReadyRead &read : ready.reads) {
         // The applied state must include everything committed when the read was requested.
--- a/src/daemon/cp_control_runner.hpp
+++ b/src/daemon/cp_control_runner.hpp
@@ -70,6 +70,7 @@
     void scheduleTick();
     void tick();
     void processReady();
+    void send(std::vector<RaftMessage> messages);
     void storeReady(std::shared_ptr<RaftReady> ready);
     void completeReady(RaftReady &ready);
     void applyCommitted(const std::vector<LogEntry> &entries);
