Answer a rejection only if it tells the leader something new

What callers saw: nothing known. Two members can be kept busy without end: the leader answered each rejection with a probe at once, also one that could not move the probe, and the member rejected that one too, as fast as the network carries it; with duplicate messages their number grows. Cause: onAppendReply() sent an append after every rejection. Change: a rejection that neither starts the probing nor moves it is answered by the next heartbeat's probe. Why it works: a probe is repeated with every heartbeat anyway, since it may be lost. Conclusion: bounded by the heartbeats.

--- a/include/cardamompost/consensus/cp_raft_node.hpp
+++ b/include/cardamompost/consensus/cp_raft_node.hpp
@@ -198,7 +198,8 @@
     void onAppend(RaftMessage &message);
     void onAppendReply(const RaftMessage &message);
     void initializeIfCaughtUp(const RaftMessage &message);
-    void onRejectedAppend(Progress &progress, const RaftMessage &message);
+    //! \returns true if the member's next probe differs from the last one
+    bool onRejectedAppend(Progress &progress, const RaftMessage &message);
     void onSnapshotChunk(RaftMessage &message);
     void onSnapshotReply(const RaftMessage &message);
     void onTimeoutNow(const RaftMessage &message);
--- a/src/cardamompost/consensus/cp_raft_replication.cpp
+++ b/src/cardamompost/consensus/cp_raft_replication.cpp
@@ -190,8 +190,11 @@
     progress.ackedRound = std::max(progress.ackedRound, message.round);
     advanceReads();
     if (!message.granted) {
-        onRejectedAppend(progress, message);
-        sendAppend(message.from, false);
+        // A rejection without new information is answered by the next heartbeat's probe; a probe for each would be sent
+        // as fast as the network carries it.
+        if (onRejectedAppend(progress, message)) {
+            sendAppend(message.from, false);
+        }
         return;
     }
     progress.isProbePending = false;
@@ -209,9 +212,10 @@
     }
 }
 
-void RaftNode::onRejectedAppend(Progress &progress, const RaftMessage &message)
+bool RaftNode::onRejectedAppend(Progress &progress, const RaftMessage &message)
 {
-    progress.isProbing = true;
+    const bool wasProbing = std::exchange(progress.isProbing, true);
+    const LogIndex previousNext = progress.next;
     progress.isProbePending = false;
     progress.inFlight.clear();
     if (message.isUninitialized) {
@@ -219,6 +223,7 @@
         progress.match = std::min(progress.match, message.index);
     }
     progress.next = std::max(progress.match + 1, std::min(message.index + 1, log_.lastIndex() + 1));
+    return !wasProbing || progress.next != previousNext;
 }
 
 void RaftNode::onSnapshotChunk(RaftMessage &message)
--- a/tests/consensus/cp_raft_node.tests.cpp
+++ b/tests/consensus/cp_raft_node.tests.cpp
@@ -276,6 +276,32 @@
     BOOST_TEST(isIn(successor->applied, "after"));
 }
 
+// Guards against a leader and a member without its log that exchange probes and rejections as fast as the network does.
+BOOST_AUTO_TEST_CASE(repeated_rejections_are_answered_once)
+{
+    RaftOptions options;
+    options.self = "vm-1";
+    RaftNode node(options, {}, {{threeVms.begin(), threeVms.end()}, {}}, TimePoint() + std::chrono::hours(1));
+    TimePoint now = TimePoint() + std::chrono::hours(2);
+    node.tick(now);
+    exchangeWithVm2(node, now);
+    BOOST_REQUIRE(node.role() == RaftRole::Leader);
+    std::size_t probes = 0;
+    constexpr int rejections = 100;
+    for (int i = 0; i < rejections; ++i) {
+        RaftMessage rejection;
+        rejection.type = RaftMessageType::AppendReply;
+        rejection.from = "vm-2";
+        rejection.to = "vm-1";
+        rejection.term = node.term();
+        node.step(now, rejection);
+        const RaftReady ready = node.takeReady();
+        node.persisted(ready);
+        probes += ready.messages.size();
+    }
+    BOOST_TEST(probes == 1U);
+}
+
 // Guards against a follower with a slow disk that is sent more and more entries, since its answers to heartbeats come
 // before it has stored any.
 BOOST_AUTO_TEST_CASE(answers_to_heartbeats_do_not_release_unacknowledged_appends)
