Give calls without a key one that the owner recognizes

What callers saw: nothing reported. A chat request without Idempotency-Key (or a native call without sequence and key) could run twice: if the connection between entry and owner is lost, the router sends it again, and the owner accepts it as another call. The caller pays for both and reads the second one's events behind the first one's. Cause: the owner recognizes a repeated submission by its sequence number or key, and these have neither. Change: Router::forward() generates a key for such a submission, the same for all its copies; a flag on the wire says so, since refusals under it need not be stored.

--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -167,6 +167,7 @@
   refusalKind @10 :Text;
   refusalMessage @11 :Text;
   refusalRetryMs @12 :UInt32;
+  isKeyGenerated @13 :Bool;
 }
 
 struct LimitRequest {
--- a/src/cardamompost/net/cp_frame_decoder.cpp
+++ b/src/cardamompost/net/cp_frame_decoder.cpp
@@ -65,6 +65,7 @@
     out.program = fromText(in.getProgram());
     out.sequence = in.getSequence();
     out.idempotencyKey = fromText(in.getIdempotencyKey());
+    out.isKeyGenerated = in.getIsKeyGenerated();
     out.lastEventId = in.getLastEventId();
     out.isStream = in.getIsStream();
     out.format = decodeEnum(in.getForm(), ApiFormat::ChatCompletion);
--- a/src/cardamompost/net/cp_frame_encoder.cpp
+++ b/src/cardamompost/net/cp_frame_encoder.cpp
@@ -223,6 +223,7 @@
         message.setProgram(toText(in.program));
         message.setSequence(in.sequence);
         message.setIdempotencyKey(toText(in.idempotencyKey));
+        message.setIsKeyGenerated(in.isKeyGenerated);
         message.setLastEventId(in.lastEventId);
         message.setIsStream(in.isStream);
         message.setForm(static_cast<std::uint8_t>(in.format));
--- a/src/daemon/cp_call_submit.cpp
+++ b/src/daemon/cp_call_submit.cpp
@@ -266,7 +266,9 @@
     });
     if (!found) {
         const Error error = found.error();
-        if (!request.idempotencyKey.empty() && isPersistedRefusal(error.kind)) {
+        // A caller cannot resend a request under a generated key.
+        const bool hasCallerKey = !request.idempotencyKey.empty() && !request.isKeyGenerated;
+        if (hasCallerKey && isPersistedRefusal(error.kind)) {
             co_await commitRefusal(std::move(request), error, std::move(sink));
         } else if (error.kind == ErrorKind::NotOwner) {
             sink(error);
--- a/src/daemon/cp_router.cpp
+++ b/src/daemon/cp_router.cpp
@@ -32,7 +32,20 @@
     return makeError(ErrorKind::Internal, "unexpected reply to a forwarded request");
 }
 
-// The owner recognizes a repeated request by its sequence number or idempotency key.
+bool isSubmission(const ApiRequest &request)
+{
+    return request.operation == ApiOperation::SubmitCall || request.operation == ApiOperation::SingleCall;
+}
+
+// The owner recognizes a repeated submission by its sequence number or idempotency key.
+void ensureRecognizable(ApiRequest &request)
+{
+    if (isSubmission(request) && request.sequence == 0 && request.idempotencyKey.empty()) {
+        request.idempotencyKey = makeProgramId();
+        request.isKeyGenerated = true;
+    }
+}
+
 bool isRetryable(ErrorKind kind)
 {
     return kind == ErrorKind::NotOwner || kind == ErrorKind::PeerLost || kind == ErrorKind::DeadlineExceeded
@@ -50,6 +63,7 @@
 
 asio::awaitable<void> Router::forward(ApiRequest request, Deliver deliver)
 {
+    ensureRecognizable(request);
     TimePoint deadline = std::chrono::steady_clock::now() + ownerTimeout;
     bool mayHaveReachedOwner = false;
     while (std::chrono::steady_clock::now() < deadline) {
