Keep the processes' logs of a test on request

Cause: a failure that occurs in 1 of 100 runs of the platform's tests cannot be traced, since the cluster removes its folder with the logs. Change: with CARDAMOMPOST_TESTS_KEEP_LOGS set it stays (TMPDIR says where).

--- a/tests/support/cp_gateway_cluster.hpp
+++ b/tests/support/cp_gateway_cluster.hpp
@@ -6,6 +6,7 @@
 
 #include <cardamompost/observe/cp_log_explainer.hpp>
 
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 
@@ -76,7 +77,10 @@
     {
         entryThreads.clear();
         ledgerThreads.clear();
-        std::filesystem::remove_all(folder_);
+        // To find the cause of a failure that occurs in few runs.
+        if (std::getenv("CARDAMOMPOST_TESTS_KEEP_LOGS") == nullptr) {
+            std::filesystem::remove_all(folder_);
+        }
     }
 
     GatewaySettings commonSettings(const std::string &vm)
