A disk that finishes other work is not stalled

What callers saw: nothing traced. A process that stood still itself takes its disk for stalled too, although the write has ended meanwhile. Cause: the time was counted from the handing over of the entries to the disk's thread, not from the last thing that the disk finished. Change: the drivers report at each tick whether the disk's thread has finished jobs (noteDiskProgress), and the time counts from there. disk.stalled says in the log when it happens, so that a hand-over by the disk can be told from a lost quorum. Conclusion: the rule means what it says now.

--- a/include/cardamompost/consensus/cp_raft_node.hpp
+++ b/include/cardamompost/consensus/cp_raft_node.hpp
@@ -123,6 +123,10 @@
     [[nodiscard]] std::vector<RaftMessage> takeUnblockedMessages();
     //! Reports that the entries, hard state and snapshot of the last RaftReady are synced.
     void persisted(const RaftReady &ready);
+    //! Reports that the disk has finished other work, for which the last RaftReady may have to wait.
+    void noteDiskProgress(TimePoint now);
+    //! The disk has finished nothing for so long, while the last RaftReady is being stored, that it counts as lost.
+    [[nodiscard]] bool isDiskStalled() const;
 
     [[nodiscard]] RaftRole role() const
     {
@@ -216,8 +220,6 @@
     [[nodiscard]] std::set<VmName> peers() const;
     [[nodiscard]] bool isVoter(const VmName &name) const;
     [[nodiscard]] bool isUnblocked(const RaftMessage &message) const;
-    //! The last RaftReady has been stored for so long that this member's disk counts as lost.
-    [[nodiscard]] bool isDiskStalled() const;
     void handOverIfDiskStalled();
     [[nodiscard]] bool hasRecentLeader() const;
     void recordLeaderContact(const VmName &leader);
@@ -231,6 +233,7 @@
     RaftHardState stableHard_;
     //! Set while a RaftReady with data to store is not persisted.
     std::optional<TimePoint> storingSince_;
+    TimePoint lastDiskProgress_ {};
     //! Time that recent writes took; the longest one counts half after each further write.
     Milliseconds storeTime_ {0};
     RaftRole role_ = RaftRole::Follower;
--- a/src/cardamompost/consensus/cp_raft_node.cpp
+++ b/src/cardamompost/consensus/cp_raft_node.cpp
@@ -150,7 +150,13 @@
 
 bool RaftNode::isDiskStalled() const
 {
-    return storingSince_ && now_ - *storingSince_ > 2 * options_.electionTimeout;
+    return storingSince_ && now_ - std::max(*storingSince_, lastDiskProgress_) > 2 * options_.electionTimeout;
+}
+
+void RaftNode::noteDiskProgress(TimePoint now)
+{
+    now_ = std::max(now_, now);
+    lastDiskProgress_ = now_;
 }
 
 void RaftNode::handOverIfDiskStalled()
--- a/src/daemon/cp_control_runner.cpp
+++ b/src/daemon/cp_control_runner.cpp
@@ -83,6 +83,10 @@
 void ControlRunner::tick()
 {
     const TimePoint now = timeNow();
+    if (const std::uint64_t jobsDone = parts_.disk.jobsDone(); jobsDone != diskJobsDone_) {
+        diskJobsDone_ = jobsDone;
+        node_->noteDiskProgress(now);
+    }
     node_->tick(now);
     expireProposals(now);
     runLeaderTasks(now);
--- a/src/daemon/cp_control_runner.hpp
+++ b/src/daemon/cp_control_runner.hpp
@@ -101,6 +101,7 @@
     LogIndex leaderProposalIndex_ = 0;
     LogIndex lastSnapshotIndex_ = 0;
     RaftSnapshot pendingSnapshot_;
+    std::uint64_t diskJobsDone_ = 0;
 };
 
 } // namespace cardamompost
--- a/src/daemon/cp_disk_thread.hpp
+++ b/src/daemon/cp_disk_thread.hpp
@@ -51,6 +51,11 @@
     {
         return isHealthy_;
     }
+    //! Number of jobs finished so far. Thread-safe.
+    [[nodiscard]] std::uint64_t jobsDone() const
+    {
+        return jobsDone_.value();
+    }
 
 private:
     void run();
--- a/src/gateway/cp_consensus_driver.cpp
+++ b/src/gateway/cp_consensus_driver.cpp
@@ -74,7 +74,15 @@
 void ConsensusDriver::tick()
 {
     const TimePoint now = timeNow();
+    if (const std::uint64_t jobsDone = parts_.disk.jobsDone(); jobsDone != diskJobsDone_) {
+        diskJobsDone_ = jobsDone;
+        node_->noteDiskProgress(now);
+    }
+    const bool wasStalled = node_->isDiskStalled();
     node_->tick(now);
+    if (!wasStalled && node_->isDiskStalled()) {
+        parts_.log.warn("disk.stalled", {{"jobs_done", diskJobsDone_}});
+    }
     expireProposals(now);
     processReady();
     if (isProcessingReady_) {
--- a/src/gateway/cp_consensus_driver.hpp
+++ b/src/gateway/cp_consensus_driver.hpp
@@ -145,6 +145,7 @@
     //! Parts of a snapshot that are not stored yet; the last one holds the snapshot itself.
     std::deque<LogBatch> snapshotParts_;
     unsigned compactionSlot_ = 0;
+    std::uint64_t diskJobsDone_ = 0;
     std::unordered_map<VmName, TimePoint> lastHeard_;
     std::unordered_map<VmName, TimePoint> lastReconnected_;
     Counter &committed_;
--- a/tests/consensus/cp_raft_node.tests.cpp
+++ b/tests/consensus/cp_raft_node.tests.cpp
@@ -276,6 +276,41 @@
     BOOST_TEST(isIn(successor->applied, "after"));
 }
 
+// Guards against a leader that hands over while its slow disk is busy with other work.
+BOOST_AUTO_TEST_CASE(a_disk_that_finishes_other_work_is_not_stalled)
+{
+    RaftOptions options;
+    options.self = "vm-1";
+    RaftNode node(options, {}, {{threeVms.begin(), threeVms.end()}, {}}, TimePoint() + std::chrono::hours(1));
+    TimePoint now = TimePoint() + std::chrono::hours(2);
+    node.tick(now);
+    exchangeWithVm2(node, now);
+    BOOST_REQUIRE(node.propose("command").has_value());
+    static_cast<void>(node.takeReady());
+    RaftMessage reply;
+    reply.type = RaftMessageType::AppendReply;
+    reply.from = "vm-2";
+    reply.to = "vm-1";
+    reply.term = node.term();
+    reply.granted = true;
+    const auto passTime = [&](Milliseconds time) {
+        for (Milliseconds passed {0}; passed < time; passed += options.heartbeatInterval) {
+            now += options.heartbeatInterval;
+            node.step(now, reply);
+            node.tick(now);
+        }
+    };
+    for (int i = 0; i < 10; ++i) {
+        passTime(options.electionTimeout);
+        node.noteDiskProgress(now);
+    }
+    BOOST_TEST(!node.isDiskStalled());
+    BOOST_TEST((node.role() == RaftRole::Leader));
+    passTime(3 * options.electionTimeout);
+    BOOST_TEST(node.isDiskStalled());
+    BOOST_TEST((node.role() != RaftRole::Leader));
+}
+
 // Guards against elections that never end because a vote takes longer to store than the candidate waits for it.
 BOOST_AUTO_TEST_CASE(members_with_slow_disks_elect_a_successor_of_a_lost_leader)
 {
