Hand over from a stalled disk only if the others' disks work

A hand-over could help nobody: no member had stored the entry. Ruled out: a lost quorum (disk.stalled comes first, and at all three); entries that give the leader up (their line comes last); a disk that is busy with other work (no job ended in that time). Change: a leader with a stalled disk goes on, and sends heartbeats, until a quorum of other voters has stored more than it has. Why it works: only then has the group something that this leader holds back. Evidence: a_leader_with_a_stalled_disk_stays_until_a_quorum_of_others_has_stored_more; a_leader_whose_disk_stalls_hands_over still passes.

--- a/src/cardamompost/consensus/cp_raft_node.cpp
+++ b/src/cardamompost/consensus/cp_raft_node.cpp
@@ -164,15 +164,20 @@
     if (role_ != RaftRole::Leader || !isDiskStalled()) {
         return;
     }
-    // A leader answers only for entries that it has stored itself, so a quorum of other members does not help.
+    // A leader answers only for entries that it has stored itself. Handing over helps only if the others' disks work.
     VmName successor;
+    std::size_t ahead = 0;
     for (const auto &[name, progress] : progress_) {
         const bool isRecent = now_ - progress.lastContact < 2 * options_.electionTimeout;
-        if (isVoter(name) && isRecent && (successor.empty() || progress.match > matchIndexOf(successor))) {
+        if (!isVoter(name) || !isRecent || progress.match <= stableIndex_) {
+            continue;
+        }
+        ++ahead;
+        if (successor.empty() || progress.match > matchIndexOf(successor)) {
             successor = name;
         }
     }
-    if (!successor.empty()) {
+    if (ahead >= membership().quorum()) {
         outbox_.push_back(makeMessage(RaftMessageType::TimeoutNow, successor));
         becomeFollower(hard_.term, {});
     }
@@ -180,7 +185,7 @@
 
 bool RaftNode::isUnblocked(const RaftMessage &message) const
 {
-    if (isDiskStalled()) {
+    if (isDiskStalled() && role_ != RaftRole::Leader) {
         return message.type == RaftMessageType::TimeoutNow;
     }
     switch (message.type) {
--- a/tests/consensus/cp_raft_node.tests.cpp
+++ b/tests/consensus/cp_raft_node.tests.cpp
@@ -23,6 +23,19 @@
     return std::find(list.begin(), list.end(), item) != list.end();
 }
 
+//! Delivers a member's answer that its log matches up to an index.
+void acknowledge(RaftNode &node, TimePoint now, const VmName &member, LogIndex index)
+{
+    RaftMessage reply;
+    reply.type = RaftMessageType::AppendReply;
+    reply.from = member;
+    reply.to = "vm-1";
+    reply.term = node.term();
+    reply.granted = true;
+    reply.index = index;
+    node.step(now, reply);
+}
+
 //! Answers all requests to vm-2 positively and drops all messages to vm-3.
 void exchangeWithVm2(RaftNode &node, TimePoint now)
 {
@@ -287,16 +300,11 @@
     exchangeWithVm2(node, now);
     BOOST_REQUIRE(node.propose("command").has_value());
     static_cast<void>(node.takeReady());
-    RaftMessage reply;
-    reply.type = RaftMessageType::AppendReply;
-    reply.from = "vm-2";
-    reply.to = "vm-1";
-    reply.term = node.term();
-    reply.granted = true;
     const auto passTime = [&](Milliseconds time) {
         for (Milliseconds passed {0}; passed < time; passed += options.heartbeatInterval) {
             now += options.heartbeatInterval;
-            node.step(now, reply);
+            acknowledge(node, now, "vm-2", node.log().lastIndex());
+            acknowledge(node, now, "vm-3", node.log().lastIndex());
             node.tick(now);
         }
     };
@@ -311,6 +319,36 @@
     BOOST_TEST((node.role() != RaftRole::Leader));
 }
 
+// Guards against a leader that hands over, and fails its turns, while all disks are equally slow.
+BOOST_AUTO_TEST_CASE(a_leader_with_a_stalled_disk_stays_until_a_quorum_of_others_has_stored_more)
+{
+    RaftOptions options;
+    options.self = "vm-1";
+    RaftNode node(options, {}, {{threeVms.begin(), threeVms.end()}, {}}, TimePoint() + std::chrono::hours(1));
+    TimePoint now = TimePoint() + std::chrono::hours(2);
+    node.tick(now);
+    exchangeWithVm2(node, now);
+    const LogIndex stored = node.log().lastIndex();
+    BOOST_REQUIRE(node.propose("command").has_value());
+    static_cast<void>(node.takeReady());
+    const auto passTime = [&](LogIndex storedByVm2, LogIndex storedByVm3) {
+        for (Milliseconds passed {0}; passed < 5 * options.electionTimeout; passed += options.heartbeatInterval) {
+            now += options.heartbeatInterval;
+            acknowledge(node, now, "vm-2", storedByVm2);
+            acknowledge(node, now, "vm-3", storedByVm3);
+            node.tick(now);
+            static_cast<void>(node.takeUnblockedMessages());
+        }
+    };
+    passTime(stored, stored);
+    BOOST_TEST(node.isDiskStalled());
+    BOOST_TEST((node.role() == RaftRole::Leader));
+    passTime(stored + 1, stored);
+    BOOST_TEST((node.role() == RaftRole::Leader));
+    passTime(stored + 1, stored + 1);
+    BOOST_TEST((node.role() != RaftRole::Leader));
+}
+
 // Guards against elections that never end because a vote takes longer to store than the candidate waits for it.
 BOOST_AUTO_TEST_CASE(members_with_slow_disks_elect_a_successor_of_a_lost_leader)
 {
