--- a/include/cardamompost/consensus/cp_raft_node.hpp
+++ b/include/cardamompost/consensus/cp_raft_node.hpp
@@ -160,10 +160,10 @@
     //! True while the leader has had contact with a quorum so recently that no other leader can have been elected.
     //! Relies on bounded clock drift between members.
     [[nodiscard]] bool hasLease(TimePoint now) const;
-    //! True for a member that has lost its disk and has not yet received all committed entries.
+    //! True for a member that has lost its disk and has not yet stored all committed entries.
     [[nodiscard]] bool isUninitialized() const
     {
-        return hard_.votedFor == unknownVotedFor;
+        return hard_.votedFor == unknownVotedFor || stableHard_.votedFor == unknownVotedFor;
     }
 
 private:
--- a/tests/consensus/cp_raft_node.tests.cpp
+++ b/tests/consensus/cp_raft_node.tests.cpp
@@ -289,6 +289,29 @@
     BOOST_TEST(isIn(successor->applied, "after"));
 }
 
+// Guards against a member that counts as recovered before it has stored what it received, and loses it again.
+BOOST_AUTO_TEST_CASE(a_member_without_its_disk_is_uninitialized_until_it_has_stored_all_entries)
+{
+    RaftOptions options;
+    options.self = "vm-2";
+    RaftStoredState lost;
+    lost.hard = {1, std::string(unknownVotedFor)};
+    const TimePoint now = TimePoint() + std::chrono::hours(1);
+    RaftNode node(options, std::move(lost), {{threeVms.begin(), threeVms.end()}, {}}, now);
+    RaftMessage append;
+    append.type = RaftMessageType::Append;
+    append.from = "vm-1";
+    append.to = "vm-2";
+    append.term = 1;
+    append.commit = 1;
+    append.entries = {{1, 1, EntryKind::Barrier, {}}};
+    node.step(now, append);
+    const RaftReady ready = node.takeReady();
+    BOOST_TEST(node.isUninitialized());
+    node.persisted(ready);
+    BOOST_TEST(!node.isUninitialized());
+}
+
 // Guards against a leader that hands over while its slow disk is busy with other work.
 BOOST_AUTO_TEST_CASE(a_disk_that_finishes_other_work_is_not_stalled)
 {
