Soak: connections kept by their clients, and processes told to stop in series

Cause: the soak opened a connection for each request and only killed or froze processes, so it could not meet what clients see who go on using an open connection while its entry stops. Change: two clients use a connection for as long as its entry keeps it open; SIGTERM goes to an entry, one to three times, and in half of the cases to a ledger VM at the same time. Checked: what ran is answered on its connection, nothing runs twice, and the process ends within its grace period. The test command runs three seeds of 20 s instead of one of 15 s. Not done: larger systems than three ledger VMs and two entries.

--- a/tests/platform/gateway_soak.py
+++ b/tests/platform/gateway_soak.py
@@ -15,7 +15,9 @@
 - service recovers once all faults are over, including the newest routes;
 - a backend server receives the client account of a key and never the key; unknown keys run nowhere, valid ones are never refused,
   revoked ones are refused once the faults are over;
-- a rate-limited account stays within its limit in every window.
+- a rate-limited account stays within its limit in every window;
+- an entry that is told to stop, once or several times and also while a ledger VM stops, answers what it has taken on a connection
+  that its client keeps using, and ends within its grace period.
 """
 import argparse, asyncio, json, os, random, resource, shutil, signal, socket, sys, tempfile, time
 
@@ -24,6 +26,8 @@
 # An account's rate limit in requests per second (also its burst), the window, and the permitted excess.
 RATE, WINDOW, OVER_SHARE, OVER_REQUESTS = 15, 5.0, 0.1, 20
 KEY = "stay-officers"
+# An entry's grace period after SIGTERM, in seconds.
+GRACE = 8
 DOCUMENT = {"routes": [
     {"name": "plans", "host": "h.example", "path-prefix": "/plans/", "kind": "streaming", "timeout-ms": 4000, "service": "e",
      "max-attempts": 1, "retains-context": True, "retention-s": 60.0, "sticky-sessions": True},
@@ -242,7 +246,7 @@
         self.fronts = [("127.0.0.1", port) for port in ports[9:11]]
         for i in range(2):
             self.entries.append(Process(self, f"entry-{i}", "entry", {
-                "peer": f"127.0.0.1:{ports[13 + i]}", "front": f"127.0.0.1:{ports[9 + i]}", "ready": f"127.0.0.1:{ports[11 + i]}"}))
+                "grace_ms": GRACE * 1000, "peer": f"127.0.0.1:{ports[13 + i]}", "front": f"127.0.0.1:{ports[9 + i]}", "ready": f"127.0.0.1:{ports[11 + i]}"}))
         for process in self.ledgers + self.entries:
             await process.start()
         await self.put_document(1, 20)
@@ -365,6 +369,50 @@
                 await asyncio.sleep(0.1)
         await asyncio.gather(*(client() for _ in range(8)))
 
+    async def keep(self, until):
+        """Uses a connection for as long as its entry keeps it open, also while the entry stops."""
+        while time.monotonic() < until:
+            try:
+                reader, writer = await asyncio.open_connection(*self.random.choice(self.fronts))
+            except OSError:
+                await asyncio.sleep(0.05)
+                continue
+            while await self.ask_on(reader, writer) and time.monotonic() < until:
+                await asyncio.sleep(0.01)
+            writer.close()
+
+    async def ask_on(self, reader, writer):
+        """Returns whether the connection stays open."""
+        self.serial += 1
+        request = f"k{self.seed}x{self.serial}"
+        self.keys[request] = KEY
+        try:
+            writer.write(f"POST /tools/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {request}\r\nX-Api-Key: {KEY}\r\n"
+                         "Deadline-Milliseconds: 4000\r\nContent-Length: 4\r\n\r\nwork".encode())
+            status, headers = await asyncio.wait_for(read_head(reader), 10)
+            await asyncio.wait_for(read_body(reader, headers), 10)
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            if self.backend.runs.get(request):
+                self.fail(f"{request} ran, and the connection on which it was sent ended without an answer")
+            return False
+        status = int(status.split()[1])
+        self.counts[status] = self.counts.get(status, 0) + 1
+        if self.backend.runs.get(request, 0) > 1:
+            self.fail(f"{request} ran {self.backend.runs[request]} times")
+        return headers.get("connection", "").lower() != "close"
+
+    async def stop(self, process, patience):
+        """Sends SIGTERM, possibly several times, and starts the process again once it has ended."""
+        for _ in range(self.random.randint(1, 3)):
+            process.child.send_signal(signal.SIGTERM)
+            await asyncio.sleep(self.random.uniform(0, 0.3))
+        try:
+            await asyncio.wait_for(process.child.wait(), patience)
+        except asyncio.TimeoutError:
+            self.fail(f"{process.name} keeps running after SIGTERM")
+            await process.kill()
+        await process.start()
+
     def check_accounts(self):
         if self.backend.leaked:
             self.fail(f"{self.backend.leaked} requests reached the backend server with a key")
@@ -407,7 +455,8 @@
             await asyncio.sleep(0.4)
 
     async def fault(self):
-        kind = self.random.choice(["kill", "kill", "freeze", "wipe", "full", "delay", "reset", "silence", "oneway", "entry"])
+        kind = self.random.choice(["kill", "kill", "freeze", "wipe", "full", "delay", "reset", "silence", "oneway", "entry",
+                                   "stop", "stop"])
         number = self.random.randrange(3)
         ledger, forwarder = self.ledgers[number], self.forwarders[number]
         self.notes.append(f"{kind} {number}")
@@ -436,6 +485,11 @@
             process.child.send_signal(signal.SIGSTOP)
             await asyncio.sleep(self.random.uniform(0.5, 2.5))
             process.child.send_signal(signal.SIGCONT)
+        elif kind == "stop":
+            stops = [self.stop(self.entries[number % 2], GRACE + 2)]
+            if self.random.random() < 0.5:
+                stops.append(self.stop(ledger, GRACE + 2))
+            await asyncio.gather(*stops)
         elif kind == "reset":
             forwarder.reset()
         else:
@@ -452,7 +506,7 @@
         self.refused = []
         await self.start()
         until = time.monotonic() + seconds
-        work = asyncio.gather(self.traffic(until), self.press(until), self.operator(until))
+        work = asyncio.gather(self.traffic(until), self.press(until), self.operator(until), self.keep(until), self.keep(until))
         while time.monotonic() + 6 < until:
             await self.fault()
         await work
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -40,8 +40,8 @@
 step "tests that are known to fail"
 tools/scripts/known_red.sh build
 
-step "fault soak of the gateway, one seed, and whether it notices a loss too many"
-python3 tests/platform/gateway_soak.py --seconds 15 7
+step "fault soak of the gateway, three seeds, and whether it notices a loss too many"
+python3 tests/platform/gateway_soak.py --seconds 20 7 8 9
 if python3 tests/platform/gateway_soak.py --seconds 10 --plant 7 >build/soak_plant.log 2>&1; then
     echo "the soak did not notice that two of three disks were lost"
     exit 1
