The simulation's last check waits for the leader to apply

Nothing is lost. Ruled out: a lost entry (all logs have it), a duplicate (applied nowhere yet). Change: hasRecovered() asks in addition that the leader has applied what it has committed, both for the end of the wait and for the check that followed it, so the check is stricter than it was.

--- a/tests/support/cp_raft_fault_simulation.hpp
+++ b/tests/support/cp_raft_fault_simulation.hpp
@@ -185,6 +185,13 @@
         return acknowledged_.empty() ? 0 : index;
     }
 
+    //! A leader has applied all that is committed, and the other members have applied the same.
+    bool hasRecovered()
+    {
+        const RaftCluster::Member *leader = cluster_.waitForLeader();
+        return leader != nullptr && leader->appliedIndex == leader->node->commitIndex() && cluster_.hasConverged();
+    }
+
     void recoverAndVerify()
     {
         FakeNetwork &net = network();
@@ -197,9 +204,9 @@
         const TimePoint end = net.now + Milliseconds(60'000);
         do {
             cluster_.run(Milliseconds(500));
-        } while (net.now < end && !(cluster_.waitForLeader() != nullptr && cluster_.hasConverged()));
+        } while (net.now < end && !hasRecovered());
         collectAcknowledged();
-        if (!cluster_.hasConverged()) {
+        if (!hasRecovered()) {
             throw Violation("the members do not converge to the same state");
         }
         const std::vector<std::string> &state = cluster_.leader()->applied;
