Log why a member stopped leading

Cause: the logs of the slow leader's failing runs say that there is no leader any more, and not why: a lost quorum, a hand-over from a stalled disk and a later term all show as the same ledger.leader line. What the leader knew of the others at that moment (their silence, what they had stored) is gone with it. Ruled out: reading it off other members' logs; a follower that has fallen silent logs nothing either. Change: RaftNode::takeLeadershipReport(); ledger.leadership_ended at the ledger, control.leadership_ended at the daemon. disk.stalled says whether this member leads. No behaviour changes.

--- a/include/cardamompost/consensus/cp_raft_node.hpp
+++ b/include/cardamompost/consensus/cp_raft_node.hpp
@@ -4,13 +4,16 @@
 #include <cardamompost/consensus/cp_raft_log.hpp>
 #include <cardamompost/consensus/cp_raft_message.hpp>
 #include <cardamompost/core/cp_error.hpp>
+#include <cardamompost/core/cp_name_table.hpp>
 #include <cardamompost/core/cp_time.hpp>
 #include <cardamompost/liveness/cp_failure_detector.hpp>
 
+#include <array>
 #include <deque>
 #include <map>
 #include <optional>
 #include <random>
+#include <utility>
 
 namespace cardamompost
 {
@@ -72,6 +75,42 @@
     std::vector<std::uint64_t> failedReads;
 };
 
+//! Why a member stopped leading.
+enum class LeadershipEnd {
+    //! No quorum of voters was heard from for two election timeouts.
+    QuorumLost,
+    //! The disk stalled, and a voter that has stored more was asked to take over.
+    HandedOver,
+    //! A message with a later term arrived.
+    LaterTerm,
+    //! The member is no longer a voter.
+    LeftGroup,
+};
+
+inline constexpr std::array leadershipEndNames {
+    Named {LeadershipEnd::QuorumLost, "quorum-lost"},
+    Named {LeadershipEnd::HandedOver, "handed-over"},
+    Named {LeadershipEnd::LaterTerm, "later-term"},
+    Named {LeadershipEnd::LeftGroup, "left-group"},
+};
+
+//! How a member's leadership ended, and what it knew of the others at that time.
+struct RaftLeadershipReport {
+    struct Peer {
+        VmName name;
+        //! Time since its last message.
+        Milliseconds silence {0};
+        LogIndex match = 0;
+    };
+
+    LeadershipEnd end = LeadershipEnd::QuorumLost;
+    //! The successor that was asked to take over, or the sender of the later term.
+    VmName other;
+    Milliseconds writeTime {0};
+    LogIndex stored = 0;
+    std::vector<Peer> peers;
+};
+
 enum class RaftRole {
     Follower,
     PreCandidate,
@@ -125,8 +164,16 @@
     void persisted(const RaftReady &ready);
     //! Reports that the disk has finished other work, for which the last RaftReady may have to wait.
     void noteDiskProgress(TimePoint now);
-    //! The disk has finished nothing for so long, while the last RaftReady is being stored, that it counts as lost.
+    //! The disk has finished nothing for two election timeouts while the last RaftReady is being stored. Such a leader
+    //! hands over once a quorum of others has stored more.
     [[nodiscard]] bool isDiskStalled() const;
+    //! How long this member's writes take, the one in progress included.
+    [[nodiscard]] Milliseconds writeTime() const;
+    //! Set once after each end of this member's leadership.
+    [[nodiscard]] std::optional<RaftLeadershipReport> takeLeadershipReport()
+    {
+        return std::exchange(leadershipReport_, std::nullopt);
+    }
 
     [[nodiscard]] RaftRole role() const
     {
@@ -191,6 +238,7 @@
 
     void becomeFollower(Term term, const VmName &leader);
     void becomeLeader();
+    void endLeadership(LeadershipEnd end, const VmName &other);
     void startElection(bool isPreVote);
     void countVote(const RaftMessage &message);
     void resetElectionDeadline();
@@ -221,6 +269,11 @@
     [[nodiscard]] bool isVoter(const VmName &name) const;
     [[nodiscard]] bool isUnblocked(const RaftMessage &message) const;
     void handOverIfDiskStalled();
+    void recordContact(Progress &progress, const RaftMessage &message);
+    //! The member was heard from within two election timeouts.
+    [[nodiscard]] bool isInContact(const Progress &progress) const;
+    //! Time since the disk last finished something while a RaftReady is being stored, or else 0.
+    [[nodiscard]] Milliseconds diskSilence() const;
     [[nodiscard]] bool hasRecentLeader() const;
     void recordLeaderContact(const VmName &leader);
 
@@ -236,6 +289,7 @@
     TimePoint lastDiskProgress_ {};
     //! Time that recent writes took; the longest one counts half after each further write.
     Milliseconds storeTime_ {0};
+    Milliseconds lastStoreTime_ {0};
     RaftRole role_ = RaftRole::Follower;
     VmName leader_;
     LogIndex commitIndex_ = 0;
@@ -263,6 +317,7 @@
     std::vector<std::uint64_t> failedReads_;
     std::optional<RaftSnapshot> receivedSnapshot_;
     RaftSnapshot incomingSnapshot_;
+    std::optional<RaftLeadershipReport> leadershipReport_;
 };
 
 } // namespace cardamompost
--- a/src/cardamompost/consensus/cp_raft_election.cpp
+++ b/src/cardamompost/consensus/cp_raft_election.cpp
@@ -49,6 +49,17 @@
     resetElectionDeadline();
 }
 
+void RaftNode::endLeadership(LeadershipEnd end, const VmName &other)
+{
+    RaftLeadershipReport report {end, other, writeTime(), stableIndex_, {}};
+    for (const auto &[name, progress] : progress_) {
+        const auto silence = std::chrono::duration_cast<Milliseconds>(now_ - progress.lastContact);
+        report.peers.push_back({name, silence, progress.match});
+    }
+    leadershipReport_ = std::move(report);
+    becomeFollower(hard_.term, {});
+}
+
 void RaftNode::startElection(bool isPreVote)
 {
     // A pre-vote does not change the term, so a member that returns from a partition can't depose a working leader.
--- a/src/cardamompost/consensus/cp_raft_node.cpp
+++ b/src/cardamompost/consensus/cp_raft_node.cpp
@@ -148,9 +148,21 @@
     return ready;
 }
 
+Milliseconds RaftNode::diskSilence() const
+{
+    return storingSince_ ? std::chrono::duration_cast<Milliseconds>(now_ - std::max(*storingSince_, lastDiskProgress_))
+                         : Milliseconds(0);
+}
+
 bool RaftNode::isDiskStalled() const
 {
-    return storingSince_ && now_ - std::max(*storingSince_, lastDiskProgress_) > 2 * options_.electionTimeout;
+    return diskSilence() > 2 * options_.electionTimeout;
+}
+
+Milliseconds RaftNode::writeTime() const
+{
+    const auto inProgress = storingSince_ ? now_ - *storingSince_ : TimePoint::duration(0);
+    return std::max(lastStoreTime_, std::chrono::duration_cast<Milliseconds>(inProgress));
 }
 
 void RaftNode::noteDiskProgress(TimePoint now)
@@ -168,8 +180,7 @@
     VmName successor;
     std::size_t ahead = 0;
     for (const auto &[name, progress] : progress_) {
-        const bool isRecent = now_ - progress.lastContact < 2 * options_.electionTimeout;
-        if (!isVoter(name) || !isRecent || progress.match <= stableIndex_) {
+        if (!isVoter(name) || !isInContact(progress) || progress.match <= stableIndex_) {
             continue;
         }
         ++ahead;
@@ -179,7 +190,7 @@
     }
     if (ahead >= membership().quorum()) {
         outbox_.push_back(makeMessage(RaftMessageType::TimeoutNow, successor));
-        becomeFollower(hard_.term, {});
+        endLeadership(LeadershipEnd::HandedOver, successor);
     }
 }
 
@@ -217,7 +228,8 @@
 void RaftNode::persisted(const RaftReady &ready)
 {
     if (storingSince_) {
-        storeTime_ = std::max(std::chrono::duration_cast<Milliseconds>(now_ - *storingSince_), storeTime_ / 2);
+        lastStoreTime_ = std::chrono::duration_cast<Milliseconds>(now_ - *storingSince_);
+        storeTime_ = std::max(lastStoreTime_, storeTime_ / 2);
         storingSince_.reset();
     }
     if (ready.hard) {
@@ -315,14 +327,24 @@
     // A partitioned leader steps down, so that its clients do not wait for it while the other members follow a new one.
     std::size_t reachable = isVoter(options_.self) ? 1 : 0;
     for (const auto &[name, progress] : progress_) {
-        const bool isRecent = now_ - progress.lastContact < 2 * options_.electionTimeout;
-        reachable += isRecent && isVoter(name) ? 1 : 0;
+        reachable += isInContact(progress) && isVoter(name) ? 1 : 0;
     }
     if (reachable < membership().quorum()) {
-        becomeFollower(hard_.term, {});
+        endLeadership(LeadershipEnd::QuorumLost, {});
     }
 }
 
+bool RaftNode::isInContact(const Progress &progress) const
+{
+    return now_ - progress.lastContact < 2 * options_.electionTimeout;
+}
+
+void RaftNode::recordContact(Progress &progress, const RaftMessage &message)
+{
+    progress.lastContact = now_;
+    progress.ackedRound = std::max(progress.ackedRound, message.round);
+}
+
 void RaftNode::advanceCommit()
 {
     std::vector<LogIndex> matches;
@@ -338,7 +360,7 @@
     }
     commitIndex_ = candidate;
     if (pendingMembershipIndex_ <= commitIndex_ && !isVoter(options_.self)) {
-        becomeFollower(hard_.term, {});
+        endLeadership(LeadershipEnd::LeftGroup, {});
         return;
     }
     broadcastAppend(false);
--- a/src/cardamompost/consensus/cp_raft_replication.cpp
+++ b/src/cardamompost/consensus/cp_raft_replication.cpp
@@ -48,6 +48,9 @@
     const bool isPreVote = message.type == RaftMessageType::PreVote
         || (message.type == RaftMessageType::PreVoteReply && message.granted);
     if (message.term > hard_.term && !isPreVote) {
+        if (role_ == RaftRole::Leader) {
+            endLeadership(LeadershipEnd::LaterTerm, message.from);
+        }
         becomeFollower(message.term, {});
     }
     return true;
@@ -186,8 +189,7 @@
         return;
     }
     Progress &progress = found->second;
-    progress.lastContact = now_;
-    progress.ackedRound = std::max(progress.ackedRound, message.round);
+    recordContact(progress, message);
     advanceReads();
     if (!message.granted) {
         // A rejection without new information is answered by the next heartbeat's probe; a probe for each would be sent
@@ -270,8 +272,7 @@
         return;
     }
     Progress &progress = found->second;
-    progress.lastContact = now_;
-    progress.ackedRound = std::max(progress.ackedRound, message.round);
+    recordContact(progress, message);
     advanceReads();
     if (message.granted) {
         progress.match = std::max(progress.match, message.index);
--- a/src/daemon/cp_control_runner.cpp
+++ b/src/daemon/cp_control_runner.cpp
@@ -94,6 +94,13 @@
     if (isProcessingReady_) {
         send(node_->takeUnblockedMessages());
     }
+    if (const std::optional<RaftLeadershipReport> report = node_->takeLeadershipReport()) {
+        parts_.log.warn("control.leadership_ended",
+                        {{"reason", nameOf(leadershipEndNames, report->end)},
+                         {"other", report->other},
+                         {"term", node_->term()},
+                         {"write_ms", report->writeTime.count()}});
+    }
 }
 
 void ControlRunner::send(std::vector<RaftMessage> messages)
--- a/src/gateway/cp_consensus_driver.cpp
+++ b/src/gateway/cp_consensus_driver.cpp
@@ -4,6 +4,7 @@
 #include <cardamompost/core/cp_invariant.hpp>
 
 #include <boost/asio/post.hpp>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 
@@ -81,16 +82,36 @@
     const bool wasStalled = node_->isDiskStalled();
     node_->tick(now);
     if (!wasStalled && node_->isDiskStalled()) {
-        parts_.log.warn("disk.stalled", {{"jobs_done", diskJobsDone_}});
+        parts_.log.warn("disk.stalled", {{"jobs_done", diskJobsDone_}, {"leads", node_->role() == RaftRole::Leader}});
     }
     expireProposals(now);
     processReady();
     if (isProcessingReady_) {
         send(node_->takeUnblockedMessages());
     }
+    logEndOfLeadership();
     state_.onChange();
 }
 
+void ConsensusDriver::logEndOfLeadership()
+{
+    const std::optional<RaftLeadershipReport> report = node_->takeLeadershipReport();
+    if (!report) {
+        return;
+    }
+    std::vector<std::string> peers;
+    for (const RaftLeadershipReport::Peer &peer : report->peers) {
+        peers.push_back(fmt::format("{} silent_ms={} match={}", peer.name, peer.silence.count(), peer.match));
+    }
+    parts_.log.warn("ledger.leadership_ended",
+                    {{"reason", nameOf(leadershipEndNames, report->end)},
+                     {"other", report->other},
+                     {"term", node_->term()},
+                     {"write_ms", report->writeTime.count()},
+                     {"stored", report->stored},
+                     {"peers", fmt::format("{}", fmt::join(peers, "; "))}});
+}
+
 void ConsensusDriver::reconnectIfSilent(const VmName &member)
 {
     // Consensus messages are one-way, so a dead connection would otherwise go unnoticed until the kernel's timeout.
--- a/src/gateway/cp_consensus_driver.hpp
+++ b/src/gateway/cp_consensus_driver.hpp
@@ -111,6 +111,8 @@
     [[nodiscard]] bool mustDeferRound();
     void store(const std::shared_ptr<RaftReady> &ready);
     void complete(RaftReady &ready);
+    //! Logs why this member stopped leading.
+    void logEndOfLeadership();
     //! Stops this member after a failed write. \returns true while it is running
     bool handleWriteResult(bool isWritten);
     void send(std::vector<RaftMessage> messages);
