Let a follower with a stalled disk answer heartbeats

Cause: a follower whose disk had finished nothing for 0.6 s sent nothing at all. With slow disks at both followers, the leader lost its quorum although both were alive, and no successor would have had a faster disk. Ruled out: a longer limit; users' disks stall for seconds, so no constant would hold. Change: a stalled follower answers what promises nothing beyond its last synced entry, as it does during any write. An acknowledgement of entries and a vote wait for the sync, as before. A follower with a stalled disk still starts no election. Why it works: whether a member is alive and whether its disk is fast are two things; only the first decides on the leader's contact with its quorum. Conclusion: one of two reasons for a change of leader is gone; the next is a leader that is itself as slow.

--- a/include/cardamompost/consensus/cp_raft_node.hpp
+++ b/include/cardamompost/consensus/cp_raft_node.hpp
@@ -157,8 +157,7 @@
     [[nodiscard]] bool hasReady() const;
     [[nodiscard]] RaftReady takeReady();
     //! Messages that promise nothing beyond what is synced, to be sent while the last RaftReady is being stored, so
-    //! that a slow disk does not look like a lost member. If the disk stalls, a follower falls silent, and a leader
-    //! hands over once a quorum of others has stored more.
+    //! that a slow disk does not look like a lost member.
     [[nodiscard]] std::vector<RaftMessage> takeUnblockedMessages();
     //! Reports that the entries, hard state and snapshot of the last RaftReady are synced.
     void persisted(const RaftReady &ready);
--- a/src/cardamompost/consensus/cp_raft_node.cpp
+++ b/src/cardamompost/consensus/cp_raft_node.cpp
@@ -196,9 +196,6 @@
 
 bool RaftNode::isUnblocked(const RaftMessage &message) const
 {
-    if (isDiskStalled() && role_ != RaftRole::Leader) {
-        return message.type == RaftMessageType::TimeoutNow;
-    }
     switch (message.type) {
     case RaftMessageType::Vote:
     case RaftMessageType::VoteReply:
--- a/tests/consensus/cp_raft_node.tests.cpp
+++ b/tests/consensus/cp_raft_node.tests.cpp
@@ -270,6 +270,49 @@
     }
 }
 
+// Guards against a leader that loses its quorum, or hands over, although no other quorum has faster disks.
+BOOST_AUTO_TEST_CASE(a_leader_stays_while_writes_of_others_take_seconds)
+{
+    const ThrowingInvariants guard;
+    constexpr std::uint64_t seeds = 10;
+    const std::vector<std::vector<std::size_t>> slowMembers {{1}, {1, 2}};
+    for (const Milliseconds longestWrite : {Milliseconds(700), Milliseconds(1200), Milliseconds(2000)}) {
+        for (const std::vector<std::size_t> &slow : slowMembers) {
+            for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+                BOOST_TEST_CONTEXT(longestWrite.count() << " ms at " << slow.size() << " members from number "
+                                                        << slow.front() << " on, seed " << seed)
+                {
+                    RaftCluster cluster(threeVms, seed);
+                    RaftCluster::Member *leader = cluster.waitForLeader();
+                    BOOST_REQUIRE(leader != nullptr);
+                    cluster.run(Milliseconds(500));
+                    const Term term = leader->node->term();
+                    // The leader is number 0.
+                    std::vector<RaftCluster::Member *> members {leader};
+                    for (const auto &[name, member] : cluster.members) {
+                        if (member.get() != leader) {
+                            members.push_back(member.get());
+                        }
+                    }
+                    for (const std::size_t number : slow) {
+                        members[number]->longestWrite = longestWrite;
+                    }
+                    constexpr std::size_t commands = 40;
+                    for (std::size_t i = 0; i < commands; ++i) {
+                        BOOST_REQUIRE(cluster.propose(*leader, std::to_string(i)));
+                        cluster.run(Milliseconds(150));
+                    }
+                    cluster.run(4 * longestWrite);
+                    for (const auto &[name, member] : cluster.members) {
+                        BOOST_TEST(member->node->term() == term);
+                        BOOST_TEST(member->applied.size() == commands);
+                    }
+                }
+            }
+        }
+    }
+}
+
 // Guards against an outage that lasts as long as the disk of a leader, which keeps leading, stores nothing.
 BOOST_AUTO_TEST_CASE(a_leader_whose_disk_stalls_hands_over)
 {
