Hand over from a stalled disk only if a successor would be sooner

Callers saw: turns under way lost at a hand-over that helped nobody, since the successor's disk was as slow. Cause: a leader handed over as soon as its write had taken 0.6 s and a quorum of others happened to have stored more. On disks of equal speed that is a matter of chance; the election that follows takes three writes. Ruled out: never handing over (a disk that never ends a sync would end the service for good); comparing what is stored only, as until now. Change: members say in their answers how long their writes take, the one in progress included. A leader hands over once its own write has lasted longer than two election time-outs and the three writes of an election at a quorum of others. An acknowledgement of new entries was made before they were written, so its figure isn't used. Why it works: it compares the time that the leader has already lost with the time that its successor would need. A leader whose disk is slow alone still hands over, after 0.6 s (a_leader_whose_disk_stalls_hands_over, unchanged). Conclusion: no change of leader without a faster quorum.

--- a/include/cardamompost/consensus/cp_raft_message.hpp
+++ b/include/cardamompost/consensus/cp_raft_message.hpp
@@ -3,6 +3,7 @@
 
 #include <cardamompost/consensus/cp_log_entry.hpp>
 #include <cardamompost/consensus/cp_membership.hpp>
+#include <cardamompost/core/cp_time.hpp>
 
 #include <vector>
 
@@ -45,6 +46,8 @@
     bool granted = false;
     //! The sender has lost its disk and may lack entries that it acknowledged before.
     bool isUninitialized = false;
+    //! AppendReply and SnapshotReply: how long the sender's writes take, the one in progress included.
+    Milliseconds writeTime {0};
     //! Number of the leader's read confirmation round, echoed by replies.
     std::uint64_t round = 0;
     std::vector<LogEntry> entries;
--- a/include/cardamompost/consensus/cp_raft_node.hpp
+++ b/include/cardamompost/consensus/cp_raft_node.hpp
@@ -100,6 +100,7 @@
         VmName name;
         //! Time since its last message.
         Milliseconds silence {0};
+        Milliseconds writeTime {0};
         LogIndex match = 0;
     };
 
@@ -164,7 +165,7 @@
     //! Reports that the disk has finished other work, for which the last RaftReady may have to wait.
     void noteDiskProgress(TimePoint now);
     //! The disk has finished nothing for two election timeouts while the last RaftReady is being stored. Such a leader
-    //! hands over once a quorum of others has stored more.
+    //! hands over once a quorum of others has stored more and would need less time to go on.
     [[nodiscard]] bool isDiskStalled() const;
     //! How long this member's writes take, the one in progress included.
     [[nodiscard]] Milliseconds writeTime() const;
@@ -222,6 +223,8 @@
         //! Last entry of each unacknowledged Append message with entries.
         std::deque<LogIndex> inFlight;
         TimePoint lastContact {};
+        //! How long the member's writes take, as it last reported.
+        Milliseconds writeTime {0};
         std::uint64_t ackedRound = 0;
         LogIndex snapshotIndex = 0;
         std::uint64_t snapshotOffset = 0;
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -30,6 +30,7 @@
   offset @14 :UInt64;
   isLastPiece @15 :Bool;
   isBlank @16 :Bool;
+  writeMs @17 :UInt32;
 }
 
 struct SealRequest {
--- a/src/cardamompost/consensus/cp_raft_node.cpp
+++ b/src/cardamompost/consensus/cp_raft_node.cpp
@@ -178,17 +178,25 @@
     }
     // A leader answers only for entries that it has stored itself. Handing over helps only if the others' disks work.
     VmName successor;
-    std::size_t ahead = 0;
+    std::vector<Milliseconds> writeTimes;
     for (const auto &[name, progress] : progress_) {
         if (!isVoter(name) || !isInContact(progress) || progress.match <= stableIndex_) {
             continue;
         }
-        ++ahead;
+        writeTimes.push_back(progress.writeTime);
         if (successor.empty() || progress.match > matchIndexOf(successor)) {
             successor = name;
         }
     }
-    if (ahead >= membership().quorum()) {
+    const std::size_t quorum = membership().quorum();
+    if (writeTimes.size() < quorum) {
+        return;
+    }
+    // A successor leads once its candidacy, the votes for it and its first entry are stored. Until the own write has
+    // taken that long, it may well end sooner.
+    constexpr int writesOfElection = 3;
+    std::sort(writeTimes.begin(), writeTimes.end());
+    if (diskSilence() > 2 * options_.electionTimeout + writesOfElection * writeTimes[quorum - 1]) {
         outbox_.push_back(makeMessage(RaftMessageType::TimeoutNow, successor));
         endLeadership(LeadershipEnd::HandedOver, successor);
     }
@@ -290,6 +298,7 @@
     message.to = to;
     message.term = hard_.term;
     message.isUninitialized = isUninitialized();
+    message.writeTime = writeTime();
     return message;
 }
 
@@ -339,6 +348,10 @@
 void RaftNode::recordContact(Progress &progress, const RaftMessage &message)
 {
     progress.lastContact = now_;
+    // An acknowledgement of new entries was made before they were written.
+    if (message.index <= progress.match) {
+        progress.writeTime = message.writeTime;
+    }
     progress.ackedRound = std::max(progress.ackedRound, message.round);
 }
 
--- a/src/gateway/cp_consensus_driver.cpp
+++ b/src/gateway/cp_consensus_driver.cpp
@@ -101,7 +101,8 @@
     }
     std::vector<std::string> peers;
     for (const RaftLeadershipReport::Peer &peer : report->peers) {
-        peers.push_back(fmt::format("{} silent_ms={} match={}", peer.name, peer.silence.count(), peer.match));
+        peers.push_back(fmt::format("{} silent_ms={} write_ms={} match={}", peer.name, peer.silence.count(),
+                                    peer.writeTime.count(), peer.match));
     }
     parts_.log.warn("ledger.leadership_ended",
                     {{"reason", nameOf(leadershipEndNames, report->end)},
--- a/tests/consensus/cp_raft_node.tests.cpp
+++ b/tests/consensus/cp_raft_node.tests.cpp
@@ -275,7 +275,7 @@
 {
     const ThrowingInvariants guard;
     constexpr std::uint64_t seeds = 10;
-    const std::vector<std::vector<std::size_t>> slowMembers {{1}, {1, 2}};
+    const std::vector<std::vector<std::size_t>> slowMembers {{0, 1, 2}, {1}, {1, 2}, {0, 1}};
     for (const Milliseconds longestWrite : {Milliseconds(700), Milliseconds(1200), Milliseconds(2000)}) {
         for (const std::vector<std::size_t> &slow : slowMembers) {
             for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
@@ -313,6 +313,33 @@
     }
 }
 
+// Guards against commands under way that are lost when a leader with a stalled disk hands over.
+BOOST_AUTO_TEST_CASE(a_successor_of_a_leader_with_a_slow_disk_has_all_commands_that_it_stored)
+{
+    const ThrowingInvariants guard;
+    constexpr std::uint64_t seeds = 20;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        for (const Milliseconds longestWrite : {Milliseconds(1200), Milliseconds(2000), Milliseconds(60'000)}) {
+            BOOST_TEST_CONTEXT("seed " << seed << ", " << longestWrite.count() << " ms")
+            {
+                RaftCluster cluster(threeVms, seed);
+                RaftCluster::Member *leader = cluster.waitForLeader();
+                BOOST_REQUIRE(leader != nullptr);
+                cluster.run(Milliseconds(500));
+                leader->longestWrite = longestWrite;
+                constexpr std::size_t commands = 8;
+                for (std::size_t i = 0; i < commands; ++i) {
+                    BOOST_REQUIRE(cluster.propose(*leader, std::to_string(i)));
+                }
+                cluster.run(Milliseconds(4000));
+                const RaftCluster::Member *last = cluster.waitForLeader();
+                BOOST_REQUIRE(last != nullptr);
+                BOOST_TEST(last->applied.size() == commands);
+            }
+        }
+    }
+}
+
 // Guards against an outage that lasts as long as the disk of a leader, which keeps leading, stores nothing.
 BOOST_AUTO_TEST_CASE(a_leader_whose_disk_stalls_hands_over)
 {
