Don't take a member's own standstill for the others' silence

Callers would see: a leader that steps down, and turns that fail, because its process or VM did not run for a while. Cause: the first tick after a standstill compares the last answers with the present time, before the answers that wait in the sockets are read. A follower starts an election for the same reason. Ruled out: reading the sockets before the tick; the others may have stood still too and answer a moment later. Change: time for which a member did not run, beyond a heartbeat interval, postpones its time-outs. The lease is not postponed: it must end by the clock. Why it works: silence is counted only while somebody listens. Figures: with standstills counted as silence in a copy, both tests fail (10 checks each); they pass now. Found by reading; not brought about in a whole system, so only suspected as a cause of a failure that callers saw.

--- a/include/cardamompost/consensus/cp_raft_node.hpp
+++ b/include/cardamompost/consensus/cp_raft_node.hpp
@@ -98,7 +98,7 @@
 struct RaftLeadershipReport {
     struct Peer {
         VmName name;
-        //! Time since its last message.
+        //! Time since its last message, without standstills of this member.
         Milliseconds silence {0};
         Milliseconds writeTime {0};
         LogIndex match = 0;
@@ -223,6 +223,8 @@
         //! Last entry of each unacknowledged Append message with entries.
         std::deque<LogIndex> inFlight;
         TimePoint lastContact {};
+        //! As lastContact, but later by the standstills of this member, which are no silence of the other one.
+        TimePoint silentSince {};
         //! How long the member's writes take, as it last reported.
         Milliseconds writeTime {0};
         std::uint64_t ackedRound = 0;
@@ -238,6 +240,9 @@
         LogIndex index;
     };
 
+    //! Sets the current time. Time for which this member did not run postpones its timeouts: messages that arrived
+    //! meanwhile have yet to be read.
+    void advanceTime(TimePoint now);
     void becomeFollower(Term term, const VmName &leader);
     void becomeLeader();
     void endLeadership(LeadershipEnd end, const VmName &other);
@@ -304,6 +309,8 @@
     //! On a leader: its last membership entry or, before the first one, its barrier entry.
     LogIndex pendingMembershipIndex_ = 0;
     TimePoint now_ {};
+    //! Empty before the first call with a time.
+    std::optional<TimePoint> lastRunAt_;
     TimePoint electionDeadline_ {};
     TimePoint lastLeaderContact_ {};
     //! The leader whose contacts leaderDetector_ has observed.
--- a/src/cardamompost/consensus/cp_raft_election.cpp
+++ b/src/cardamompost/consensus/cp_raft_election.cpp
@@ -53,7 +53,7 @@
 {
     RaftLeadershipReport report {end, other, writeTime(), stableIndex_, {}};
     for (const auto &[name, progress] : progress_) {
-        const auto silence = std::chrono::duration_cast<Milliseconds>(now_ - progress.lastContact);
+        const auto silence = std::chrono::duration_cast<Milliseconds>(now_ - progress.silentSince);
         report.peers.push_back({name, silence, progress.writeTime, progress.match});
     }
     leadershipReport_ = std::move(report);
--- a/src/cardamompost/consensus/cp_raft_node.cpp
+++ b/src/cardamompost/consensus/cp_raft_node.cpp
@@ -29,9 +29,24 @@
     }
 }
 
-void RaftNode::tick(TimePoint now)
+void RaftNode::advanceTime(TimePoint now)
 {
     now_ = std::max(now_, now);
+    const TimePoint lastRunAt = std::exchange(lastRunAt_, now_).value_or(now_);
+    const auto standstill = now_ - lastRunAt - options_.heartbeatInterval;
+    if (standstill.count() <= 0) {
+        return;
+    }
+    electionDeadline_ += standstill;
+    lastLeaderContact_ = std::min(now_, lastLeaderContact_ + standstill);
+    for (auto &[name, progress] : progress_) {
+        progress.silentSince = std::min(now_, progress.silentSince + standstill);
+    }
+}
+
+void RaftNode::tick(TimePoint now)
+{
+    advanceTime(now);
     if (role_ == RaftRole::Leader) {
         checkQuorumContact();
         handOverIfDiskStalled();
@@ -324,6 +339,7 @@
         if (isNew) {
             progress->second.next = log_.lastIndex() + 1;
             progress->second.lastContact = now_;
+            progress->second.silentSince = now_;
         }
     }
 }
@@ -342,12 +358,13 @@
 
 bool RaftNode::isInContact(const Progress &progress) const
 {
-    return now_ - progress.lastContact < 2 * options_.electionTimeout;
+    return now_ - progress.silentSince < 2 * options_.electionTimeout;
 }
 
 void RaftNode::recordContact(Progress &progress, const RaftMessage &message)
 {
     progress.lastContact = now_;
+    progress.silentSince = now_;
     // An acknowledgement of new entries was made before they were written.
     if (message.index <= progress.match) {
         progress.writeTime = message.writeTime;
--- a/src/cardamompost/consensus/cp_raft_replication.cpp
+++ b/src/cardamompost/consensus/cp_raft_replication.cpp
@@ -8,7 +8,7 @@
 
 void RaftNode::step(TimePoint now, RaftMessage message)
 {
-    now_ = std::max(now_, now);
+    advanceTime(now);
     if (message.to != options_.self || !acceptTerm(message)) {
         return;
     }
--- a/tests/consensus/cp_raft_node.tests.cpp
+++ b/tests/consensus/cp_raft_node.tests.cpp
@@ -340,6 +340,63 @@
     }
 }
 
+// Guards against a leader that steps down after a standstill of its own, before it has read the answers that arrived
+// meanwhile.
+BOOST_AUTO_TEST_CASE(a_standstill_of_the_leader_is_not_taken_for_silence_of_the_others)
+{
+    RaftOptions options;
+    options.self = "vm-1";
+    RaftNode node(options, {}, {{threeVms.begin(), threeVms.end()}, {}}, TimePoint() + std::chrono::hours(1));
+    TimePoint now = TimePoint() + std::chrono::hours(2);
+    node.tick(now);
+    exchangeWithVm2(node, now);
+    BOOST_REQUIRE(node.role() == RaftRole::Leader);
+    for (int standstills = 0; standstills < 10; ++standstills) {
+        now += 4 * options.electionTimeout;
+        node.tick(now);
+        BOOST_TEST((node.role() == RaftRole::Leader));
+        BOOST_TEST(!node.hasLease(now));
+        acknowledge(node, now, "vm-2", node.log().lastIndex());
+    }
+    // The others' silence while this member runs ends its leadership.
+    for (Milliseconds passed {0}; passed <= 2 * options.electionTimeout; passed += options.heartbeatInterval) {
+        now += options.heartbeatInterval;
+        node.tick(now);
+    }
+    BOOST_TEST((node.role() != RaftRole::Leader));
+    const std::optional<RaftLeadershipReport> report = node.takeLeadershipReport();
+    BOOST_REQUIRE(report.has_value());
+    BOOST_TEST((report->end == LeadershipEnd::QuorumLost));
+    BOOST_TEST(report->peers.size() == 2U);
+}
+
+// Guards against a follower that starts an election after a standstill of its own, before it has read the heartbeats
+// that arrived meanwhile.
+BOOST_AUTO_TEST_CASE(a_standstill_of_a_follower_is_not_taken_for_silence_of_the_leader)
+{
+    RaftOptions options;
+    options.self = "vm-2";
+    RaftNode node(options, {}, {{threeVms.begin(), threeVms.end()}, {}}, TimePoint() + std::chrono::hours(1));
+    TimePoint now = TimePoint() + std::chrono::hours(1);
+    for (int standstills = 0; standstills < 10; ++standstills) {
+        RaftMessage heartbeat;
+        heartbeat.type = RaftMessageType::Append;
+        heartbeat.from = "vm-1";
+        heartbeat.to = "vm-2";
+        heartbeat.term = 1;
+        node.step(now, heartbeat);
+        node.persisted(node.takeReady());
+        now += 4 * options.electionTimeout;
+        node.tick(now);
+        BOOST_TEST((node.role() == RaftRole::Follower));
+    }
+    for (Milliseconds passed {0}; passed <= 2 * options.electionTimeout; passed += options.heartbeatInterval) {
+        now += options.heartbeatInterval;
+        node.tick(now);
+    }
+    BOOST_TEST((node.role() == RaftRole::PreCandidate));
+}
+
 // Guards against an outage that lasts as long as the disk of a leader, which keeps leading, stores nothing.
 BOOST_AUTO_TEST_CASE(a_leader_whose_disk_stalls_hands_over)
 {
