Apply committed entries while a later write is in progress

Callers saw: turns granted a whole sync later than a quorum had stored them; with syncs of 0.45 s, and more on a busy disk, beyond the limit of their entries. Cause: what is committed was taken together with the next entries to write and applied after that write. An answer that arrives a moment after the next write has begun, which is the usual case, waits for all of it. Ruled out: applying what the leader has not synced itself; a restart would find its log behind its state. Change: entries that are committed and synced here are applied, and reads of them completed, at once (RaftNode::takeCommitted()); in the daemon too. Why it works: a command waits for the write in progress and its own, and for no third. Conclusion: two syncs are enough for eight turns that begin at once.

--- a/include/cardamompost/consensus/cp_raft_node.hpp
+++ b/include/cardamompost/consensus/cp_raft_node.hpp
@@ -60,8 +60,9 @@
     LogIndex index = 0;
 };
 
-//! Pending work for the driver, in this order: store and sync, call persisted(), send messages, apply entries. While it
-//! is being stored, the driver sends takeUnblockedMessages() at each tick.
+//! Pending work for the driver. Entries are applied and reads are completed at once, unless a snapshot comes with them.
+//! The other data is stored and synced, reported to persisted(), and then the messages are sent. While it is being
+//! stored, the driver sends takeUnblockedMessages() and does the work of takeCommitted() at each tick.
 struct RaftReady {
     std::optional<RaftHardState> hard;
     //! A received snapshot replaces the whole log.
@@ -160,6 +161,8 @@
     //! Messages that promise nothing beyond what is synced, to be sent while the last RaftReady is being stored, so
     //! that a slow disk does not look like a lost member.
     [[nodiscard]] std::vector<RaftMessage> takeUnblockedMessages();
+    //! Committed entries that are synced locally, and reads of them, while the last RaftReady is being stored.
+    [[nodiscard]] RaftReady takeCommitted();
     //! Reports that the entries, hard state and snapshot of the last RaftReady are synced.
     void persisted(const RaftReady &ready);
     //! Reports that the disk has finished other work, for which the last RaftReady may have to wait.
@@ -268,6 +271,9 @@
     void sendSnapshotChunk(const VmName &to, Progress &progress);
     void advanceCommit();
     void advanceReads();
+    //! Moves committed entries that are synced locally, and reads of them, to a RaftReady.
+    void deliverCommitted(RaftReady &ready);
+    [[nodiscard]] bool hasDeliverableReads() const;
     void checkQuorumContact();
     void refreshProgress();
     void appendEntry(EntryKind kind, std::string payload);
@@ -322,7 +328,8 @@
     std::uint64_t round_ = 0;
     std::vector<PendingRead> pendingReads_;
     std::vector<RaftMessage> outbox_;
-    std::vector<RaftReadyRead> readyReads_;
+    //! Confirmed reads, oldest first.
+    std::deque<RaftReadyRead> readyReads_;
     std::vector<std::uint64_t> failedReads_;
     std::optional<RaftSnapshot> receivedSnapshot_;
     RaftSnapshot incomingSnapshot_;
--- a/src/cardamompost/consensus/cp_raft_node.cpp
+++ b/src/cardamompost/consensus/cp_raft_node.cpp
@@ -135,7 +135,7 @@
 bool RaftNode::hasReady() const
 {
     return hard_ != lastReadyHard_ || receivedSnapshot_ || unstableFrom_ <= log_.lastIndex() || !outbox_.empty()
-        || deliveredIndex_ < std::min(commitIndex_, stableIndex_) || !readyReads_.empty() || !failedReads_.empty();
+        || deliveredIndex_ < std::min(commitIndex_, stableIndex_) || hasDeliverableReads() || !failedReads_.empty();
 }
 
 RaftReady RaftNode::takeReady()
@@ -151,15 +151,35 @@
     }
     unstableFrom_ = log_.lastIndex() + 1;
     ready.messages = std::exchange(outbox_, {});
+    deliverCommitted(ready);
+    if (ready.hard || ready.snapshot || !ready.entries.empty()) {
+        storingSince_ = now_;
+    }
+    return ready;
+}
+
+void RaftNode::deliverCommitted(RaftReady &ready)
+{
     // Entries are applied only once they are synced locally, so that the log never lags behind the state at a restart.
     for (; deliveredIndex_ < std::min(commitIndex_, stableIndex_); ++deliveredIndex_) {
         ready.committed.push_back(log_.at(deliveredIndex_ + 1));
     }
-    if (ready.hard || ready.snapshot || !ready.entries.empty()) {
-        storingSince_ = now_;
+    while (hasDeliverableReads()) {
+        ready.reads.push_back(readyReads_.front());
+        readyReads_.pop_front();
     }
-    ready.reads = std::exchange(readyReads_, {});
     ready.failedReads = std::exchange(failedReads_, {});
+}
+
+bool RaftNode::hasDeliverableReads() const
+{
+    return !readyReads_.empty() && readyReads_.front().index <= std::min(commitIndex_, stableIndex_);
+}
+
+RaftReady RaftNode::takeCommitted()
+{
+    RaftReady ready;
+    deliverCommitted(ready);
     return ready;
 }
 
--- a/src/daemon/cp_control_runner.cpp
+++ b/src/daemon/cp_control_runner.cpp
@@ -93,6 +93,7 @@
     processReady();
     if (isProcessingReady_) {
         send(node_->takeUnblockedMessages());
+        deliver(node_->takeCommitted());
     }
     if (const std::optional<RaftLeadershipReport> report = node_->takeLeadershipReport()) {
         parts_.log.warn("control.leadership_ended",
@@ -121,6 +122,9 @@
         }
         self->node_->step(timeNow(), std::move(message));
         self->processReady();
+        if (self->isProcessingReady_) {
+            self->deliver(self->node_->takeCommitted());
+        }
     });
 }
 
@@ -130,7 +134,15 @@
         return;
     }
     isProcessingReady_ = true;
-    storeReady(std::make_shared<RaftReady>(node_->takeReady()));
+    const auto ready = std::make_shared<RaftReady>(node_->takeReady());
+    if (!ready->snapshot) {
+        // Nothing that is committed waits for the write of later entries.
+        deliver(*ready);
+        ready->committed.clear();
+        ready->reads.clear();
+        ready->failedReads.clear();
+    }
+    storeReady(ready);
 }
 
 void ControlRunner::storeReady(std::shared_ptr<RaftReady> ready)
@@ -193,6 +205,14 @@
     isFormed_ = node_->log().lastIndex() > 0;
     term_ = node_->term();
     send(std::move(ready.messages));
+    deliver(ready);
+    compactIfNeeded();
+    isProcessingReady_ = false;
+    processReady();
+}
+
+void ControlRunner::deliver(const RaftReady &ready)
+{
     applyCommitted(ready.committed);
     for (const RaftReadyRead &read : ready.reads) {
         // The applied state must include everything committed when the read was requested.
@@ -205,9 +225,6 @@
             waiting.mapped()(false);
         }
     }
-    compactIfNeeded();
-    isProcessingReady_ = false;
-    processReady();
 }
 
 void ControlRunner::applyCommitted(const std::vector<LogEntry> &entries)
--- a/src/daemon/cp_control_runner.hpp
+++ b/src/daemon/cp_control_runner.hpp
@@ -73,6 +73,8 @@
     void send(std::vector<RaftMessage> messages);
     void storeReady(std::shared_ptr<RaftReady> ready);
     void completeReady(RaftReady &ready);
+    //! Applies committed entries and completes reads.
+    void deliver(const RaftReady &ready);
     void applyCommitted(const std::vector<LogEntry> &entries);
     void compactIfNeeded();
     void failPending();
--- a/src/gateway/cp_consensus_driver.cpp
+++ b/src/gateway/cp_consensus_driver.cpp
@@ -88,6 +88,7 @@
     processReady();
     if (isProcessingReady_) {
         send(node_->takeUnblockedMessages());
+        deliverCommitted();
     }
     logEndOfLeadership();
     state_.onChange();
@@ -113,6 +114,13 @@
                      {"peers", fmt::format("{}", fmt::join(peers, "; "))}});
 }
 
+void ConsensusDriver::deliverCommitted()
+{
+    const RaftReady ready = node_->takeCommitted();
+    applyCommitted(ready.committed);
+    completeReads(ready);
+}
+
 void ConsensusDriver::reconnectIfSilent(const VmName &member)
 {
     // Consensus messages are one-way, so a dead connection would otherwise go unnoticed until the kernel's timeout.
@@ -139,6 +147,9 @@
     }
     node_->step(timeNow(), std::move(message));
     processReady();
+    if (isProcessingReady_) {
+        deliverCommitted();
+    }
 }
 
 bool ConsensusDriver::mustDeferRound()
@@ -173,7 +184,15 @@
         return;
     }
     isProcessingReady_ = true;
-    store(std::make_shared<RaftReady>(node_->takeReady()));
+    const auto ready = std::make_shared<RaftReady>(node_->takeReady());
+    if (!ready->snapshot) {
+        // Nothing that is committed waits for the write of later entries.
+        applyCommitted(std::exchange(ready->committed, {}));
+        completeReads(*ready);
+        ready->reads.clear();
+        ready->failedReads.clear();
+    }
+    store(ready);
 }
 
 void ConsensusDriver::store(const std::shared_ptr<RaftReady> &ready)
--- a/src/gateway/cp_consensus_driver.hpp
+++ b/src/gateway/cp_consensus_driver.hpp
@@ -111,6 +111,8 @@
     [[nodiscard]] bool mustDeferRound();
     void store(const std::shared_ptr<RaftReady> &ready);
     void complete(RaftReady &ready);
+    //! Applies what is committed, and completes reads, while a RaftReady is being stored.
+    void deliverCommitted();
     //! Logs why this member stopped leading.
     void logEndOfLeadership();
     //! Stops this member after a failed write. \returns true while it is running
--- a/tests/consensus/cp_raft_node.tests.cpp
+++ b/tests/consensus/cp_raft_node.tests.cpp
@@ -313,6 +313,37 @@
     }
 }
 
+// Guards against commands that wait for a write of later ones although a quorum has stored them.
+BOOST_AUTO_TEST_CASE(a_command_waits_for_the_write_in_progress_and_its_own)
+{
+    const ThrowingInvariants guard;
+    RaftCluster cluster(threeVms, 5);
+    cluster.shortestWriteShare = 1;
+    RaftCluster::Member *leader = cluster.waitForLeader();
+    BOOST_REQUIRE(leader != nullptr);
+    cluster.run(Milliseconds(500));
+    const Milliseconds writeTime(600);
+    cluster.setLongestWrite(writeTime);
+    constexpr std::size_t commands = 8;
+    for (std::size_t i = 0; i < commands; ++i) {
+        BOOST_REQUIRE(cluster.propose(*leader, std::to_string(i)));
+        cluster.run(Milliseconds(1));
+    }
+    // Ticks and messages add some time to the writes.
+    const Milliseconds others(100);
+    cluster.run(writeTime + others);
+    BOOST_TEST(leader->applied.size() == 1U);
+    cluster.run(writeTime);
+    BOOST_TEST(leader->applied.size() == commands);
+    // The next command begins a write that the commands before do not wait for.
+    BOOST_REQUIRE(cluster.propose(*leader, "first of a series"));
+    cluster.run(writeTime - others);
+    BOOST_REQUIRE(cluster.propose(*leader, "during its write"));
+    cluster.run(2 * others);
+    BOOST_TEST(isIn(leader->applied, "first of a series"));
+    BOOST_TEST(!isIn(leader->applied, "during its write"));
+}
+
 // Guards against commands under way that are lost when a leader with a stalled disk hands over.
 BOOST_AUTO_TEST_CASE(a_successor_of_a_leader_with_a_slow_disk_has_all_commands_that_it_stored)
 {
--- a/tests/support/cp_raft_cluster.hpp
+++ b/tests/support/cp_raft_cluster.hpp
@@ -54,7 +54,7 @@
         std::unique_ptr<RaftNode> node;
         double clockRate = 1.0;
         TimePoint pausedUntil {};
-        //! Writes take between half and all of this, in virtual time.
+        //! Writes take between shortestWriteShare and all of this, in virtual time.
         Milliseconds longestWrite {0};
         bool isWriting = false;
         //! Incremented by each start.
@@ -181,6 +181,11 @@
     {
         while (member.node && !member.isWriting && member.node->hasReady()) {
             RaftReady ready = member.node->takeReady();
+            if (!ready.snapshot) {
+                applyCommitted(member, ready);
+                ready.committed.clear();
+                ready.reads.clear();
+            }
             const bool needsDisk = ready.hard || ready.snapshot || !ready.entries.empty();
             if (!needsDisk || member.longestWrite.count() == 0) {
                 complete(member, ready);
@@ -214,6 +219,7 @@
     std::vector<std::string> longestApplied;
     //! Injected defect: members answer before they have stored.
     bool answersBeforeWriting = false;
+    double shortestWriteShare = 0.5;
     //! Number of applied entries after which a member replaces its log with a snapshot.
     LogIndex compactAfter = 40;
     std::map<Term, VmName> leaderByTerm;
@@ -232,8 +238,9 @@
         if (answersBeforeWriting || (!ready.hard && member.node->role() == RaftRole::Leader)) {
             sendAll(std::exchange(ready.messages, {}));
         }
-        std::uniform_int_distribution<std::int64_t> spread(member.longestWrite.count() / 2,
-                                                           member.longestWrite.count());
+        const auto longest = member.longestWrite.count();
+        const auto shortest = static_cast<std::int64_t>(static_cast<double>(longest) * shortestWriteShare);
+        std::uniform_int_distribution<std::int64_t> spread(shortest, longest);
         const Milliseconds duration(spread(network.random));
         const auto pending = std::make_shared<RaftReady>(std::move(ready));
         network.at(network.now + duration, [this, &member, pending, process = member.process] {
@@ -253,16 +260,21 @@
             return;
         }
         sendAll(std::move(ready.messages));
+        applyCommitted(member, ready);
+        if (member.node->log().lastIndex() > compactAfter
+            && member.appliedIndex >= member.node->log().snapshot().index + compactAfter) {
+            compact(member);
+        }
+    }
+
+    void applyCommitted(Member &member, const RaftReady &ready)
+    {
         for (const LogEntry &entry : ready.committed) {
             apply(member, entry);
         }
         for (const RaftReadyRead &read : ready.reads) {
             member.reads[read.id] = read.index;
         }
-        if (member.node->log().lastIndex() > compactAfter
-            && member.appliedIndex >= member.node->log().snapshot().index + compactAfter) {
-            compact(member);
-        }
     }
 
     bool storeReady(Member &member, const RaftReady &ready)
@@ -301,6 +313,7 @@
             Member &member = *found->second;
             member.node->step(localTime(member), message);
             drive(member);
+            deliverWhileWriting(member);
             checkLeader(member);
         });
     }
@@ -315,12 +328,20 @@
                 if (member.node && member.isWriting) {
                     sendAll(member.node->takeUnblockedMessages());
                 }
+                deliverWhileWriting(member);
                 checkLeader(member);
             }
             scheduleTick(name);
         });
     }
 
+    void deliverWhileWriting(Member &member)
+    {
+        if (member.node && member.isWriting) {
+            applyCommitted(member, member.node->takeCommitted());
+        }
+    }
+
     void checkLeader(const Member &member)
     {
         if (!member.node || member.node->role() != RaftRole::Leader) {
