Keep turns that have begun until their callers' deadlines

Callers saw: 502, not-granted, for all turns under way, after 1.75 s (disks that take 0.7 s and more a sync, no change of leader) or after a hand-over; the engines' work was thrown away although the caller had waited for 4 s and the ledger would have granted the turn in time. The end of a turn was given up after 2.5 s in the same way. Cause: entries gave up a begin 1.75 s after the request's arrival, and a leader failed what was not committed after 2.5 s, while it led; its answer then made the entries drop it as if it did not lead. A successor was not asked for turns that it held, since the limit passed during its election. Ruled out: larger constants; how long a commit takes is the disks' matter, how long it may take the caller's. Change: once a turn may have been sent to an engine, its entry asks the leader, or its successor, until the caller's deadline, and so for the turn's end. Before that it gives up after 1.75 s without an answer of any leader, and answers 503 with when to come back, since nothing has run. A leader fails proposals of turns only when it no longer leads. Retries are less frequent the longer there is no answer. A caller that leaves ends the wait at once. The log says why a turn was not granted. Conclusion: a slow ledger delays turns and loses none that can be granted in time.

--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -34,7 +34,7 @@
 constexpr Milliseconds defaultIdleTimeout {4000};
 // Tenths of the stated keep-alive timeout for which a connection is reused; the rest covers a request in transit.
 constexpr std::int64_t keepAliveTenths = 7;
-constexpr Milliseconds commitTimeout {2500};
+constexpr Milliseconds minCommitTimeout {2500};
 constexpr unsigned statusMisdirected = 421;
 constexpr unsigned statusOk = 200;
 
@@ -337,7 +337,8 @@
         // it.
         co_await request_.begin->waitUntilFinal();
         if (!request_.begin->isGranted()) {
-            co_return ExchangeEnd::NotGranted;
+            request_.detail = nameOf(beginFailureNames, request_.begin->failure());
+            co_return request_.caller->isDisconnected() ? ExchangeEnd::CallerDisconnected : ExchangeEnd::NotGranted;
         }
     }
     if (!request_.hasResponseStarted) {
@@ -389,8 +390,9 @@
     releaseConnection();
     if (request_.begin && request_.route->keepsHistory) {
         // The end of the stream confirms the turn to the caller, so it is sent only after a quorum has stored the turn.
-        const bool isDurable
-            = co_await parts_.ledger.finish(request_.makeFinish(TurnEnding::Complete), timeNow() + commitTimeout);
+        // How long that takes depends on the disks; it is given up only once the caller no longer waits for it.
+        const TimePoint deadline = std::max(request_.deadline, timeNow() + minCommitTimeout);
+        const bool isDurable = co_await parts_.ledger.finish(request_.makeFinish(TurnEnding::Complete), deadline);
         if (!isDurable) {
             co_return ExchangeEnd::NotDurable;
         }
--- a/src/gateway/cp_consensus_driver.cpp
+++ b/src/gateway/cp_consensus_driver.cpp
@@ -355,7 +355,7 @@
     parts_.disk.post(std::move(job));
 }
 
-void ConsensusDriver::propose(std::string payload, CommitCallback done)
+void ConsensusDriver::propose(std::string payload, ProposalExpiry expiry, CommitCallback done)
 {
     if (!isRunning()) {
         done(false);
@@ -366,16 +366,27 @@
         done(false);
         return;
     }
-    proposals_[index.value()] = {node_->term(), timeNow(), std::move(done)};
+    proposals_[index.value()] = {node_->term(), timeNow(), expiry, std::move(done)};
     processReady();
 }
 
 void ConsensusDriver::expireProposals(TimePoint now)
 {
-    // A deposed leader's proposal may never be committed or overwritten.
-    while (!proposals_.empty() && now - proposals_.begin()->second.since > proposalTimeout) {
-        const CommitCallback done = std::move(proposals_.begin()->second.done);
-        proposals_.erase(proposals_.begin());
+    // A deposed leader's proposal may never be committed or overwritten. While the leader stays, how long a commit
+    // takes depends on the disks, and the entry that sent the proposal knows how long its caller waits.
+    const Term leadingTerm = node_->role() == RaftRole::Leader ? node_->term() : 0;
+    std::vector<CommitCallback> expired;
+    for (auto item = proposals_.begin(); item != proposals_.end();) {
+        Proposal &proposal = item->second;
+        const bool isWaiting = proposal.expiry == ProposalExpiry::LostLeadership && proposal.term == leadingTerm;
+        if (isWaiting || now - proposal.since <= proposalTimeout) {
+            ++item;
+            continue;
+        }
+        expired.push_back(std::move(proposal.done));
+        item = proposals_.erase(item);
+    }
+    for (const CommitCallback &done : expired) {
         done(false);
     }
 }
--- a/src/gateway/cp_consensus_driver.hpp
+++ b/src/gateway/cp_consensus_driver.hpp
@@ -45,6 +45,13 @@
     };
     //! Called once; `isCommitted` is true if the proposed entry was committed and applied here.
     using CommitCallback = std::function<void(bool isCommitted)>;
+    //! When a proposal that is neither committed nor overwritten fails.
+    enum class ProposalExpiry {
+        //! After a timeout.
+        Timeout,
+        //! As Timeout, but not while this member leads in the term of the proposal.
+        LostLeadership,
+    };
 
     ConsensusDriver(Parts parts, IReplicatedState &state);
 
@@ -53,7 +60,7 @@
     void stop();
 
     void onMessage(RaftMessage message);
-    void propose(std::string payload, CommitCallback done);
+    void propose(std::string payload, ProposalExpiry expiry, CommitCallback done);
     //! Confirms with a quorum that this member leads and has applied all entries committed before the call.
     void confirmRead(std::function<void(bool)> done);
     //! Errors: as RaftNode::proposeMembership().
@@ -94,6 +101,7 @@
     struct Proposal {
         Term term = 0;
         TimePoint since {};
+        ProposalExpiry expiry = ProposalExpiry::Timeout;
         CommitCallback done;
     };
 
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -23,8 +23,8 @@
 constexpr Milliseconds connectEjectionTime {1000};
 // A caller that disconnects after waiting this long counts as a failure of the server.
 constexpr Milliseconds unresponsiveAfter {900};
-// Longest wait for the ledger; leaves time for a leader election.
-constexpr Milliseconds beginTimeout {1750};
+// Longest wait for an answer of a ledger leader; leaves time for an election.
+constexpr Milliseconds leaderTimeout {1750};
 constexpr Milliseconds finishTimeout {6000};
 constexpr Milliseconds retryAfterShort {250};
 constexpr Milliseconds retryAfterLong {500};
@@ -83,6 +83,9 @@
     request.table = table_;
     ++inFlight_;
     request.caller->watchForDisconnect([&request] {
+        if (request.begin) {
+            request.begin->fail(BeginFailure::CallerDisconnected);
+        }
         if (request.connection) {
             request.connection->stream.cancel();
         }
@@ -204,12 +207,20 @@
     if (request.service->isEngine) {
         begin.placement = placementRequestFor(request);
     }
-    request.begin = parts_.ledger.begin(std::move(begin), std::min(request.deadline, request.arrived + beginTimeout));
+    request.begin = parts_.ledger.begin(std::move(begin), request.deadline, leaderTimeout);
     co_await request.begin->waitUntilTentative();
     request.admissionTime = std::chrono::duration_cast<Milliseconds>(timeNow() - request.arrived);
     if (request.begin->isTentative()) {
         co_return true;
     }
+    if (request.caller->isDisconnected()) {
+        request.cause = "the caller left";
+        finishTurn(request);
+        co_return false;
+    }
+    if (request.begin->failure() != BeginFailure::None) {
+        request.detail = nameOf(beginFailureNames, request.begin->failure());
+    }
     LocalResponse refusal {statusUnavailable, "the ledger can't be reached", retryAfterShort};
     if (request.begin->status() == TurnBeginStatus::BudgetExhausted) {
         refusal = {statusPaymentRequired, "the turn exceeds the program's remaining budget", Milliseconds(0)};
--- a/src/gateway/cp_ledger_begins.cpp
+++ b/src/gateway/cp_ledger_begins.cpp
@@ -8,8 +8,7 @@
 
 // Matches how long an entry ejects a server that it could not reach.
 constexpr Milliseconds unreachableEjectionTime {1000};
-// Commit delays from which new turns are rejected, for new programs and for those in progress. Both are shorter than
-// the time after which entries give up on a begin.
+// Commit delays from which new turns are rejected, for new programs and for those in progress.
 constexpr Milliseconds maxCommitDelayNew {600};
 constexpr Milliseconds maxCommitDelayInProgress {1200};
 constexpr Milliseconds minRetryAfter {300};
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -17,6 +17,7 @@
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 constexpr Milliseconds attemptTimeout {400};
 constexpr Milliseconds retryInterval {10};
+constexpr Milliseconds maxRetryInterval {200};
 // How long a relay holds a request if there is nothing new, and the margin for its reply.
 constexpr Milliseconds updateWait {300};
 constexpr Milliseconds updateMargin {300};
@@ -29,6 +30,14 @@
     return std::chrono::steady_clock::now();
 }
 
+//! Pause before a retry: longer the longer there was no answer, since many requests may wait for one leader.
+Milliseconds retryPause(TimePoint::duration withoutAnswer)
+{
+    constexpr int retriesPerDoubling = 16;
+    const auto share = std::chrono::duration_cast<Milliseconds>(withoutAnswer / retriesPerDoubling);
+    return std::clamp(share, retryInterval, maxRetryInterval);
+}
+
 } // namespace
 
 void PendingBegin::notifyWaiters()
@@ -36,6 +45,15 @@
     changed_.cancel();
 }
 
+void PendingBegin::fail(BeginFailure failure)
+{
+    if (!isFinal_) {
+        isFinal_ = true;
+        failure_ = failure;
+        notifyWaiters();
+    }
+}
+
 asio::awaitable<void> PendingBegin::waitUntilTentative()
 {
     while (!isTentative_ && !isFinal_) {
@@ -78,11 +96,13 @@
     isStopped_ = true;
 }
 
-std::shared_ptr<PendingBegin> LedgerClient::begin(TurnBegin begin, TimePoint deadline)
+std::shared_ptr<PendingBegin> LedgerClient::begin(TurnBegin begin, TimePoint deadline, Milliseconds leaderTimeout)
 {
     auto attempt = std::make_shared<BeginAttempt>();
     attempt->begin = std::move(begin);
     attempt->deadline = deadline;
+    attempt->leaderTimeout = leaderTimeout;
+    attempt->answeredAt = timeNow();
     attempt->pending = std::make_shared<PendingBegin>(parts_.io);
     sendBegin(attempt);
     return attempt->pending;
@@ -105,6 +125,9 @@
                                 Result<FrameBody> reply, bool isLast)
 {
     PendingBegin &pending = *attempt->pending;
+    if (pending.isFinal()) {
+        return;
+    }
     TurnBeginReply *answer = reply ? std::get_if<TurnBeginReply>(&reply.value()) : nullptr;
     if (answer == nullptr && attempt->isQueued && !pending.isTentative_) {
         // The leader has queued the turn for longer than the timeout. A retry keeps its position in the queue.
@@ -117,6 +140,8 @@
         resendLater(attempt);
         return;
     }
+    const bool isLeading = answer->status != TurnBeginStatus::NotLeader;
+    attempt->answeredAt = isLeading ? timeNow() : attempt->answeredAt;
     if (answer->status == TurnBeginStatus::Tentative && pending.isTentative_) {
         // A reply to a retry; the first tentative reply is already in use.
         return;
@@ -132,26 +157,35 @@
         attempt->isQueued = answer->status == TurnBeginStatus::Queued;
         return;
     }
-    if (answer->status == TurnBeginStatus::NotLeader) {
+    if (!isLeading) {
         dropLeader(peer, "peer is not the leader");
         resendLater(attempt);
         return;
     }
+    const bool isDeferred = answer->status == TurnBeginStatus::Overloaded || answer->status == TurnBeginStatus::Limited;
+    if (isDeferred && pending.isTentative_) {
+        // A successor of the leader that placed the turn, which may have run since, admits no new ones for now.
+        resendLater(attempt, Milliseconds(answer->retryAfterMs));
+        return;
+    }
     pending.status_ = answer->status;
     pending.retryAfter_ = Milliseconds(answer->retryAfterMs);
     pending.isFinal_ = true;
     pending.notifyWaiters();
 }
 
-void LedgerClient::resendLater(const std::shared_ptr<BeginAttempt> &attempt)
+void LedgerClient::resendLater(const std::shared_ptr<BeginAttempt> &attempt, Milliseconds minPause)
 {
     beginRetries_.add();
-    if (timeNow() + retryInterval >= attempt->deadline || isStopped_) {
-        attempt->pending->isFinal_ = true;
-        attempt->pending->notifyWaiters();
+    const TimePoint now = timeNow();
+    const bool isTentative = attempt->pending->isTentative();
+    const bool hasLeader = isTentative || now - attempt->answeredAt < attempt->leaderTimeout;
+    if (now + retryInterval >= attempt->deadline || !hasLeader || isStopped_) {
+        attempt->pending->fail(isTentative ? BeginFailure::NotCommitted : BeginFailure::NoLeader);
         return;
     }
-    auto timer = std::make_shared<asio::steady_timer>(parts_.io, retryInterval);
+    const Milliseconds pause = std::max(minPause, retryPause(now - attempt->answeredAt));
+    auto timer = std::make_shared<asio::steady_timer>(parts_.io, pause);
     timer->async_wait([this, attempt, timer](const boost::system::error_code &) { sendBegin(attempt); });
 }
 
@@ -159,11 +193,12 @@
 asio::awaitable<std::optional<Reply>> LedgerClient::requestFromLeader(FrameBody request, TimePoint deadline,
                                                                       RetryPolicy<Reply> policy)
 {
+    const TimePoint startedAt = timeNow();
     while (timeNow() < deadline) {
         const VmName peer = leader_;
         const auto client = peer.empty() ? nullptr : parts_.peers.client(peer);
         if (!client) {
-            co_await sleepFor(retryInterval);
+            co_await sleepFor(retryPause(timeNow() - startedAt));
             continue;
         }
         FrameBody body = request;
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -13,9 +13,28 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <array>
+
 namespace cardamompost
 {
 
+//! Why a begin ended without the ledger's decision.
+enum class BeginFailure {
+    None,
+    //! No leader answered within the limit.
+    NoLeader,
+    //! The turn may have run, and no quorum confirmed its reservation before the caller's deadline.
+    NotCommitted,
+    CallerDisconnected,
+};
+
+inline constexpr std::array beginFailureNames {
+    Named {BeginFailure::None, "none"},
+    Named {BeginFailure::NoLeader, "no leader answered"},
+    Named {BeginFailure::NotCommitted, "no quorum before the deadline"},
+    Named {BeginFailure::CallerDisconnected, "the caller left"},
+};
+
 //! The begin of a turn at the ledger, from the first attempt to the quorum's decision.
 class PendingBegin
 {
@@ -38,11 +57,16 @@
     {
         return isFinal_ && status_ == TurnBeginStatus::Granted;
     }
-    //! Valid once isFinal(); NotLeader when no quorum answered before the deadline.
+    //! Valid once isFinal(); NotLeader when the ledger has not decided.
     [[nodiscard]] TurnBeginStatus status() const
     {
         return status_;
     }
+    //! Valid once isFinal().
+    [[nodiscard]] BeginFailure failure() const
+    {
+        return failure_;
+    }
     //! Inputs and outputs of the preceding turns; valid once isTentative().
     [[nodiscard]] const std::string &history() const
     {
@@ -60,6 +84,8 @@
     }
     boost::asio::awaitable<void> waitUntilTentative();
     boost::asio::awaitable<void> waitUntilFinal();
+    //! Ends the begin without a decision, unless it has ended.
+    void fail(BeginFailure failure);
 
 private:
     friend class LedgerClient;
@@ -70,6 +96,7 @@
     bool isTentative_ = false;
     bool isFinal_ = false;
     TurnBeginStatus status_ = TurnBeginStatus::NotLeader;
+    BeginFailure failure_ = BeginFailure::None;
     std::string history_;
     std::string backend_;
     Milliseconds retryAfter_ {0};
@@ -99,8 +126,10 @@
     void start(UpdateHandler onUpdate);
     void stop();
 
-    //! \param deadline  when retries end and the begin fails
-    std::shared_ptr<PendingBegin> begin(TurnBegin begin, TimePoint deadline);
+    //! \param deadline  the caller's deadline, at which the begin fails
+    //! \param leaderTimeout  time without an answer of a leader after which the begin fails, unless it is tentative: a
+    //! turn that may have run is not given up while it can still be granted
+    std::shared_ptr<PendingBegin> begin(TurnBegin begin, TimePoint deadline, Milliseconds leaderTimeout);
     //! \returns whether a quorum has made the end of the turn durable before the deadline
     boost::asio::awaitable<bool> finish(TurnFinish finish, TimePoint deadline);
     //! Checks a request against its account's limit; nothing when no leader has answered before the deadline.
@@ -138,6 +167,9 @@
     struct BeginAttempt {
         TurnBegin begin;
         TimePoint deadline;
+        Milliseconds leaderTimeout {0};
+        //! When a leader last answered, or else the start.
+        TimePoint answeredAt {};
         std::shared_ptr<PendingBegin> pending;
         //! The leader has queued the turn until a backend server has a free slot.
         bool isQueued = false;
@@ -160,7 +192,7 @@
     void sendBegin(const std::shared_ptr<BeginAttempt> &attempt);
     void onBeginReply(const std::shared_ptr<BeginAttempt> &attempt, const VmName &peer, Result<FrameBody> reply,
                       bool isLast);
-    void resendLater(const std::shared_ptr<BeginAttempt> &attempt);
+    void resendLater(const std::shared_ptr<BeginAttempt> &attempt, Milliseconds minPause = Milliseconds(0));
     boost::asio::awaitable<void> pollUpdates();
     void applyUpdate(const VmName &relay, const UpdateReply &update);
     //! Keeps a request pending at another relay, which answers as soon as it hears of a later leader: the leader and
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -119,7 +119,11 @@
 {
     refreshClock();
     const std::int64_t nowMs = clock_.nowMs(std::chrono::steady_clock::now());
-    driver_.propose(encodeLedgerCommand({nowMs, std::move(action)}), std::move(done));
+    // The entries of turns know for how long their callers wait.
+    const bool isTurn = std::holds_alternative<TurnBegin>(action) || std::holds_alternative<TurnFinish>(action);
+    const auto expiry
+        = isTurn ? ConsensusDriver::ProposalExpiry::LostLeadership : ConsensusDriver::ProposalExpiry::Timeout;
+    driver_.propose(encodeLedgerCommand({nowMs, std::move(action)}), expiry, std::move(done));
 }
 
 void LedgerService::refreshClock()
--- a/tests/platform/cp_platform_overload.tests.cpp
+++ b/tests/platform/cp_platform_overload.tests.cpp
@@ -20,6 +20,64 @@
     return maximum;
 }
 
+//! Longer than several syncs of any of these tests.
+constexpr int patientCallerMs = 30'000;
+//! Token budget for all turns of a test.
+constexpr int budget = 100'000;
+
+//! The usual document with routes that allow patient callers.
+std::string patientDocument(int version)
+{
+    std::string text = document(version);
+    const std::string usual = "\"timeout-ms\":4000";
+    const std::string patient = "\"timeout-ms\":" + std::to_string(patientCallerMs);
+    for (auto at = text.find(usual); at != std::string::npos; at = text.find(usual, at + patient.size())) {
+        text.replace(at, usual.size(), patient);
+    }
+    return text;
+}
+
+//! Begins several turns at once at an entry while the syncs of some ledger VMs take longer.
+class TurnsOnSlowDisks
+{
+public:
+    TurnsOnSlowDisks()
+    {
+        cluster.turnTimeoutMs = patientCallerMs;
+        leader = cluster.put(patientDocument(3));
+        entry = cluster.addEntry(cluster.seeds());
+        BOOST_TEST(cluster.turn(entry, "first", {}).status == 200U);
+        lostBefore = cluster.logCount("ledger.lost");
+    }
+    void setSyncTime(const std::vector<std::size_t> &ledgers, int syncMs)
+    {
+        for (const std::size_t ledger : ledgers) {
+            cluster.ledgerDisks[ledger]->syncDelayMs = syncMs;
+        }
+    }
+    void begin(const std::string &prefix)
+    {
+        constexpr int turns = 8;
+        for (int i = 0; i < turns; ++i) {
+            answers.push_back(cluster.beginTurn(entry, prefix + std::to_string(i), {}, budget));
+        }
+    }
+    void checkAllAnswered()
+    {
+        for (auto &answer : answers) {
+            BOOST_TEST(answer.get().status == 200U);
+        }
+        answers.clear();
+        setSyncTime({0, 1, 2}, 0);
+    }
+
+    GatewayCluster cluster;
+    std::size_t leader = 0;
+    Address entry;
+    std::size_t lostBefore = 0;
+    std::vector<std::future<HttpResponse>> answers;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(platform_overload)
@@ -53,4 +111,50 @@
     BOOST_TEST(maxCommits(cluster) - commitsBefore <= 2 * turns + maxOtherCommits);
 }
 
+// Guards against a group that loses its leader, and turns that are given up, while all disks are slow but work.
+BOOST_AUTO_TEST_CASE(turns_are_granted_and_the_leader_stays_while_all_disks_take_seconds)
+{
+    TurnsOnSlowDisks test;
+    for (const int syncMs : {700, 1200, 2000}) {
+        BOOST_TEST_CONTEXT(syncMs << " ms a sync")
+        {
+            test.setSyncTime({0, 1, 2}, syncMs);
+            test.begin("sync" + std::to_string(syncMs) + "-");
+            test.checkAllAnswered();
+            BOOST_TEST(test.cluster.logCount("ledger.lost") == test.lostBefore);
+            BOOST_TEST(test.cluster.logCount("ledger.leadership_ended") == 0U);
+        }
+    }
+}
+
+// Guards against a slow disk of one member, or of all but the leader, that costs turns or the leadership.
+BOOST_AUTO_TEST_CASE(turns_are_granted_and_the_leader_stays_while_disks_of_other_members_take_seconds)
+{
+    TurnsOnSlowDisks test;
+    const std::size_t second = (test.leader + 1) % 3;
+    const std::size_t third = (test.leader + 2) % 3;
+    constexpr int syncMs = 2000;
+    test.setSyncTime({second}, syncMs);
+    test.begin("minority-");
+    test.checkAllAnswered();
+    test.setSyncTime({second, third}, syncMs);
+    test.begin("all-but-leader-");
+    test.checkAllAnswered();
+    BOOST_TEST(test.cluster.logCount("ledger.lost") == test.lostBefore);
+    BOOST_TEST(test.cluster.logCount("ledger.leadership_ended") == 0U);
+}
+
+// Guards against turns under way that are lost when a leader with a stalled disk hands over to one that stored them.
+BOOST_AUTO_TEST_CASE(no_turn_is_lost_when_the_leader_hands_over_from_a_stalled_disk)
+{
+    TurnsOnSlowDisks test;
+    // As good as forever for the callers.
+    constexpr int stallMs = 15'000;
+    test.setSyncTime({0, 1, 2}, slowSyncMs);
+    test.setSyncTime({test.leader}, stallMs);
+    test.begin("handover-");
+    test.checkAllAnswered();
+    BOOST_TEST(test.cluster.matchingLogCount("ledger.leadership_ended", "handed-over") == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/cp_gateway_cluster.hpp
+++ b/tests/support/cp_gateway_cluster.hpp
@@ -250,6 +250,7 @@
                                         const std::string &additionalBody = {})
     {
         HttpHeaders turnHeaders = headers(id);
+        turnHeaders["Deadline-Milliseconds"] = std::to_string(turnTimeoutMs);
         turnHeaders["Program"] = "p1";
         turnHeaders["Token-Usage"] = "100,50";
         turnHeaders["Session"] = "s";
@@ -258,7 +259,9 @@
         if (!previous.empty()) {
             turnHeaders["Previous-Turn"] = previous;
         }
-        return platform.begin(entry, "POST", path, turnHeaders, "in-" + id + ";" + additionalBody);
+        constexpr int marginMs = 1000;
+        return platform.begin(entry, "POST", path, turnHeaders, "in-" + id + ";" + additionalBody,
+                              Milliseconds(turnTimeoutMs + marginMs));
     }
     HttpResponse turn(const Address &entry, const std::string &id, const std::string &previous, int budget = 1000,
                       const std::string &path = "/plans/1")
@@ -310,6 +313,8 @@
         return count;
     }
 
+    //! How long callers wait for their turns.
+    int turnTimeoutMs = 4000;
     FakePlatform platform;
     FaultInjectingProxy ledgerProxy;
     std::vector<GatewaySettings> ledgerSettings;
