Don't refuse a turn as overload that already has its reservation

Callers saw: 502, not-granted, for one turn of sixteen while two disks took 2 s a sync; the log of the run gives no failure of its own, so the ledger had decided against a turn that it had granted. Cause: an entry repeats a begin that has no answer for 0.4 s. A repetition that arrives just after the decision finds no begin in progress, is taken for new work and refused for overload, and that refusal is the entry's answer. Change: a begin whose reservation is applied is never refused for overload; nothing is written for it. Conclusion: traced by reading and the log; not brought about on purpose.

--- a/src/gateway/cp_ledger_begins.cpp
+++ b/src/gateway/cp_ledger_begins.cpp
@@ -95,6 +95,10 @@
 
 bool LedgerService::isOverloaded(const TurnBegin &begin, TimePoint now)
 {
+    // The request may have been sent again while its reservation was decided.
+    if (state_.isReserved(begin.program, begin.turn)) {
+        return false;
+    }
     // Sheds load that the ledger can't commit in time. Programs in progress are admitted for longer than new ones.
     return commitDelay(now) >= (isProgramInProgress(begin) ? maxCommitDelayInProgress : maxCommitDelayNew);
 }
