Refuse a turn at once that can't be granted before its deadline

Callers saw: on disks slower than their deadlines, turns that run on an engine and end with 502 at the deadline. Cause: the ledger refused by the age of what it has not committed yet only, and not by what its commits take. Change: while begins are being committed, a new one whose caller has less time left than the last commit took, or than the oldest has waited, is refused at once as overload with when to come back. With nothing to commit, the last commit says nothing about the disks of now, so a turn then finds out. Ruled out: the last commit's time alone, which would refuse for good once it is longer than all deadlines. Conclusion: what can't be served is said so at once.

--- a/src/gateway/cp_ledger_begins.cpp
+++ b/src/gateway/cp_ledger_begins.cpp
@@ -100,7 +100,14 @@
         return false;
     }
     // Sheds load that the ledger can't commit in time. Programs in progress are admitted for longer than new ones.
-    return commitDelay(now) >= (isProgramInProgress(begin) ? maxCommitDelayInProgress : maxCommitDelayNew);
+    const Milliseconds delay = commitDelay(now);
+    if (delay >= (isProgramInProgress(begin) ? maxCommitDelayInProgress : maxCommitDelayNew)) {
+        return true;
+    }
+    // With nothing to commit, the last commit says nothing about the disks of now.
+    const Milliseconds expected = proposedBegins_.empty() ? Milliseconds(0) : std::max(delay, lastCommitTime_);
+    const Milliseconds timeLeft(begin.placement.timeLeftMs);
+    return timeLeft.count() != 0 && expected >= timeLeft;
 }
 
 void LedgerService::applyAccountLimit(const std::shared_ptr<ActiveBegin> &active)
@@ -306,8 +313,10 @@
     TurnBegin record = active->begin;
     record.placement = {};
     record.account.clear();
-    proposedBegins_.emplace_back(std::chrono::steady_clock::now(), active);
-    propose(std::move(record), [this, active](bool isCommitted) {
+    const TimePoint proposedAt = std::chrono::steady_clock::now();
+    proposedBegins_.emplace_back(proposedAt, active);
+    propose(std::move(record), [this, active, proposedAt](bool isCommitted) {
+        lastCommitTime_ = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - proposedAt);
         const auto pending = pendingTokens_.find(active->begin.program);
         pending->second -= active->begin.maxTokens;
         if (pending->second == 0) {
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -231,6 +231,8 @@
     std::unordered_map<std::string, std::shared_ptr<ActiveBegin>> activeBegins_;
     //! Proposed begins with the time of their proposal, oldest first; decided ones are removed by commitDelay().
     std::deque<std::pair<TimePoint, std::shared_ptr<ActiveBegin>>> proposedBegins_;
+    //! Time from the proposal to the decision of the begin that was decided last.
+    Milliseconds lastCommitTime_ {0};
     //! Repliers to requests whose TurnFinish is proposed, by turn.
     std::unordered_map<std::string, Replier> finishRepliers_;
     TurnPlacement placement_;
--- a/tests/platform/cp_platform_overload.tests.cpp
+++ b/tests/platform/cp_platform_overload.tests.cpp
@@ -157,4 +157,23 @@
     BOOST_TEST(test.cluster.matchingLogCount("ledger.leadership_ended", "handed-over") == 1U);
 }
 
+// Guards against turns that can't be granted before their callers' deadlines and are answered only then.
+BOOST_AUTO_TEST_CASE(a_turn_that_cannot_be_granted_before_its_deadline_is_refused_at_once)
+{
+    TurnsOnSlowDisks test;
+    constexpr int syncMs = 2000;
+    test.setSyncTime({0, 1, 2}, syncMs);
+    BOOST_TEST(test.cluster.beginTurn(test.entry, "before", {}, budget).get().status == 200U);
+    test.begin("during-");
+    const bool isDuringWrite
+        = GatewayCluster::eventually([&] { return test.cluster.platform.runsOf("during-0") == 1; });
+    BOOST_TEST(isDuringWrite);
+    test.cluster.turnTimeoutMs = syncMs / 2;
+    const HttpResponse refused = test.cluster.beginTurn(test.entry, "impatient", {}, budget).get();
+    BOOST_TEST(refused.status == 503U);
+    BOOST_TEST(!refused.header("Retry-After").empty());
+    BOOST_TEST(test.cluster.platform.runsOf("impatient") == 0U);
+    test.checkAllAnswered();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
