Count a lease from the sending of what a quorum has answered

Cause: the lease counted from the arrival of an answer, however late that was; a leader that had asked another member to take over kept it; a member that had just answered a leader could vote for another one, and a restart made it forget the answer. Ruled out: stopping the clock during a leader's standstills, as for its contact with the quorum; a lease has to end by the clock. Change: each broadcast is a round with the time of its sending; the lease lasts four fifths of the shortest election time-out from the newest round that a quorum has answered, so clocks may differ by a fifth. A hand-over ends it for the rest of the term, and a leader whose successor does not take over steps down after two election time-outs. A member disregards votes until the shortest time-out after its last contact with a leader, or after its start, unless the leader has asked for the election. Not shown: the limiter over two leaders in such a schedule. Conclusion: at most one lease at a time.

--- a/include/cardamompost/consensus/cp_raft_message.hpp
+++ b/include/cardamompost/consensus/cp_raft_message.hpp
@@ -46,9 +46,11 @@
     bool granted = false;
     //! The sender has lost its disk and may lack entries that it acknowledged before.
     bool isUninitialized = false;
+    //! Vote: the leader has asked the candidate to take over.
+    bool isTransfer = false;
     //! AppendReply and SnapshotReply: how long the sender's writes take, the one in progress included.
     Milliseconds writeTime {0};
-    //! Number of the leader's read confirmation round, echoed by replies.
+    //! Number of the leader's last broadcast, echoed by replies.
     std::uint64_t round = 0;
     std::vector<LogEntry> entries;
     //! SnapshotChunk: state holds the bytes from offset on. SnapshotReply: offset of the next expected chunk.
--- a/include/cardamompost/consensus/cp_raft_node.hpp
+++ b/include/cardamompost/consensus/cp_raft_node.hpp
@@ -150,7 +150,7 @@
     Result<void> requestRead(std::uint64_t id);
 
     //! Asks a voter to start an election at once; ignored unless this member is the leader and the voter has the whole
-    //! log.
+    //! log. The leader has no lease from then on, and steps down if it still leads after two election timeouts.
     void transferLeadership(const VmName &to);
 
     //! Replaces the entries up to an applied index with a snapshot of the state at that index.
@@ -207,8 +207,9 @@
     [[nodiscard]] LogIndex matchIndexOf(const VmName &member) const;
     //! True on a leader that has committed an entry of its own term.
     [[nodiscard]] bool isEstablishedLeader() const;
-    //! True while the leader has had contact with a quorum so recently that no other leader can have been elected.
-    //! Relies on bounded clock drift between members.
+    //! True while no other leader can have been elected, since a quorum has answered a message sent so recently that
+    //! none of these members votes yet. Never true after transferLeadership(). Holds while the clocks of any two
+    //! members run at rates that differ by less than a fifth.
     [[nodiscard]] bool hasLease(TimePoint now) const;
     //! True for a member that has lost its disk and has not yet stored all committed entries.
     [[nodiscard]] bool isUninitialized() const
@@ -237,6 +238,11 @@
         TimePoint snapshotSentAt {};
         std::uint64_t snapshotSentOffset = 0;
     };
+    //! A broadcast to all members; their answers echo its number.
+    struct Round {
+        std::uint64_t number;
+        TimePoint sentAt;
+    };
     struct PendingRead {
         std::uint64_t id;
         std::uint64_t round;
@@ -249,7 +255,8 @@
     void becomeFollower(Term term, const VmName &leader);
     void becomeLeader();
     void endLeadership(LeadershipEnd end, const VmName &other);
-    void startElection(bool isPreVote);
+    //! \param isTransfer  the leader has given up its lease and asked this member to take over
+    void startElection(bool isPreVote, bool isTransfer = false);
     void countVote(const RaftMessage &message);
     void resetElectionDeadline();
     void failPendingReads();
@@ -257,6 +264,9 @@
     bool acceptTerm(const RaftMessage &message);
     void answerOldTerm(const RaftMessage &message);
     void onVoteRequest(const RaftMessage &message);
+    //! The leader may hold a lease that rests on an answer of this member.
+    [[nodiscard]] bool isBoundByLease() const;
+    [[nodiscard]] Milliseconds shortestElectionTimeout() const;
     void onAppend(RaftMessage &message);
     void onAppendReply(const RaftMessage &message);
     void initializeIfCaughtUp(const RaftMessage &message);
@@ -271,6 +281,8 @@
     void sendSnapshotChunk(const VmName &to, Progress &progress);
     void advanceCommit();
     void advanceReads();
+    //! The newest round that a quorum has answered.
+    [[nodiscard]] std::uint64_t confirmedRound() const;
     //! Moves committed entries that are synced locally, and reads of them, to a RaftReady.
     void deliverCommitted(RaftReady &ready);
     [[nodiscard]] bool hasDeliverableReads() const;
@@ -282,6 +294,8 @@
     [[nodiscard]] bool isVoter(const VmName &name) const;
     [[nodiscard]] bool isUnblocked(const RaftMessage &message) const;
     void handOverIfDiskStalled();
+    //! Steps down if the member that was asked to take over has not done so.
+    void endFailedTransfer();
     void recordContact(Progress &progress, const RaftMessage &message);
     //! The member was heard from within two election timeouts.
     [[nodiscard]] bool isInContact(const Progress &progress) const;
@@ -326,6 +340,10 @@
     std::set<VmName> votes_;
     std::map<VmName, Progress> progress_;
     std::uint64_t round_ = 0;
+    //! Rounds that a lease may rest on, oldest first.
+    std::deque<Round> recentRounds_;
+    //! The member that was asked to take over in this term, and when.
+    std::optional<std::pair<VmName, TimePoint>> transfer_;
     std::vector<PendingRead> pendingReads_;
     std::vector<RaftMessage> outbox_;
     //! Confirmed reads, oldest first.
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -31,6 +31,7 @@
   isLastPiece @15 :Bool;
   isBlank @16 :Bool;
   writeMs @17 :UInt32;
+  isTransfer @18 :Bool;
 }
 
 struct SealRequest {
--- a/src/cardamompost/consensus/cp_raft_election.cpp
+++ b/src/cardamompost/consensus/cp_raft_election.cpp
@@ -60,7 +60,12 @@
     becomeFollower(hard_.term, {});
 }
 
-void RaftNode::startElection(bool isPreVote)
+bool RaftNode::isBoundByLease() const
+{
+    return role_ == RaftRole::Leader ? hasLease(now_) : now_ - lastLeaderContact_ < shortestElectionTimeout();
+}
+
+void RaftNode::startElection(bool isPreVote, bool isTransfer)
 {
     // A pre-vote does not change the term, so a member that returns from a partition can't depose a working leader.
     role_ = isPreVote ? RaftRole::PreCandidate : RaftRole::Candidate;
@@ -78,6 +83,7 @@
         request.term = isPreVote ? hard_.term + 1 : hard_.term;
         request.index = log_.lastIndex();
         request.indexTerm = log_.lastTerm();
+        request.isTransfer = isTransfer;
         outbox_.push_back(std::move(request));
     }
     if (votes_.size() < membership().quorum()) {
@@ -94,6 +100,8 @@
 {
     role_ = RaftRole::Leader;
     leader_ = options_.self;
+    recentRounds_.clear();
+    transfer_.reset();
     progress_.clear();
     refreshProgress();
     appendEntry(EntryKind::Barrier, {});
@@ -112,7 +120,7 @@
     // A member that has lost its disk could vote twice in a term, or for a candidate that lacks entries which it
     // acknowledged itself.
     reply.granted = !isUninitialized() && hasNewerTerm && canVoteForSender && !(isPreVote && hasRecentLeader())
-        && log_.isUpToDate(message.index, message.indexTerm);
+        && !(isPreVote && isBoundByLease()) && log_.isUpToDate(message.index, message.indexTerm);
     if (reply.granted && isPreVote) {
         reply.term = message.term;
         // Lets the candidate store its candidacy first. Shorter than the candidate's own timeout, so that a candidate
@@ -148,7 +156,7 @@
 void RaftNode::onTimeoutNow(const RaftMessage &message)
 {
     if (message.term == hard_.term && isVoter(options_.self) && !isUninitialized()) {
-        startElection(false);
+        startElection(false, true);
     }
 }
 
--- a/src/cardamompost/consensus/cp_raft_node.cpp
+++ b/src/cardamompost/consensus/cp_raft_node.cpp
@@ -6,6 +6,17 @@
 namespace cardamompost
 {
 
+namespace
+{
+
+//! A lease is counted by the leader's clock and the time until a vote by those of others, which may run faster.
+Milliseconds leaseDuration(Milliseconds shortestElectionTimeout)
+{
+    return shortestElectionTimeout * 4 / 5;
+}
+
+} // namespace
+
 RaftNode::RaftNode(RaftOptions options, RaftStoredState stored, const Membership &initial, TimePoint now)
     : options_(std::move(options))
     , random_(options_.seed)
@@ -27,6 +38,8 @@
         std::uniform_int_distribution<std::int64_t> spread(0, options_.firstElectionTimeout.count());
         electionDeadline_ = now_ + options_.firstElectionTimeout + Milliseconds(spread(random_));
     }
+    // Before its start, this member may have answered a leader that holds a lease.
+    lastLeaderContact_ = hard_.term != 0 ? now_ : TimePoint {};
 }
 
 void RaftNode::advanceTime(TimePoint now)
@@ -50,6 +63,7 @@
     if (role_ == RaftRole::Leader) {
         checkQuorumContact();
         handOverIfDiskStalled();
+        endFailedTransfer();
         if (role_ == RaftRole::Leader && now_ >= nextHeartbeatAt_) {
             nextHeartbeatAt_ = now_ + options_.heartbeatInterval;
             broadcastAppend(true);
@@ -113,7 +127,7 @@
     if (!isEstablishedLeader()) {
         return makeError(ErrorKind::NotReady, "the new leader has not committed its first entry yet");
     }
-    pendingReads_.push_back({id, ++round_, commitIndex_});
+    pendingReads_.push_back({id, round_ + 1, commitIndex_});
     broadcastAppend(true);
     advanceReads();
     return boost::outcome_v2::success();
@@ -121,8 +135,17 @@
 
 void RaftNode::transferLeadership(const VmName &to)
 {
-    if (role_ == RaftRole::Leader && isVoter(to) && matchIndexOf(to) == log_.lastIndex()) {
+    if (role_ == RaftRole::Leader && to != options_.self && isVoter(to) && matchIndexOf(to) == log_.lastIndex()) {
         outbox_.push_back(makeMessage(RaftMessageType::TimeoutNow, to));
+        transfer_ = {to, now_};
+    }
+}
+
+void RaftNode::endFailedTransfer()
+{
+    // The request to take over may still arrive, so this term has no lease any more.
+    if (role_ == RaftRole::Leader && transfer_ && now_ - transfer_->second > 2 * options_.electionTimeout) {
+        endLeadership(LeadershipEnd::HandedOver, transfer_->first);
     }
 }
 
@@ -306,18 +329,20 @@
     return role_ == RaftRole::Leader && log_.termAt(commitIndex_) == hard_.term;
 }
 
+Milliseconds RaftNode::shortestElectionTimeout() const
+{
+    return options_.shortestElectionTimeout.count() != 0 ? options_.shortestElectionTimeout : options_.electionTimeout;
+}
+
 bool RaftNode::hasLease(TimePoint now) const
 {
-    if (!isEstablishedLeader()) {
+    if (!isEstablishedLeader() || transfer_) {
         return false;
     }
-    const Milliseconds shortest
-        = options_.shortestElectionTimeout.count() != 0 ? options_.shortestElectionTimeout : options_.electionTimeout;
-    std::size_t recent = isVoter(options_.self) ? 1 : 0;
-    for (const auto &[name, progress] : progress_) {
-        recent += isVoter(name) && now - progress.lastContact < shortest ? 1 : 0;
-    }
-    return recent >= membership().quorum();
+    const std::uint64_t confirmed = confirmedRound();
+    const auto newest = std::find_if(recentRounds_.rbegin(), recentRounds_.rend(),
+                                     [&](const Round &round) { return round.number <= confirmed; });
+    return newest != recentRounds_.rend() && now - newest->sentAt < leaseDuration(shortestElectionTimeout());
 }
 
 void RaftNode::appendEntry(EntryKind kind, std::string payload)
@@ -413,7 +438,7 @@
     broadcastAppend(false);
 }
 
-void RaftNode::advanceReads()
+std::uint64_t RaftNode::confirmedRound() const
 {
     std::vector<std::uint64_t> acked;
     for (const VmName &voter : membership().voters) {
@@ -421,7 +446,12 @@
         acked.push_back(voter == options_.self ? round_ : found == progress_.end() ? 0 : found->second.ackedRound);
     }
     std::sort(acked.begin(), acked.end(), std::greater<>());
-    const std::uint64_t confirmed = acked[membership().quorum() - 1];
+    return acked[membership().quorum() - 1];
+}
+
+void RaftNode::advanceReads()
+{
+    const std::uint64_t confirmed = confirmedRound();
     const auto isConfirmed = [&](const PendingRead &read) { return read.round <= confirmed; };
     for (const PendingRead &read : pendingReads_) {
         if (isConfirmed(read)) {
--- a/src/cardamompost/consensus/cp_raft_replication.cpp
+++ b/src/cardamompost/consensus/cp_raft_replication.cpp
@@ -9,7 +9,9 @@
 void RaftNode::step(TimePoint now, RaftMessage message)
 {
     advanceTime(now);
-    if (message.to != options_.self || !acceptTerm(message)) {
+    // Disregarded before its term is taken over, so that a candidate can't end the leadership that the lease rests on.
+    const bool isDisregarded = message.type == RaftMessageType::Vote && !message.isTransfer && isBoundByLease();
+    if (message.to != options_.self || isDisregarded || !acceptTerm(message)) {
         return;
     }
     switch (message.type) {
@@ -68,6 +70,11 @@
 
 void RaftNode::broadcastAppend(bool isHeartbeat)
 {
+    recentRounds_.push_back({++round_, now_});
+    // No lease rests on an older round.
+    while (now_ - recentRounds_.front().sentAt > shortestElectionTimeout()) {
+        recentRounds_.pop_front();
+    }
     for (const VmName &name : peers()) {
         sendAppend(name, isHeartbeat);
     }
--- a/src/cardamompost/net/cp_frame_decoder.cpp
+++ b/src/cardamompost/net/cp_frame_decoder.cpp
@@ -27,6 +27,7 @@
     out.commit = in.getCommit();
     out.granted = in.getGranted();
     out.isUninitialized = in.getIsBlank();
+    out.isTransfer = in.getIsTransfer();
     out.writeTime = Milliseconds(in.getWriteMs());
     out.round = in.getRound();
     out.entries = decodeEntries(in.getEntries());
--- a/src/cardamompost/net/cp_frame_encoder.cpp
+++ b/src/cardamompost/net/cp_frame_encoder.cpp
@@ -37,6 +37,7 @@
         message.setCommit(in.commit);
         message.setGranted(in.granted);
         message.setIsBlank(in.isUninitialized);
+        message.setIsTransfer(in.isTransfer);
         message.setWriteMs(static_cast<std::uint32_t>(in.writeTime.count()));
         message.setRound(in.round);
         encodeEntries(in.entries, message.initEntries(static_cast<unsigned>(in.entries.size())));
--- a/tests/consensus/cp_raft_fault_simulation.tests.cpp
+++ b/tests/consensus/cp_raft_fault_simulation.tests.cpp
@@ -57,6 +57,35 @@
     BOOST_TEST(acknowledged > 1000U);
 }
 
+// Guards against two leaders that hold a lease at the same time, also while answers are late, disks are slow, members
+// pause and leaders hand over. All members are asked after each event.
+BOOST_AUTO_TEST_CASE(at_most_one_member_holds_a_lease)
+{
+    const ThrowingInvariants guard;
+    constexpr std::int64_t longDelayMs = 1500;
+    std::size_t leases = 0;
+    std::size_t transfers = 0;
+    for (std::uint64_t seed = 1; seed <= 2 * seedsInCi; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            RaftFaultSimulation simulation(seed, seed % 2 == 0 ? 3 : 5);
+            simulation.transfersLeadership = true;
+            if (seed % 3 != 0) {
+                simulation.cluster().setLongestWrite(longestWrite);
+            }
+            if (seed % 4 == 0) {
+                simulation.cluster().network.maxDelayMs = longDelayMs;
+            }
+            FaultSimulationResult result;
+            BOOST_REQUIRE_NO_THROW(result = simulation.run(steps));
+            leases += simulation.cluster().leasesSeen;
+            transfers += result.transfers;
+        }
+    }
+    BOOST_TEST(leases > 1000U);
+    BOOST_TEST(transfers > 100U);
+}
+
 // Messages are sent during writes that take up to a third of a second, and crashes interrupt such writes.
 BOOST_AUTO_TEST_CASE(acknowledged_commands_survive_random_failures_with_slow_disks)
 {
--- a/tests/consensus/cp_raft_node.tests.cpp
+++ b/tests/consensus/cp_raft_node.tests.cpp
@@ -428,6 +428,80 @@
     BOOST_TEST((node.role() == RaftRole::PreCandidate));
 }
 
+// Guards against a deposed leader that believes in its lease because an answer was late.
+BOOST_AUTO_TEST_CASE(a_lease_counts_from_the_sending_of_the_message_that_a_quorum_has_answered)
+{
+    RaftOptions options;
+    options.self = "vm-1";
+    RaftNode node(options, {}, {{threeVms.begin(), threeVms.end()}, {}}, TimePoint() + std::chrono::hours(1));
+    TimePoint now = TimePoint() + std::chrono::hours(2);
+    node.tick(now);
+    exchangeWithVm2(node, now);
+    now += 2 * options.electionTimeout;
+    BOOST_TEST(!node.hasLease(now));
+    node.tick(now);
+    const TimePoint sentAt = now;
+    const RaftReady ready = node.takeReady();
+    BOOST_REQUIRE(!ready.messages.empty());
+    RaftMessage reply;
+    reply.type = RaftMessageType::AppendReply;
+    reply.from = "vm-2";
+    reply.to = "vm-1";
+    reply.term = node.term();
+    reply.round = ready.messages.front().round;
+    reply.granted = true;
+    now += options.electionTimeout / 2;
+    node.step(now, reply);
+    BOOST_TEST(node.hasLease(now));
+    BOOST_TEST(!node.hasLease(sentAt + options.electionTimeout));
+    node.transferLeadership("vm-2");
+    BOOST_TEST(!node.hasLease(now));
+}
+
+// Guards against a member that elects another leader while its answer to the present one still carries a lease.
+BOOST_AUTO_TEST_CASE(a_member_disregards_votes_while_a_lease_may_rest_on_its_answer)
+{
+    RaftOptions options;
+    options.self = "vm-2";
+    RaftStoredState stored;
+    stored.hard.term = 1;
+    const TimePoint start = TimePoint() + std::chrono::hours(1);
+    RaftNode node(options, std::move(stored), {{threeVms.begin(), threeVms.end()}, {}}, start);
+    Term term = 1;
+    const auto isGranted = [&](TimePoint now, bool isTransfer) {
+        RaftMessage vote;
+        vote.type = RaftMessageType::Vote;
+        vote.from = "vm-3";
+        vote.to = "vm-2";
+        vote.term = ++term;
+        vote.isTransfer = isTransfer;
+        node.step(now, vote);
+        const RaftReady ready = node.takeReady();
+        node.persisted(ready);
+        return std::any_of(ready.messages.begin(), ready.messages.end(),
+                           [](const RaftMessage &message) { return message.granted; });
+    };
+    // It may have answered a leader just before its start.
+    BOOST_TEST(!isGranted(start + options.electionTimeout / 2, false));
+    const TimePoint contact = start + options.electionTimeout;
+    RaftMessage heartbeat;
+    heartbeat.type = RaftMessageType::Append;
+    heartbeat.from = "vm-1";
+    heartbeat.to = "vm-2";
+    heartbeat.term = 1;
+    node.step(contact, heartbeat);
+    node.persisted(node.takeReady());
+    BOOST_TEST(!isGranted(contact + options.heartbeatInterval, false));
+    BOOST_TEST(isGranted(contact + options.heartbeatInterval, true));
+    BOOST_TEST(!isGranted(contact + options.heartbeatInterval, false));
+    TimePoint later = contact + options.heartbeatInterval;
+    for (; later < contact + 2 * options.electionTimeout; later += options.heartbeatInterval) {
+        node.tick(later);
+        node.persisted(node.takeReady());
+    }
+    BOOST_TEST(isGranted(later, false));
+}
+
 // Guards against an outage that lasts as long as the disk of a leader, which keeps leading, stores nothing.
 BOOST_AUTO_TEST_CASE(a_leader_whose_disk_stalls_hands_over)
 {
--- a/tests/support/cp_fake_network.hpp
+++ b/tests/support/cp_fake_network.hpp
@@ -61,7 +61,8 @@
     std::set<std::pair<VmName, VmName>> cuts;
     double lossShare = 0.02;
     double duplicateShare = 0.02;
-    std::int64_t maxDelayMs = 20;
+    static constexpr std::int64_t usualMaxDelayMs = 20;
+    std::int64_t maxDelayMs = usualMaxDelayMs;
 
 private:
     std::multimap<TimePoint, std::function<void()>> queue_;
--- a/tests/support/cp_raft_cluster.hpp
+++ b/tests/support/cp_raft_cluster.hpp
@@ -223,6 +223,8 @@
     //! Number of applied entries after which a member replaces its log with a snapshot.
     LogIndex compactAfter = 40;
     std::map<Term, VmName> leaderByTerm;
+    //! How often a member held a lease when all of them were asked.
+    std::size_t leasesSeen = 0;
 
 private:
     void sendAll(std::vector<RaftMessage> messages)
@@ -315,6 +317,7 @@
             drive(member);
             deliverWhileWriting(member);
             checkLeader(member);
+            checkLeases();
         });
     }
 
@@ -330,6 +333,7 @@
                 }
                 deliverWhileWriting(member);
                 checkLeader(member);
+                checkLeases();
             }
             scheduleTick(name);
         });
@@ -354,6 +358,23 @@
         }
     }
 
+    //! Also asks paused members, which continue with what they believe.
+    void checkLeases()
+    {
+        const Member *holder = nullptr;
+        for (const auto &[name, member] : members) {
+            if (!member->node || !member->node->hasLease(localTime(*member))) {
+                continue;
+            }
+            ++leasesSeen;
+            if (holder != nullptr) {
+                throw Violation(fmt::format("{} in term {} and {} in term {} both hold a lease", holder->name,
+                                            holder->node->term(), name, member->node->term()));
+            }
+            holder = member.get();
+        }
+    }
+
     void apply(Member &member, const LogEntry &entry)
     {
         if (entry.index != member.appliedIndex + 1) {
--- a/tests/support/cp_raft_fault_simulation.hpp
+++ b/tests/support/cp_raft_fault_simulation.hpp
@@ -13,6 +13,7 @@
     std::size_t cuts = 0;
     std::size_t pauses = 0;
     std::size_t wipes = 0;
+    std::size_t transfers = 0;
     std::size_t reads = 0;
     Milliseconds virtualTime {0};
 };
@@ -29,6 +30,8 @@
 
     //! Members also lose their disks.
     bool wipesDisks = false;
+    //! Leaders also ask other members to take over.
+    bool transfersLeadership = false;
     //! Injected defect: a member that has lost its disk votes as if it were new.
     bool votesAfterDiskLoss = false;
     //! Injected defect: a member that has lost its disk follows any leader, also a deposed one.
@@ -92,6 +95,25 @@
                 cluster_.restart(name);
             }
         }
+        if (transfersLeadership && network.chance(0.02)) {
+            transferLeadership();
+        }
+    }
+
+    void transferLeadership()
+    {
+        RaftCluster::Member *leader = cluster_.leader();
+        if (leader != nullptr && network().now >= leader->pausedUntil) {
+            leader->node->transferLeadership(randomMember().name);
+            cluster_.drive(*leader);
+            ++result_.transfers;
+            if (network().chance(0.3)) {
+                // The former leader hears nothing of its successor.
+                for (const auto &[name, other] : cluster_.members) {
+                    network().cuts.insert({name, leader->name});
+                }
+            }
+        }
     }
 
     //! Highest term among randomly chosen other members, as many as it takes to intersect every quorum.
@@ -197,6 +219,7 @@
         FakeNetwork &net = network();
         net.cuts.clear();
         net.lossShare = 0;
+        net.maxDelayMs = FakeNetwork::usualMaxDelayMs;
         for (auto &[name, member] : cluster_.members) {
             member->pausedUntil = {};
             cluster_.restart(name);
