Start no election before other starting members may vote

Cause: the first election after a start began after 60 to 120 ms, when members that started at the same time do not vote yet (100 ms); the next one then needs a whole time-out more. Ruled out: letting members vote at once after a start; they may have answered a leader that holds a lease. Change: the first election starts after the shortest election time-out at the earliest.

--- a/src/cardamompost/consensus/cp_raft_node.cpp
+++ b/src/cardamompost/consensus/cp_raft_node.cpp
@@ -36,7 +36,9 @@
     resetElectionDeadline();
     if (options_.firstElectionTimeout.count() != 0) {
         std::uniform_int_distribution<std::int64_t> spread(0, options_.firstElectionTimeout.count());
-        electionDeadline_ = now_ + options_.firstElectionTimeout + Milliseconds(spread(random_));
+        // Earlier, others that have just started too do not vote yet.
+        const Milliseconds first = std::max(options_.firstElectionTimeout, shortestElectionTimeout());
+        electionDeadline_ = now_ + first + Milliseconds(spread(random_));
     }
     // Before its start, this member may have answered a leader that holds a lease.
     lastLeaderContact_ = hard_.term != 0 ? now_ : TimePoint {};
--- a/tests/consensus/cp_raft_election_timeout.tests.cpp
+++ b/tests/consensus/cp_raft_election_timeout.tests.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <iterator>
+
 using namespace cardamompost;
 
 namespace
@@ -89,4 +92,40 @@
     BOOST_TEST(follower.timeUntilElection().count() <= 610);
 }
 
+// Guards against a first election after a start that fails because the others, started at the same time, do not vote
+// yet.
+BOOST_AUTO_TEST_CASE(members_that_start_together_elect_a_leader_at_the_first_attempt)
+{
+    RaftOptions options;
+    options.electionTimeout = Milliseconds(300);
+    options.shortestElectionTimeout = Milliseconds(100);
+    options.firstElectionTimeout = Milliseconds(60);
+    const std::set<VmName> names {"vm-1", "vm-2", "vm-3"};
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        std::map<VmName, RaftNode> nodes;
+        for (const VmName &name : names) {
+            options.self = name;
+            options.seed = 3 * seed + nodes.size();
+            RaftStoredState stored;
+            stored.hard.term = 1;
+            nodes.emplace(name, RaftNode(options, std::move(stored), {names, {}}, startTime));
+        }
+        const Milliseconds latest = 2 * options.firstElectionTimeout + options.shortestElectionTimeout;
+        for (Milliseconds passed {0}; passed <= latest; passed += Milliseconds(10)) {
+            std::vector<RaftMessage> messages;
+            for (auto &[name, node] : nodes) {
+                node.tick(startTime + passed);
+                RaftReady ready = node.takeReady();
+                node.persisted(ready);
+                std::move(ready.messages.begin(), ready.messages.end(), std::back_inserter(messages));
+            }
+            for (RaftMessage &message : messages) {
+                nodes.at(message.to).step(startTime + passed, std::move(message));
+            }
+        }
+        const auto leads = [](const auto &item) { return item.second.role() == RaftRole::Leader; };
+        BOOST_TEST(std::count_if(nodes.begin(), nodes.end(), leads) == 1, "seed " << seed);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
