Soak: a process may end between two signals of a series

Change: no signal is sent to a process that has ended. In exchange two checks: a process that ended by itself before the series is a failure, and so is another exit code than 0, or SIGTERM's own where no handler was installed yet.

--- a/tests/platform/gateway_soak.py
+++ b/tests/platform/gateway_soak.py
@@ -403,14 +403,21 @@
 
     async def stop(self, process, patience):
         """Sends SIGTERM, possibly several times, and starts the process again once it has ended."""
+        if process.child.returncode is not None:
+            self.fail(f"{process.name} ended by itself with code {process.child.returncode}")
         for _ in range(self.random.randint(1, 3)):
-            process.child.send_signal(signal.SIGTERM)
+            # It may have ended after an earlier signal.
+            if process.child.returncode is None:
+                process.child.send_signal(signal.SIGTERM)
             await asyncio.sleep(self.random.uniform(0, 0.3))
         try:
             await asyncio.wait_for(process.child.wait(), patience)
         except asyncio.TimeoutError:
             self.fail(f"{process.name} keeps running after SIGTERM")
             await process.kill()
+        # A process told to stop while it starts has no handler for the signal yet.
+        if process.child.returncode not in (0, -signal.SIGTERM):
+            self.fail(f"{process.name} ended with code {process.child.returncode} after SIGTERM")
         await process.start()
 
     def check_accounts(self):
