--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -33,8 +33,8 @@
 //! Pause before a retry: longer the longer there was no answer, since many requests may wait for one leader.
 Milliseconds retryPause(TimePoint::duration withoutAnswer)
 {
-    constexpr int retriesPerDoubling = 16;
-    const auto share = std::chrono::duration_cast<Milliseconds>(withoutAnswer / retriesPerDoubling);
+    constexpr int pausesPerWait = 16;
+    const auto share = std::chrono::duration_cast<Milliseconds>(withoutAnswer / pausesPerWait);
     return std::clamp(share, retryInterval, maxRetryInterval);
 }
 
