Log the software version of servers, and which stream a request resumes

Cause: the incident's logs tell neither the version of the server that ran a request nor that a request resumes a stream, so its hypotheses (resumption by the caller, within an answer, a server restarted at the same address) can't be told apart. Ruled out: reading them from the platform's side; a log line has to be enough for an operator. Change: the adapter reads the version of each server of the list, which goes with the list to all entries; request.end has backend_version and resumes. No decision uses them yet.

--- a/include/cardamompost/edge/cp_iplatform_adapter.hpp
+++ b/include/cardamompost/edge/cp_iplatform_adapter.hpp
@@ -26,6 +26,8 @@
     std::string notExecuted;
     std::string serverLoad;
     std::string lastEventId;
+    //! Id of the request that received the first event of the stream that a caller resumes.
+    std::string resumes;
     std::string priority;
     //! A caller's access key; never forwarded.
     std::string accessKey;
--- a/include/cardamompost/routing/cp_backend_list.hpp
+++ b/include/cardamompost/routing/cp_backend_list.hpp
@@ -21,6 +21,8 @@
     //! Start time that the server reports, in milliseconds since 1970; 0 if it reports none. A server that restarts
     //! under the same id has a higher value and keeps no state of its previous incarnation.
     std::uint64_t incarnation = 0;
+    //! Version of the server's software, without an order; empty if unknown.
+    std::string softwareVersion {};
 
     friend bool operator==(const BackendServer &, const BackendServer &) = default;
 };
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -288,6 +288,7 @@
   slots @4 :UInt32;
   isLeaving @5 :Bool;
   born @6 :UInt64;
+  softwareVersion @7 :Text;
 }
 
 struct ServerBucket {
--- a/src/cardamompost/net/cp_schema_codec.cpp
+++ b/src/cardamompost/net/cp_schema_codec.cpp
@@ -59,6 +59,7 @@
     out.setSlots(server.slots);
     out.setIsLeaving(server.isLeaving);
     out.setBorn(server.incarnation);
+    out.setSoftwareVersion(toText(server.softwareVersion));
 }
 
 BackendServer decodeBackendServer(schema::BackendServer::Reader in)
@@ -69,7 +70,8 @@
             fromText(in.getFailureDomain()),
             in.getSlots(),
             in.getIsLeaving(),
-            in.getBorn()};
+            in.getBorn(),
+            fromText(in.getSoftwareVersion())};
 }
 
 std::vector<std::string> decodeTexts(capnp::List<capnp::Text>::Reader in)
--- a/src/gateway/cp_forwarded_request.hpp
+++ b/src/gateway/cp_forwarded_request.hpp
@@ -77,6 +77,8 @@
     unsigned runs = 0;
     std::shared_ptr<BackendConnection> connection;
     std::string lastBackend;
+    //! Software version of that server.
+    std::string lastBackendVersion;
     //! Time from arrival until the ledger admitted or refused the request, or the wait for it ended.
     Milliseconds admissionTime {0};
     bool isPlacedByLeader = false;
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -297,6 +297,7 @@
             continue;
         }
         request.lastBackend = backendId;
+        request.lastBackendVersion = backend->server().softwareVersion;
         BackendExchange exchange({parts_.io, parts_.adapter.headers(), parts_.pool, parts_.ledger}, request, backend,
                                  request.connection);
         const std::optional<Milliseconds> responseTimeout = responseTimeoutFor(request);
--- a/src/gateway/cp_request_head.cpp
+++ b/src/gateway/cp_request_head.cpp
@@ -197,6 +197,7 @@
     metadata.session = headerValue(request, names.session);
     metadata.previousTurn = headerValue(request, names.previousTurn);
     metadata.lastEventId = headerValue(request, names.lastEventId);
+    metadata.resumes = headerValue(request, names.resumes);
     metadata.affinity = headerValue(request, names.affinity);
     parseTimeouts(request, names, metadata);
     parseTokenCounts(request, names, metadata);
--- a/src/gateway/cp_request_head.hpp
+++ b/src/gateway/cp_request_head.hpp
@@ -28,6 +28,8 @@
     std::int64_t tokensIn = 0;
     std::int64_t maxOutputTokens = 0;
     std::string lastEventId;
+    //! Id of the request that received the first event of the stream to resume; empty for none.
+    std::string resumes;
     //! Key shared by requests for the same object; empty for none.
     std::string affinity;
     //! Name of a malformed header; empty if there is none.
--- a/src/gateway/cp_request_report.cpp
+++ b/src/gateway/cp_request_report.cpp
@@ -10,7 +10,7 @@
 {
 
 constexpr std::size_t logLineBytes = 4096;
-constexpr std::size_t logLineFields = 22;
+constexpr std::size_t logLineFields = 24;
 constexpr unsigned firstServerError = 500;
 
 //! Whether the request was executed, as a metric label.
@@ -61,6 +61,12 @@
             line["account"] = request.account;
         }
         line["backend"] = request.lastBackend;
+        if (!request.lastBackendVersion.empty()) {
+            line["backend_version"] = request.lastBackendVersion;
+        }
+        if (!request.metadata.resumes.empty()) {
+            line["resumes"] = request.metadata.resumes;
+        }
         if (request.begin) {
             line["placed_by"] = request.isPlacedByLeader ? "leader" : "entry";
         }
