--- a/tests/support/cp_fake_platform.hpp
+++ b/tests/support/cp_fake_platform.hpp
@@ -127,12 +127,23 @@
     std::thread thread_;
 };
 
-//! Simulates the users' platform: two backend servers, the first of which also serves the backend list, and an HTTP
-//! client for requests of clients and operators. The path selects a server's behaviour:
+//! An item of the list that the fake platform serves.
+struct ListedServer {
+    //! Index of the server that runs at the address.
+    std::size_t server = 0;
+    std::string softwareVersion = "v1";
+    bool isLeaving = false;
+    //! Start time of the server; 0 if the platform reports none.
+    std::uint64_t incarnation = 0;
+};
+
+//! Simulates the users' platform: backend servers, the first of which also serves the backend list, and an HTTP client
+//! for requests of clients and operators. The path selects a server's behaviour:
 //! - "lost" aborts the connection after the request was executed
 //! - "silent-once" doesn't respond to the first attempt
 //! - "twice" sends a second response
 //! - "cut-once" aborts the first attempt within an event
+//! - "cut-begin" aborts each stream that begins, after its first event
 //! - "slow" pauses before each event
 //! - "never" doesn't respond
 class FakePlatform
@@ -226,6 +237,18 @@
         const std::lock_guard lock(mutex_);
         isFirstAddressReused_ = true;
     }
+    //! Changes the list, which has the first two servers at the start.
+    void setList(std::vector<ListedServer> list)
+    {
+        const std::lock_guard lock(mutex_);
+        list_ = std::move(list);
+    }
+    //! The indexes of the servers that a request reached, in order.
+    std::vector<std::size_t> serversOf(const std::string &id)
+    {
+        const std::lock_guard lock(mutex_);
+        return runs_[id];
+    }
     //! How many requests reached a backend server.
     int arrivals()
     {
@@ -234,18 +257,22 @@
     }
 
 private:
-    static constexpr std::size_t serverCount = 2;
+    static constexpr std::size_t serverCount = 3;
     static constexpr Milliseconds slowPause {150};
     static constexpr int slowEvents = 4;
 
-    [[nodiscard]] HttpResponse list() const
+    [[nodiscard]] HttpResponse list()
     {
+        const std::lock_guard lock(mutex_);
         HttpResponse response;
         response.body = R"({"instances":[)";
-        for (std::size_t i = 0; i < serverCount; ++i) {
-            response.body += std::string(i == 0 ? "" : ",") + R"({"id":"i-)" + std::to_string(i + 1)
-                + R"(","service":"engines","address":")" + local(ports[i]).toString()
-                + R"(","zone":"apapa","slots":16,"state":"ready"})";
+        for (std::size_t i = 0; i < list_.size(); ++i) {
+            const ListedServer &listed = list_[i];
+            response.body += std::string(i == 0 ? "" : ",") + R"({"id":"i-)" + std::to_string(listed.server + 1)
+                + R"(","service":"engines","address":")" + local(ports[listed.server]).toString()
+                + R"(","zone":"apapa","slots":16,"version":")" + listed.softwareVersion + R"(","born":)"
+                + std::to_string(listed.incarnation) + R"(,"state":")" + (listed.isLeaving ? "draining" : "ready")
+                + R"("})";
         }
         response.body += R"(],"next":null})";
         return response;
@@ -316,6 +343,10 @@
         if (request.header("Last-Event-Id") != "1") {
             co_await responder.write(event(1, "a-" + id));
         }
+        if (pathContains("cut-begin") && request.header("Last-Event-Id").empty()) {
+            responder.abort();
+            co_return;
+        }
         if (pathContains("cut-once") && earlierAttempts == 0) {
             co_await responder.write("id: 2\ndata: b-");
             responder.abort();
@@ -332,11 +363,12 @@
         }
     }
 
-    const std::array<std::uint16_t, serverCount> ports {freePort(), freePort()};
+    const std::array<std::uint16_t, serverCount> ports {freePort(), freePort(), freePort()};
     boost::asio::io_context io_;
     std::vector<std::unique_ptr<HttpServer>> servers_;
     HttpClient client_;
     std::mutex mutex_;
+    std::vector<ListedServer> list_ {{0}, {1}};
     std::map<std::string, std::string> bodies_;
     std::map<std::string, HttpHeaders> headers_;
     std::map<std::string, std::vector<std::size_t>> runs_;
