--- a/include/cardamompost/ledger/cp_ledger_command.hpp
+++ b/include/cardamompost/ledger/cp_ledger_command.hpp
@@ -35,7 +35,7 @@
 
 //! Payload of a log entry.
 struct LedgerCommand {
-    using Action = std::variant<RouteDocumentPut, TurnBegin, TurnFinish, LedgerVm, UsageReport>;
+    using Action = std::variant<RouteDocumentPut, TurnBegin, TurnFinish, LedgerVm, UsageReport, StreamVersion>;
 
     //! LedgerClock time of the leader that proposed the command.
     std::int64_t nowMs = 0;
--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -58,7 +58,42 @@
     std::int64_t programTimeLeftMs = 0;
     std::uint32_t timeLeftMs = 0;
     //! Ids of backend servers that the entry failed to reach recently.
-    std::vector<std::string> unreachable;
+    std::vector<std::string> unreachable {};
+    //! The only software version that may run the turn; empty for any.
+    std::string softwareVersion {};
+};
+
+//! Version of the servers that run a stream. Only servers of this version may resume it.
+struct StreamVersion {
+    //! Id of the request that begins the stream.
+    std::string stream;
+    ServerVersion version;
+    //! Number of the attempt to begin the stream; a higher one replaces the version of a lower one.
+    std::uint32_t attempt = 0;
+    //! How long the caller may resume the stream.
+    std::uint32_t retentionMs = 0;
+};
+
+//! Records the version of a stream before its caller receives the first event, or asks for it.
+struct StreamVersionRequest {
+    StreamVersion record;
+    //! Asks for the version of the stream; the record has no other fields.
+    bool isQuery = false;
+};
+
+enum class StreamVersionStatus : std::uint8_t {
+    //! This member is not the leader or cannot confirm that it is.
+    NotLeader,
+    //! The version is durable.
+    Recorded,
+    //! A quorum confirms that the stream has no recorded version.
+    Unknown,
+};
+
+struct StreamVersionReply {
+    StreamVersionStatus status = StreamVersionStatus::NotLeader;
+    //! Only with Recorded.
+    ServerVersion version;
 };
 
 //! Reserves the maximum cost of a turn and requests the history that it continues.
@@ -75,6 +110,10 @@
     PlacementRequest placement {};
     //! Client account whose limit the turn counts towards; empty for none. Not replicated.
     std::string account {};
+    //! How long the caller may resume the turn's stream; 0 if it can't be resumed.
+    std::uint32_t streamRetentionMs = 0;
+    //! Version of the servers that run the turn, as far as the leader has placed it. Set by the leader.
+    ServerVersion version {};
 };
 
 enum class TurnBeginStatus : std::uint8_t {
@@ -93,6 +132,8 @@
     Limited,
     //! The ledger cannot keep up with its writes; the turn is not run.
     Overloaded,
+    //! No backend server has the software version that the turn requires; the turn is not run.
+    NoSuchVersion,
 };
 
 struct TurnBeginReply {
@@ -104,6 +145,8 @@
     std::string backend;
     //! Only with Limited and Overloaded.
     std::uint32_t retryAfterMs = 0;
+    //! Recorded version of the turn's stream, if there is one; only with Granted.
+    ServerVersion version {};
 };
 
 //! Asks whether a request other than a turn is within its account's limit.
--- a/include/cardamompost/ledger/cp_ledger_state.hpp
+++ b/include/cardamompost/ledger/cp_ledger_state.hpp
@@ -27,6 +27,12 @@
     [[nodiscard]] TurnBeginStatus check(const TurnBegin &begin, std::int64_t pendingTokens) const;
     [[nodiscard]] bool isReserved(const std::string &program, const std::string &turn) const;
 
+    //! The version of the servers that run a stream; null if none is recorded.
+    [[nodiscard]] const ServerVersion *streamVersion(const std::string &stream) const;
+    [[nodiscard]] std::size_t streamCount() const
+    {
+        return streams_.size();
+    }
     [[nodiscard]] bool hasTurn(const std::string &turn) const
     {
         return turns_.contains(turn);
@@ -105,11 +111,18 @@
         std::uint32_t bytes = 0;
     };
 
+    struct Stream {
+        ServerVersion version;
+        std::uint32_t attempt = 0;
+        std::int64_t expiresMs = 0;
+    };
+
     void advanceTime(std::int64_t nowMs);
     void applyDocument(const RouteDocumentPut &put);
     TurnBeginStatus applyBegin(const TurnBegin &begin);
     void applyFinish(const TurnFinish &finish, LogIndex index);
     void applyVm(const LedgerVm &vm);
+    void applyStreamVersion(const StreamVersion &record);
     void retainTurn(const TurnFinish &finish, LogIndex index);
     void extendHistoryRetention(const std::string &last, std::int64_t expiresMs);
     void extendProgramRetention(Program &program, std::uint32_t retentionMs);
@@ -120,6 +133,8 @@
     std::map<VmName, LedgerVm> vms_;
     std::unordered_map<std::string, Program> programs_;
     std::unordered_map<std::string, Turn> turns_;
+    //! By the id of the request that begins the stream.
+    std::unordered_map<std::string, Stream> streams_;
     std::size_t turnBytes_ = 0;
     TurnTexts texts_;
     UsageLog usage_;
--- a/include/cardamompost/net/cp_frame.hpp
+++ b/include/cardamompost/net/cp_frame.hpp
@@ -45,16 +45,18 @@
                    PullReply, StatusRequest, StatusReply, ProbeRequest, ProbeReply, LimitRequest, LimitReply,
                    ApiRequest, ApiChunk, FailureReply, JoinRequest, JoinReply, TurnBegin, TurnBeginReply, TurnFinish,
                    TurnFinishReply, UpdateRequest, UpdateReply, Presence, TurnTextsRequest, TurnTextsReply,
-                   LeaderNotice, AdmitRequest, AdmitReply>;
+                   LeaderNotice, AdmitRequest, AdmitReply, StreamVersionRequest, StreamVersionReply>;
 
 //! Names of the alternatives of FrameBody, in their order.
 inline constexpr std::array<std::string_view, std::variant_size_v<FrameBody>> frameBodyNames {
-    "none",          "raft",         "seal",         "seal_reply",   "append",      "append_reply",  "read",
-    "read_reply",    "forget",       "lease",        "lease_reply",  "propose",     "propose_reply", "pull",
-    "pull_reply",    "status",       "status_reply", "probe",        "probe_reply", "limit",         "limit_reply",
-    "api",           "api_chunk",    "failure",      "join",         "join_reply",  "begin",         "begin_reply",
-    "finish",        "finish_reply", "update",       "update_reply", "presence",    "turn_texts",    "texts_reply",
-    "leader_notice", "admit",        "admit_reply"};
+    "none",          "raft",         "seal",          "seal_reply",     "append",
+    "append_reply",  "read",         "read_reply",    "forget",         "lease",
+    "lease_reply",   "propose",      "propose_reply", "pull",           "pull_reply",
+    "status",        "status_reply", "probe",         "probe_reply",    "limit",
+    "limit_reply",   "api",          "api_chunk",     "failure",        "join",
+    "join_reply",    "begin",        "begin_reply",   "finish",         "finish_reply",
+    "update",        "update_reply", "presence",      "turn_texts",     "texts_reply",
+    "leader_notice", "admit",        "admit_reply",   "stream_version", "stream_version_reply"};
 
 //! One message on a connection between two peers.
 struct Frame {
--- a/include/cardamompost/policy/cp_turn_placement.hpp
+++ b/include/cardamompost/policy/cp_turn_placement.hpp
@@ -32,6 +32,8 @@
     bool isLate = false;
     //! Maximum time that the turn may hold its slot.
     Milliseconds timeLeft {0};
+    //! The only software version that may run the turn; empty for any.
+    std::string softwareVersion {};
 };
 
 //! Assigns turns to engine slots for all entries.
@@ -71,6 +73,10 @@
     //! Drops all turns and engines but keeps affinities; callbacks of waiting turns receive an empty id.
     void clear();
 
+    //! False if the engines of the service are known and none of them has the software version.
+    [[nodiscard]] bool mayHaveVersion(const std::string &service, const std::string &softwareVersion) const;
+    //! Version of an open engine; unknown if there is none with this id.
+    [[nodiscard]] ServerVersion versionOf(const std::string &engine) const;
     [[nodiscard]] std::size_t waiting() const;
     //! Turns that hold a slot at the engine.
     [[nodiscard]] unsigned turnsAt(const std::string &engine) const;
@@ -89,11 +95,19 @@
         TimePoint avoidUntil {};
         //! As BackendServer::incarnation.
         std::uint64_t incarnation = 0;
+        std::string softwareVersion;
+
+        [[nodiscard]] ServerVersion version() const
+        {
+            return {service, softwareVersion};
+        }
     };
     using Engines = std::unordered_map<std::string, Engine>;
     //! The open engines of a service.
     struct Service {
         EngineLoadIndex usable;
+        //! The same engines by software version.
+        std::map<std::string, EngineLoadIndex> usableByVersion;
         //! Excluded from selection for a time.
         std::set<std::string> avoided;
     };
@@ -140,6 +154,7 @@
     void reindex(const std::string &id, const Engine &engine);
     //! Makes avoided engines usable again whose time has passed.
     void restoreAvoided(TimePoint now);
+    void removeFromIndex(Service &indexed, const std::string &id, const Engine &engine);
     [[nodiscard]] bool hasService(const std::string &service) const;
     [[nodiscard]] Service &service(const std::string &name);
     void reserveSlot(const SlotRequest &request, const std::string &engine, TimePoint now);
--- a/include/cardamompost/routing/cp_backend_list.hpp
+++ b/include/cardamompost/routing/cp_backend_list.hpp
@@ -9,6 +9,19 @@
 namespace cardamompost
 {
 
+//! Software version of the servers of one service. Versions have no order.
+struct ServerVersion {
+    std::string service;
+    //! Empty if unknown.
+    std::string softwareVersion;
+
+    [[nodiscard]] bool isKnown() const
+    {
+        return !softwareVersion.empty();
+    }
+    friend bool operator==(const ServerVersion &, const ServerVersion &) = default;
+};
+
 //! An item of the list of active and draining backend servers.
 struct BackendServer {
     std::string id;
@@ -24,6 +37,10 @@
     //! Version of the server's software, without an order; empty if unknown.
     std::string softwareVersion {};
 
+    [[nodiscard]] ServerVersion version() const
+    {
+        return {service, softwareVersion};
+    }
     friend bool operator==(const BackendServer &, const BackendServer &) = default;
 };
 
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -233,6 +233,30 @@
   retentionMs @5 :UInt32;
   wish @6 :PlacementWish;
   account @7 :Text;
+  streamRetentionMs @8 :UInt32;
+  version @9 :ServerVersion;
+}
+
+struct ServerVersion {
+  service @0 :Text;
+  softwareVersion @1 :Text;
+}
+
+struct StreamVersion {
+  stream @0 :Text;
+  version @1 :ServerVersion;
+  attempt @2 :UInt32;
+  retentionMs @3 :UInt32;
+}
+
+struct StreamVersionRequest {
+  record @0 :StreamVersion;
+  isQuery @1 :Bool;
+}
+
+struct StreamVersionReply {
+  status @0 :UInt8;
+  version @1 :ServerVersion;
 }
 
 struct PlacementWish {
@@ -242,6 +266,7 @@
   programTimeLeftMs @3 :Int64;
   patienceMs @4 :UInt32;
   unreachable @5 :List(Text);
+  softwareVersion @6 :Text;
 }
 
 struct TurnBeginReply {
@@ -250,6 +275,7 @@
   history @2 :Data;
   backend @3 :Text;
   retryAfterMs @4 :UInt32;
+  version @5 :ServerVersion;
 }
 
 struct AdmitRequest {
@@ -469,6 +495,8 @@
     leaderNotice @38 :GroupSighting;
     admit @39 :AdmitRequest;
     admitReply @40 :AdmitReply;
+    streamVersion @41 :StreamVersionRequest;
+    streamVersionReply @42 :StreamVersionReply;
   }
 }
 
@@ -612,6 +640,7 @@
     finish @3 :TurnFinish;
     vm @4 :LedgerVm;
     usage @5 :List(AccountUsage);
+    stream @6 :StreamVersion;
   }
 }
 
@@ -635,11 +664,18 @@
   programs @4 :List(ProgramAccount);
   turns @5 :List(KeptTurn);
   usage @6 :List(Usage);
+  streams @7 :List(KeptStream);
   struct Usage {
     account @0 :Text;
     atMs @1 :Int64;
     requests @2 :UInt32;
   }
+  struct KeptStream {
+    stream @0 :Text;
+    version @1 :ServerVersion;
+    attempt @2 :UInt32;
+    expiresMs @3 :Int64;
+  }
   struct ProgramAccount {
     program @0 :Text;
     spent @1 :Int64;
--- a/src/cardamompost/ledger/cp_ledger_codec.cpp
+++ b/src/cardamompost/ledger/cp_ledger_codec.cpp
@@ -55,6 +55,9 @@
     case schema::LedgerCommand::VM:
         command.action = decodeVmRecord(in.getVm());
         break;
+    case schema::LedgerCommand::STREAM:
+        command.action = decodeStreamVersion(in.getStream());
+        break;
     case schema::LedgerCommand::USAGE:
         command.action = decodeUsage(in.getUsage());
         break;
@@ -76,6 +79,8 @@
         encodeTurnBegin(*begin, out.initReserve());
     } else if (const auto *finish = std::get_if<TurnFinish>(&command.action)) {
         encodeTurnFinish(*finish, out.initFinish());
+    } else if (const auto *stream = std::get_if<StreamVersion>(&command.action)) {
+        encodeStreamVersion(*stream, out.initStream());
     } else if (const auto *report = std::get_if<UsageReport>(&command.action)) {
         encodeUsage(*report, out.initUsage(static_cast<unsigned>(report->usage.size())));
     } else {
@@ -123,6 +128,7 @@
         }
         encodeTurns(state, out.initTurns(static_cast<unsigned>(state.turns_.size())));
         encodeUsageLog(state.usage_, out);
+        encodeStreams(state, out.initStreams(static_cast<unsigned>(state.streams_.size())));
     }
 
     static void decode(LedgerState &state, schema::LedgerSnapshot::Reader in)
@@ -150,6 +156,12 @@
         for (const auto item : in.getUsage()) {
             state.usage_.restore(fromText(item.getAccount()), {item.getAtMs(), item.getRequests()});
         }
+        state.streams_.reserve(in.getStreams().size());
+        for (const auto item : in.getStreams()) {
+            const LedgerState::Stream stream {decodeServerVersion(item.getVersion()), item.getAttempt(),
+                                              item.getExpiresMs()};
+            state.streams_.emplace(fromText(item.getStream()), stream);
+        }
     }
 
 private:
@@ -172,6 +184,18 @@
         }
     }
 
+    static void encodeStreams(const LedgerState &state, capnp::List<schema::LedgerSnapshot::KeptStream>::Builder out)
+    {
+        unsigned position = 0;
+        for (const auto &[name, stream] : state.streams_) {
+            auto item = out[position++];
+            item.setStream(toText(name));
+            encodeServerVersion(stream.version, item.initVersion());
+            item.setAttempt(stream.attempt);
+            item.setExpiresMs(stream.expiresMs);
+        }
+    }
+
     static void encodeTurns(const LedgerState &state, KeptTurns out)
     {
         unsigned position = 0;
--- a/src/cardamompost/ledger/cp_ledger_state.cpp
+++ b/src/cardamompost/ledger/cp_ledger_state.cpp
@@ -26,6 +26,8 @@
         return applyBegin(*begin);
     } else if (const auto *finish = std::get_if<TurnFinish>(&command.action)) {
         applyFinish(*finish, index);
+    } else if (const auto *stream = std::get_if<StreamVersion>(&command.action)) {
+        applyStreamVersion(*stream);
     } else if (const auto *report = std::get_if<UsageReport>(&command.action)) {
         usage_.add(nowMs_, report->usage);
     } else {
@@ -48,6 +50,7 @@
 void LedgerState::expire()
 {
     std::erase_if(programs_, [&](const auto &item) { return item.second.expiresMs < nowMs_; });
+    std::erase_if(streams_, [&](const auto &item) { return item.second.expiresMs < nowMs_; });
     std::erase_if(turns_, [&](const auto &item) {
         const bool isExpired = item.second.expiresMs < nowMs_;
         if (isExpired) {
@@ -88,6 +91,9 @@
 TurnBeginStatus LedgerState::applyBegin(const TurnBegin &begin)
 {
     const TurnBeginStatus status = check(begin, 0);
+    if (status == TurnBeginStatus::Granted && begin.version.isKnown() && begin.streamRetentionMs != 0) {
+        applyStreamVersion({begin.turn, begin.version, 0, begin.streamRetentionMs});
+    }
     if (begin.program.empty()) {
         return status;
     }
@@ -146,6 +152,21 @@
     vms_[vm.vm] = vm;
 }
 
+void LedgerState::applyStreamVersion(const StreamVersion &record)
+{
+    // Of equal attempts the first counts, since an entry may have relied on it.
+    const auto [stream, isNew] = streams_.try_emplace(record.stream);
+    if (isNew || record.attempt > stream->second.attempt) {
+        stream->second = {record.version, record.attempt, nowMs_ + record.retentionMs + expiryMarginMs};
+    }
+}
+
+const ServerVersion *LedgerState::streamVersion(const std::string &stream) const
+{
+    const auto found = streams_.find(stream);
+    return found == streams_.end() ? nullptr : &found->second.version;
+}
+
 std::vector<LogIndex> LedgerState::history(const std::string &turn) const
 {
     std::vector<LogIndex> indexes;
--- a/src/cardamompost/net/cp_frame_decoder.cpp
+++ b/src/cardamompost/net/cp_frame_decoder.cpp
@@ -146,9 +146,19 @@
         return decodeTurnBegin(in.getTurnBegin());
     case Body::TURN_BEGIN_REPLY: {
         const auto reply = in.getTurnBeginReply();
-        return TurnBeginReply {decodeEnum(reply.getStatus(), TurnBeginStatus::Overloaded), fromText(reply.getLeader()),
-                               fromData(reply.getHistory()), fromText(reply.getBackend()), reply.getRetryAfterMs()};
+        return TurnBeginReply {decodeEnum(reply.getStatus(), TurnBeginStatus::NoSuchVersion),
+                               fromText(reply.getLeader()),
+                               fromData(reply.getHistory()),
+                               fromText(reply.getBackend()),
+                               reply.getRetryAfterMs(),
+                               decodeServerVersion(reply.getVersion())};
     }
+    case Body::STREAM_VERSION:
+        return StreamVersionRequest {decodeStreamVersion(in.getStreamVersion().getRecord()),
+                                     in.getStreamVersion().getIsQuery()};
+    case Body::STREAM_VERSION_REPLY:
+        return StreamVersionReply {decodeEnum(in.getStreamVersionReply().getStatus(), StreamVersionStatus::Unknown),
+                                   decodeServerVersion(in.getStreamVersionReply().getVersion())};
     case Body::ADMIT:
         return AdmitRequest {fromText(in.getAdmit().getAccount()), fromText(in.getAdmit().getRequest())};
     case Body::ADMIT_REPLY:
--- a/src/cardamompost/net/cp_frame_encoder.cpp
+++ b/src/cardamompost/net/cp_frame_encoder.cpp
@@ -284,6 +284,23 @@
         message.setHistory(toData(in.history));
         message.setBackend(toText(in.backend));
         message.setRetryAfterMs(in.retryAfterMs);
+        if (in.version.isKnown()) {
+            encodeServerVersion(in.version, message.initVersion());
+        }
+    }
+
+    void operator()(const StreamVersionRequest &in)
+    {
+        auto message = out.initStreamVersion();
+        encodeStreamVersion(in.record, message.initRecord());
+        message.setIsQuery(in.isQuery);
+    }
+
+    void operator()(const StreamVersionReply &in)
+    {
+        auto message = out.initStreamVersionReply();
+        message.setStatus(static_cast<std::uint8_t>(in.status));
+        encodeServerVersion(in.version, message.initVersion());
     }
 
     void operator()(const AdmitRequest &in)
--- a/src/cardamompost/net/cp_ledger_schema.cpp
+++ b/src/cardamompost/net/cp_ledger_schema.cpp
@@ -17,6 +17,9 @@
     for (unsigned i = 0; i < unreachable.size(); ++i) {
         unreachable.set(i, toText(in.unreachable[i]));
     }
+    if (!in.softwareVersion.empty()) {
+        out.setSoftwareVersion(toText(in.softwareVersion));
+    }
 }
 
 PlacementRequest decodePlacementRequest(schema::PlacementWish::Reader in)
@@ -26,7 +29,8 @@
                                 in.getRank(),
                                 in.getProgramTimeLeftMs(),
                                 in.getPatienceMs(),
-                                {}};
+                                {},
+                                fromText(in.getSoftwareVersion())};
     for (const auto server : in.getUnreachable()) {
         placement.unreachable.push_back(fromText(server));
     }
@@ -109,6 +113,30 @@
 
 } // namespace
 
+void encodeServerVersion(const ServerVersion &in, schema::ServerVersion::Builder out)
+{
+    out.setService(toText(in.service));
+    out.setSoftwareVersion(toText(in.softwareVersion));
+}
+
+ServerVersion decodeServerVersion(schema::ServerVersion::Reader in)
+{
+    return {fromText(in.getService()), fromText(in.getSoftwareVersion())};
+}
+
+void encodeStreamVersion(const StreamVersion &in, schema::StreamVersion::Builder out)
+{
+    out.setStream(toText(in.stream));
+    encodeServerVersion(in.version, out.initVersion());
+    out.setAttempt(in.attempt);
+    out.setRetentionMs(in.retentionMs);
+}
+
+StreamVersion decodeStreamVersion(schema::StreamVersion::Reader in)
+{
+    return {fromText(in.getStream()), decodeServerVersion(in.getVersion()), in.getAttempt(), in.getRetentionMs()};
+}
+
 void encodeTurnBegin(const TurnBegin &in, schema::TurnBegin::Builder out)
 {
     out.setTurn(toText(in.turn));
@@ -124,6 +152,10 @@
     if (!in.placement.service.empty()) {
         encodePlacementRequest(in.placement, out.initWish());
     }
+    out.setStreamRetentionMs(in.streamRetentionMs);
+    if (in.version.isKnown()) {
+        encodeServerVersion(in.version, out.initVersion());
+    }
 }
 
 TurnBegin decodeTurnBegin(schema::TurnBegin::Reader in)
@@ -135,7 +167,9 @@
             in.getBudget(),
             in.getRetentionMs(),
             decodePlacementRequest(in.getWish()),
-            fromText(in.getAccount())};
+            fromText(in.getAccount()),
+            in.getStreamRetentionMs(),
+            decodeServerVersion(in.getVersion())};
 }
 
 void encodeTurnFinish(const TurnFinish &in, schema::TurnFinish::Builder out)
--- a/src/cardamompost/net/cp_ledger_schema.hpp
+++ b/src/cardamompost/net/cp_ledger_schema.hpp
@@ -24,6 +24,10 @@
     return {fromText(in.getLeader()), in.getTerm(), in.getDocumentVersion(), decodeTexts(in.getMembers())};
 }
 
+void encodeServerVersion(const ServerVersion &in, schema::ServerVersion::Builder out);
+[[nodiscard]] ServerVersion decodeServerVersion(schema::ServerVersion::Reader in);
+void encodeStreamVersion(const StreamVersion &in, schema::StreamVersion::Builder out);
+[[nodiscard]] StreamVersion decodeStreamVersion(schema::StreamVersion::Reader in);
 void encodeTurnBegin(const TurnBegin &in, schema::TurnBegin::Builder out);
 [[nodiscard]] TurnBegin decodeTurnBegin(schema::TurnBegin::Reader in);
 
--- a/src/cardamompost/policy/cp_turn_placement.cpp
+++ b/src/cardamompost/policy/cp_turn_placement.cpp
@@ -83,12 +83,13 @@
 
 void TurnPlacement::openEngine(Engine &engine, const BackendServer &server)
 {
-    if (engine.isOpen && engine.service != server.service) {
+    if (engine.isOpen && engine.version() != server.version()) {
         engine.isOpen = false;
         reindex(server.id, engine);
     }
     engine.incarnation = server.incarnation;
     engine.service = server.service;
+    engine.softwareVersion = server.softwareVersion;
     engine.failureDomain = server.failureDomain;
     engine.slots = server.slots;
     engine.isOpen = true;
@@ -122,12 +123,28 @@
         indexed.avoided.erase(id);
     }
     if (!engine.isOpen || isAvoided) {
-        indexed.usable.remove(id);
+        removeFromIndex(indexed, id, engine);
         return;
     }
-    indexed.usable.set(id,
-                       {engine.failureDomain, engine.turns, engine.turns + engine.programs * affinityWeight,
-                        engine.turns < engine.slots * newProgramLoadLimit});
+    const EngineLoad load {engine.failureDomain, engine.turns, engine.turns + engine.programs * affinityWeight,
+                           engine.turns < engine.slots * newProgramLoadLimit};
+    indexed.usable.set(id, load);
+    if (!engine.softwareVersion.empty()) {
+        indexed.usableByVersion.try_emplace(engine.softwareVersion, seed_).first->second.set(id, load);
+    }
+}
+
+void TurnPlacement::removeFromIndex(Service &indexed, const std::string &id, const Engine &engine)
+{
+    indexed.usable.remove(id);
+    const auto sameVersion = indexed.usableByVersion.find(engine.softwareVersion);
+    if (sameVersion == indexed.usableByVersion.end()) {
+        return;
+    }
+    sameVersion->second.remove(id);
+    if (sameVersion->second.isEmpty()) {
+        indexed.usableByVersion.erase(sameVersion);
+    }
 }
 
 void TurnPlacement::countPrograms(const std::set<std::string> &opened)
@@ -175,7 +192,7 @@
 {
     const auto found = services_.find(name);
     return found != services_.end() ? found->second
-                                    : services_.emplace(name, Service {EngineLoadIndex(seed_), {}}).first->second;
+                                    : services_.emplace(name, Service {EngineLoadIndex(seed_), {}, {}}).first->second;
 }
 
 void TurnPlacement::restoreAvoided(TimePoint now)
@@ -199,7 +216,8 @@
     }
     const auto engine = engines_.find(affinity->second.engine);
     const bool isUsable = engine != engines_.end() && engine->second.isOpen && engine->second.service == request.service
-        && now >= engine->second.avoidUntil;
+        && now >= engine->second.avoidUntil
+        && (request.softwareVersion.empty() || engine->second.softwareVersion == request.softwareVersion);
     if (!isUsable) {
         return nullptr;
     }
@@ -218,15 +236,37 @@
     }
     Service &indexed = service(request.service);
     const bool needsRoom = !mayOverload && !request.isInProgress;
-    if (indexed.usable.isEmpty()) {
+    const auto sameVersion = indexed.usableByVersion.find(request.softwareVersion);
+    EngineLoadIndex *candidates = &indexed.usable;
+    if (!request.softwareVersion.empty()) {
+        candidates = sameVersion == indexed.usableByVersion.end() ? nullptr : &sameVersion->second;
+    }
+    if (candidates == nullptr || candidates->isEmpty()) {
         // If every engine is being avoided, any of them may be used.
         const auto usable = std::find_if(indexed.avoided.begin(), indexed.avoided.end(), [&](const std::string &id) {
             const Engine &engine = engines_.at(id);
-            return !needsRoom || engine.turns < engine.slots * newProgramLoadLimit;
+            return (!needsRoom || engine.turns < engine.slots * newProgramLoadLimit)
+                && (request.softwareVersion.empty() || engine.softwareVersion == request.softwareVersion);
         });
         return usable == indexed.avoided.end() ? std::nullopt : std::optional(*usable);
     }
-    return indexed.usable.leastLoaded(request.failureDomain, crossDomainCost, needsRoom);
+    return candidates->leastLoaded(request.failureDomain, crossDomainCost, needsRoom);
+}
+
+bool TurnPlacement::mayHaveVersion(const std::string &service, const std::string &softwareVersion) const
+{
+    const auto indexed = services_.find(service);
+    if (!hasService(service) || indexed->second.usableByVersion.contains(softwareVersion)) {
+        return true;
+    }
+    return std::any_of(indexed->second.avoided.begin(), indexed->second.avoided.end(),
+                       [&](const std::string &id) { return engines_.at(id).softwareVersion == softwareVersion; });
+}
+
+ServerVersion TurnPlacement::versionOf(const std::string &engine) const
+{
+    const auto found = engines_.find(engine);
+    return found == engines_.end() || !found->second.isOpen ? ServerVersion {} : found->second.version();
 }
 
 void TurnPlacement::reserveSlot(const SlotRequest &request, const std::string &engine, TimePoint now)
@@ -284,7 +324,8 @@
         // A new leader may not have the engine list yet, but knows the affinities from the log. The entry falls back to
         // its own choice if that engine is gone.
         const auto affinity = affinities_.find(request.program);
-        const std::string engine = affinity == affinities_.end() ? std::string() : affinity->second.engine;
+        const bool isUsable = affinity != affinities_.end() && request.softwareVersion.empty();
+        const std::string engine = isUsable ? affinity->second.engine : std::string();
         if (!engine.empty()) {
             reserveSlot(request, engine, now);
         }
--- a/src/cardamompost/routing/cp_backend_catalog.cpp
+++ b/src/cardamompost/routing/cp_backend_catalog.cpp
@@ -16,9 +16,9 @@
 std::uint64_t hashOf(const BackendServer &server)
 {
     std::string text = server.id;
-    for (const std::string &field : {server.service, server.address.toString(), server.failureDomain,
-                                     std::to_string(server.slots), std::to_string(server.incarnation),
-                                     server.softwareVersion}) {
+    for (const std::string &field :
+         {server.service, server.address.toString(), server.failureDomain, std::to_string(server.slots),
+          std::to_string(server.incarnation), server.softwareVersion}) {
         text += '\0';
         text += field;
     }
--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -77,6 +77,7 @@
     : parts_(parts)
     , request_(request)
     , backend_(std::move(backend))
+    , version_(backend_->server().version())
     , connection_(std::move(connection))
     , guard_(backend_)
 {
@@ -102,6 +103,9 @@
 asio::awaitable<ExchangeEnd> BackendExchange::run(std::optional<Milliseconds> responseTimeout)
 {
     startedAt_ = timeNow();
+    if (!request_.begin) {
+        proposeVersion();
+    }
     const TimePoint deadline = request_.deadline + deadlineSlack;
     // Without a response timeout, a lost response would go unnoticed until the deadline.
     connection_->stream.expires_at(responseTimeout ? std::min(deadline, startedAt_ + *responseTimeout) : deadline);
@@ -340,6 +344,13 @@
             request_.detail = nameOf(beginFailureNames, request_.begin->failure());
             co_return request_.caller->isDisconnected() ? ExchangeEnd::CallerDisconnected : ExchangeEnd::NotGranted;
         }
+        request_.versionRecord.setRecorded(request_.begin->recordedVersion());
+        proposeVersion();
+    }
+    const bool mayRelay = co_await request_.versionRecord.wait();
+    if (!mayRelay) {
+        request_.detail = "the stream's software version was not recorded";
+        co_return request_.caller->isDisconnected() ? ExchangeEnd::CallerDisconnected : ExchangeEnd::NotGranted;
     }
     if (!request_.hasResponseStarted) {
         responseHead_
@@ -363,6 +374,17 @@
     co_return co_await endStream();
 }
 
+void BackendExchange::proposeVersion()
+{
+    const Milliseconds retention = request_.streamRetention();
+    const bool isBegin = !request_.isResumption() && !request_.hasResponseStarted;
+    if (request_.route->kind == RouteKind::Streaming && isBegin && retention.count() != 0) {
+        request_.versionRecord.propose(parts_.io, parts_.ledger,
+                                       {request_.turnId(), version_, 0, static_cast<std::uint32_t>(retention.count())},
+                                       request_.deadline);
+    }
+}
+
 asio::awaitable<bool> BackendExchange::relayChunk(std::string bytes)
 {
     const std::size_t completeBytes = request_.eventScanner.feed(bytes);
@@ -378,7 +400,10 @@
         co_return true;
     }
     std::string out = std::exchange(responseHead_, {});
-    request_.hasResponseStarted = true;
+    if (!request_.hasResponseStarted) {
+        request_.hasResponseStarted = true;
+        request_.requiredVersion = version_;
+    }
     out += fmt::format("{:x}\r\n", bytes.size());
     out += bytes;
     out += "\r\n";
--- a/src/gateway/cp_backend_exchange.hpp
+++ b/src/gateway/cp_backend_exchange.hpp
@@ -47,6 +47,8 @@
     //! Relays a response that is not an event stream; a small one only once it is complete.
     boost::asio::awaitable<ExchangeEnd> relayBuffered();
     boost::asio::awaitable<ExchangeEnd> relayStream();
+    //! Records the version of a stream that its caller may resume.
+    void proposeVersion();
     //! \returns false if the caller has disconnected
     boost::asio::awaitable<bool> relayChunk(std::string bytes);
     boost::asio::awaitable<ExchangeEnd> endStream();
@@ -60,6 +62,8 @@
     Parts parts_;
     ForwardedRequest &request_;
     std::shared_ptr<BackendState> backend_;
+    //! As when the request was sent; the server may restart with another one.
+    const ServerVersion version_;
     std::shared_ptr<BackendConnection> connection_;
     InFlightGuard guard_;
     std::optional<Parser> parser_;
--- a/src/gateway/cp_backend_pool.cpp
+++ b/src/gateway/cp_backend_pool.cpp
@@ -137,9 +137,11 @@
         // Checked here as well as by the list's reader, because a new leader has no earlier list to compare with.
         return nullptr;
     }
-    const bool isKnown = known != byId_.end() && known->second->server_.incarnation == server.incarnation;
+    const bool isKnown = known != byId_.end() && known->second->server_.incarnation == server.incarnation
+        && known->second->server_.softwareVersion == server.softwareVersion;
     if (known != byId_.end() && !isKnown) {
         // A new incarnation starts with fresh state: connections, load and failures of the previous one do not apply.
+        // Software is replaced by a restart only.
         removeServer(server.id);
     }
     auto &state = byId_[server.id];
@@ -241,7 +243,11 @@
     if (found == byService_.end()) {
         return nullptr;
     }
-    const auto isUntried = [&](const BackendState &backend) { return !request.tried.contains(backend.server_.id); };
+    const auto isUntried = [&](const BackendState &backend) {
+        const bool hasVersion
+            = request.softwareVersion.empty() || backend.server_.softwareVersion == request.softwareVersion;
+        return hasVersion && !request.tried.contains(backend.server_.id);
+    };
     const auto isUsable = [&](const BackendState &backend) { return !backend.isEjected(now) && isUntried(backend); };
     auto chosen = choose(found->second, request, now, isUsable);
     // If every server is ejected, an ejected one is still better than none.
--- a/src/gateway/cp_backend_pool.hpp
+++ b/src/gateway/cp_backend_pool.hpp
@@ -107,6 +107,8 @@
     std::set<std::string> tried {};
     //! Share of its slots above which a server loses its sticky requests.
     double stickyLoadLimit = 0.8;
+    //! The only software version that may run the request; empty for any.
+    std::string softwareVersion {};
 };
 
 //! The backend servers known to an entry, with their idle connections and ejection state. Thread-safety: none.
--- a/src/gateway/cp_forwarded_request.hpp
+++ b/src/gateway/cp_forwarded_request.hpp
@@ -5,6 +5,7 @@
 #include "cp_event_stream_scanner.hpp"
 #include "cp_ledger_client.hpp"
 #include "cp_request_head.hpp"
+#include "cp_stream_version_record.hpp"
 
 #include <cardamompost/accounts/cp_scoped_id.hpp>
 #include <cardamompost/routing/cp_route_table.hpp>
@@ -69,6 +70,10 @@
     bool hasResponseStarted = false;
     bool isResponseComplete = false;
 
+    //! The only version that may run the request: that of the servers that began its stream. Empty while the stream has
+    //! not begun.
+    std::optional<ServerVersion> requiredVersion;
+    StreamVersionRecord versionRecord;
     //! Ids of servers tried.
     std::set<std::string> tried;
     //! Attempts at which the request was sent; set to the maximum to prevent another attempt.
@@ -118,6 +123,17 @@
     {
         return route->kind == RouteKind::Safe || (route->kind == RouteKind::Streaming && route->isResumable);
     }
+    //! True if the caller resumes a stream that another request began.
+    [[nodiscard]] bool isResumption() const
+    {
+        return route->kind == RouteKind::Streaming && !metadata.lastEventId.empty();
+    }
+    //! How long the caller may resume the stream that this request begins; 0 if it can't.
+    [[nodiscard]] Milliseconds streamRetention() const
+    {
+        return route->isResumable ? std::max(route->timeout, metadata.callerTimeout.value_or(route->timeout))
+                                  : Milliseconds(0);
+    }
     [[nodiscard]] std::int64_t tokensSent()
     {
         return static_cast<std::int64_t>(eventScanner.eventCount()) * service->engine.tokensPerEvent;
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -59,6 +59,10 @@
     , lostRequests_(parts.metrics.counter("cardamompost_backend_lost_total"))
     , retries_(parts.metrics.counter("cardamompost_requests_repeated_total"))
     , resumedStreams_(parts.metrics.counter("cardamompost_streams_resumed_total"))
+    , resumptions_(parts.metrics.counter("cardamompost_resumptions_total"))
+    , unknownVersions_(parts.metrics.counter("cardamompost_resumptions_refused_total", {{"reason", "unknown-version"}}))
+    , missingVersions_(parts.metrics.counter("cardamompost_resumptions_refused_total", {{"reason", "no-such-version"}}))
+    , unconfirmedVersions_(parts.metrics.counter("cardamompost_resumptions_refused_total", {{"reason", "no-ledger"}}))
 {
 }
 
@@ -86,6 +90,7 @@
         if (request.begin) {
             request.begin->fail(BeginFailure::CallerDisconnected);
         }
+        request.versionRecord.stopWaiting();
         if (request.connection) {
             request.connection->stream.cancel();
         }
@@ -105,7 +110,9 @@
     if (request.route == nullptr) {
         return false;
     }
-    const std::string &splitKey = request.metadata.program.empty() ? request.metadata.id : request.metadata.program;
+    // A resumed stream keeps its service.
+    const std::string &streamId = request.isResumption() ? request.metadata.resumes : request.metadata.id;
+    const std::string &splitKey = request.metadata.program.empty() ? streamId : request.metadata.program;
     request.service = request.table->service(RouteTable::pickService(*request.route, stableHash(splitKey)));
     const Milliseconds callerTimeout = request.metadata.callerTimeout.value_or(request.route->timeout);
     request.deadline = request.arrived + std::min(callerTimeout, request.route->timeout);
@@ -139,6 +146,11 @@
     } else if (const std::optional<LocalResponse> overLimit = co_await access_.admit(request)) {
         refusal = *overLimit;
     }
+    if (refusal.reason.empty()) {
+        if (const std::optional<LocalResponse> notResumable = co_await requireBegunVersion(request)) {
+            refusal = *notResumable;
+        }
+    }
     if (!refusal.reason.empty()) {
         co_await refuse(request, refusal);
         co_return;
@@ -167,6 +179,9 @@
     placement.programTimeLeftMs = request.metadata.programTimeLeft.value_or(Milliseconds(0)).count();
     placement.timeLeftMs = static_cast<std::uint32_t>(
         std::max<std::int64_t>(0, std::chrono::duration_cast<Milliseconds>(request.deadline - now).count()));
+    if (request.requiredVersion) {
+        placement.softwareVersion = request.requiredVersion->softwareVersion;
+    }
     placement.unreachable = parts_.pool.ejected(request.service->name, now);
     return placement;
 }
@@ -177,9 +192,14 @@
     if (now >= request.deadline) {
         return nullptr;
     }
+    const ServerVersion required = request.requiredVersion.value_or(ServerVersion {});
+    if (request.requiredVersion && (!required.isKnown() || required.service != request.service->name)) {
+        return nullptr;
+    }
     // The leader's choice is preferred for the first attempt, since it sees the turns of all entries.
     if (request.begin && request.tried.empty()) {
-        if (auto leaderChoice = parts_.pool.find(request.begin->backend(), now)) {
+        const auto leaderChoice = parts_.pool.find(request.begin->backend(), now);
+        if (leaderChoice && (!request.requiredVersion || leaderChoice->server().version() == required)) {
             request.isPlacedByLeader = true;
             return leaderChoice;
         }
@@ -187,10 +207,48 @@
     const std::string &stickyValue = request.stickyKey();
     const bool isSticky = request.route->isSticky && !stickyValue.empty();
     const PickRequest pickRequest {request.service->name, isSticky ? stableHash(stickyValue) | 1U : 0, request.tried,
-                                   request.service->isEngine ? engineLoadLimit : serverLoadLimit};
+                                   request.service->isEngine ? engineLoadLimit : serverLoadLimit,
+                                   required.softwareVersion};
     return parts_.pool.pick(pickRequest, now);
 }
 
+LocalResponse Forwarder::missingVersionResponse(ForwardedRequest &request)
+{
+    missingVersions_.add();
+    request.detail = "software version " + request.requiredVersion->softwareVersion;
+    return {statusUnavailable, "no backend server has the software version that began the stream", retryAfterShort};
+}
+
+asio::awaitable<std::optional<LocalResponse>> Forwarder::requireBegunVersion(ForwardedRequest &request)
+{
+    if (!request.isResumption()) {
+        co_return std::nullopt;
+    }
+    resumptions_.add();
+    const std::string &begun = request.metadata.resumes;
+    const TimePoint patience = std::min(request.deadline, request.arrived + leaderTimeout);
+    std::optional<StreamVersionReply> reply;
+    if (!begun.empty()) {
+        reply = co_await parts_.ledger.findStreamVersion(scopedId(request.account, begun), patience);
+        if (!reply) {
+            unconfirmedVersions_.add();
+            co_return LocalResponse {
+                statusUnavailable, "can't find the software version that began the stream: the ledger does not respond",
+                retryAfterShort};
+        }
+    }
+    if (!reply || reply->status != StreamVersionStatus::Recorded || !reply->version.isKnown()) {
+        unknownVersions_.add();
+        co_return LocalResponse {statusUnavailable, "the software version that began the stream is not known",
+                                 retryAfterShort};
+    }
+    request.requiredVersion = reply->version;
+    if (request.requiredVersion->service != request.service->name) {
+        co_return missingVersionResponse(request);
+    }
+    co_return std::nullopt;
+}
+
 asio::awaitable<bool> Forwarder::beginTurn(ForwardedRequest &request)
 {
     if (!request.isTurn()) {
@@ -204,6 +262,7 @@
     begin.maxTokens = request.metadata.maxOutputTokens;
     begin.budget = request.metadata.budget;
     begin.retentionMs = request.makeFinish(TurnEnding::NotRun).retentionMs;
+    begin.streamRetentionMs = static_cast<std::uint32_t>(request.streamRetention().count());
     if (request.service->isEngine) {
         begin.placement = placementRequestFor(request);
     }
@@ -230,6 +289,8 @@
         refusal = access_.overLimitResponse(request.begin->retryAfter());
     } else if (request.begin->status() == TurnBeginStatus::Overloaded) {
         refusal = {statusUnavailable, "the ledger is overloaded", request.begin->retryAfter()};
+    } else if (request.begin->status() == TurnBeginStatus::NoSuchVersion) {
+        refusal = missingVersionResponse(request);
     }
     co_await refuse(request, refusal);
     // The leader may have made a reservation although its reply was lost.
@@ -370,7 +431,9 @@
         if (request.sends < maxSends && hasTimeLeft) {
             co_return true;
         }
-        if (request.runs == 0) {
+        if (request.runs == 0 && request.isResumption() && backendId.empty()) {
+            final = missingVersionResponse(request);
+        } else if (request.runs == 0) {
             final = {statusUnavailable, "no backend server could execute the request", retryAfterShort};
         }
         break;
--- a/src/gateway/cp_forwarder.hpp
+++ b/src/gateway/cp_forwarder.hpp
@@ -67,6 +67,10 @@
     [[nodiscard]] PlacementRequest placementRequestFor(const ForwardedRequest &request) const;
     //! The next server to try; null if there is none or the deadline has passed.
     [[nodiscard]] std::shared_ptr<BackendState> chooseBackend(ForwardedRequest &request);
+    //! Finds the version that began the stream that the request resumes.
+    //! \returns the response to a request that can't be resumed
+    boost::asio::awaitable<std::optional<LocalResponse>> requireBegunVersion(ForwardedRequest &request);
+    [[nodiscard]] LocalResponse missingVersionResponse(ForwardedRequest &request);
     //! Waits for admission if the request is a turn, and refuses one that is not admitted.
     //! \returns true if the request may be forwarded
     boost::asio::awaitable<bool> beginTurn(ForwardedRequest &request);
@@ -100,6 +104,10 @@
     Counter &lostRequests_;
     Counter &retries_;
     Counter &resumedStreams_;
+    Counter &resumptions_;
+    Counter &unknownVersions_;
+    Counter &missingVersions_;
+    Counter &unconfirmedVersions_;
 };
 
 } // namespace cardamompost
--- a/src/gateway/cp_ledger_begins.cpp
+++ b/src/gateway/cp_ledger_begins.cpp
@@ -53,6 +53,12 @@
         refuse(begin, status, false, replier);
         return;
     }
+    const PlacementRequest &placement = begin.placement;
+    if (!placement.softwareVersion.empty()
+        && !placement_.mayHaveVersion(placement.service, placement.softwareVersion)) {
+        refuse(begin, TurnBeginStatus::NoSuchVersion, false, replier);
+        return;
+    }
     const TimePoint now = std::chrono::steady_clock::now();
     if (isOverloaded(begin, now)) {
         // Jitter keeps rejected requests from being retried all at once.
@@ -242,8 +248,11 @@
                          false,
                          false,
                          Milliseconds(placement.timeLeftMs)};
-    request.isInProgress = isProgramInProgress(begin);
-    request.isLate = placement.programTimeLeftMs < 0;
+    // A stream that is resumed has few engines to choose from, and its caller has waited for it before.
+    const bool isResumed = !placement.softwareVersion.empty();
+    request.isInProgress = isResumed || isProgramInProgress(begin);
+    request.isLate = !isResumed && placement.programTimeLeftMs < 0;
+    request.softwareVersion = placement.softwareVersion;
     placement_.request(std::move(request), now,
                        [this, active](const std::string &backend) { onPlaced(*active, backend); });
 }
@@ -264,7 +273,10 @@
     active.decided = status;
     // A granted begin waits for its placement; a rejected one is answered at once.
     if (active.isPlaced || status != TurnBeginStatus::Granted) {
-        completeBegin(active, TurnBeginReply {status, driver_.leader(), {}, {}});
+        const ServerVersion *version = state_.streamVersion(active.begin.turn);
+        completeBegin(
+            active,
+            TurnBeginReply {status, driver_.leader(), {}, {}, 0, version == nullptr ? ServerVersion {} : *version});
     }
     if (status != TurnBeginStatus::Granted) {
         placement_.release(active.begin.turn, std::chrono::steady_clock::now());
@@ -285,8 +297,12 @@
                      {"reserved", state_.reserved(begin.program)},
                      {"asked", begin.maxTokens},
                      {"term", driver_.node().term()}});
-    if (status != TurnBeginStatus::NotLeader) {
-        (status == TurnBeginStatus::BudgetExhausted ? exhaustedTurns_ : unknownTurns_).add();
+    if (status == TurnBeginStatus::BudgetExhausted) {
+        exhaustedTurns_.add();
+    } else if (status == TurnBeginStatus::NoSuchTurn) {
+        unknownTurns_.add();
+    } else if (status == TurnBeginStatus::NoSuchVersion) {
+        missingVersions_.add();
     }
     replier->reply(TurnBeginReply {status, driver_.leader(), {}, {}});
 }
@@ -313,6 +329,9 @@
     TurnBegin record = active->begin;
     record.placement = {};
     record.account.clear();
+    if (record.streamRetentionMs != 0) {
+        record.version = placement_.versionOf(active->backend);
+    }
     const TimePoint proposedAt = std::chrono::steady_clock::now();
     proposedBegins_.emplace_back(proposedAt, active);
     propose(std::move(record), [this, active, proposedAt](bool isCommitted) {
@@ -355,4 +374,37 @@
     });
 }
 
+void LedgerService::onStreamVersion(const StreamVersionRequest &request, const Replier &replier)
+{
+    if (!leads()) {
+        replier->reply(StreamVersionReply {});
+        return;
+    }
+    if (!request.isQuery) {
+        const std::string key = fmt::format("{}#{}", request.record.stream, request.record.attempt);
+        if (const auto [waiting, isNew] = streamRepliers_.try_emplace(key, replier); !isNew) {
+            // A retry while the command is proposed: only the latest request is answered.
+            waiting->second = replier;
+            return;
+        }
+        propose(request.record, [this, key, version = request.record.version](bool isCommitted) {
+            const Replier waiting = std::move(streamRepliers_.extract(key).mapped());
+            const auto status = isCommitted ? StreamVersionStatus::Recorded : StreamVersionStatus::NotLeader;
+            waiting->reply(StreamVersionReply {status, version});
+        });
+        return;
+    }
+    // A deposed leader may lack the stream's record, or hold one that a later attempt has replaced.
+    driver_.confirmRead([this, stream = request.record.stream, replier](bool isConfirmed) {
+        const ServerVersion *version = state_.streamVersion(stream);
+        if (!isConfirmed) {
+            replier->reply(StreamVersionReply {});
+        } else if (version == nullptr) {
+            replier->reply(StreamVersionReply {StreamVersionStatus::Unknown, {}});
+        } else {
+            replier->reply(StreamVersionReply {StreamVersionStatus::Recorded, *version});
+        }
+    });
+}
+
 } // namespace cardamompost
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -148,6 +148,8 @@
     }
     if (answer->status == TurnBeginStatus::Tentative) {
         pending.isTentative_ = true;
+        // The turn may run from now on; a successor must not refuse it because such servers have left since.
+        attempt->begin.placement.softwareVersion.clear();
         pending.history_ = std::move(answer->history);
         pending.backend_ = std::move(answer->backend);
         pending.notifyWaiters();
@@ -170,6 +172,7 @@
     }
     pending.status_ = answer->status;
     pending.retryAfter_ = Milliseconds(answer->retryAfterMs);
+    pending.recordedVersion_ = std::move(answer->version);
     pending.isFinal_ = true;
     pending.notifyWaiters();
 }
@@ -234,6 +237,32 @@
     co_return co_await requestFromLeader(std::move(body), deadline, policy);
 }
 
+asio::awaitable<std::optional<StreamVersionReply>> LedgerClient::requestStreamVersion(StreamVersionRequest request,
+                                                                                      TimePoint deadline)
+{
+    FrameBody body = std::move(request);
+    const RetryPolicy<StreamVersionReply> policy {
+        [](const StreamVersionReply &reply) { return reply.status != StreamVersionStatus::NotLeader; },
+        "peer is not the leader", nullptr};
+    co_return co_await requestFromLeader(std::move(body), deadline, policy);
+}
+
+asio::awaitable<bool> LedgerClient::recordStreamVersion(StreamVersion record, TimePoint deadline)
+{
+    StreamVersionRequest request {std::move(record), false};
+    const std::optional<StreamVersionReply> reply = co_await requestStreamVersion(std::move(request), deadline);
+    co_return reply.has_value();
+}
+
+asio::awaitable<std::optional<StreamVersionReply>> LedgerClient::findStreamVersion(std::string stream,
+                                                                                   TimePoint deadline)
+{
+    StreamVersionRequest request;
+    request.record.stream = std::move(stream);
+    request.isQuery = true;
+    co_return co_await requestStreamVersion(std::move(request), deadline);
+}
+
 asio::awaitable<void> LedgerClient::pollUpdates()
 {
     dropLeader({}, "entry is starting");
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -77,6 +77,11 @@
     {
         return backend_;
     }
+    //! Recorded version of the turn's stream; valid once isGranted().
+    [[nodiscard]] const ServerVersion &recordedVersion() const
+    {
+        return recordedVersion_;
+    }
     //! Valid once status() is Limited or Overloaded.
     [[nodiscard]] Milliseconds retryAfter() const
     {
@@ -99,6 +104,7 @@
     BeginFailure failure_ = BeginFailure::None;
     std::string history_;
     std::string backend_;
+    ServerVersion recordedVersion_;
     Milliseconds retryAfter_ {0};
 };
 
@@ -134,6 +140,10 @@
     boost::asio::awaitable<bool> finish(TurnFinish finish, TimePoint deadline);
     //! Checks a request against its account's limit; nothing when no leader has answered before the deadline.
     boost::asio::awaitable<std::optional<AdmitReply>> admit(AdmitRequest request, TimePoint deadline);
+    //! Records the version of a stream. \returns whether the record is durable before the deadline
+    boost::asio::awaitable<bool> recordStreamVersion(StreamVersion record, TimePoint deadline);
+    //! The reply names the recorded version, if there is one; nothing when no leader has answered before the deadline.
+    boost::asio::awaitable<std::optional<StreamVersionReply>> findStreamVersion(std::string stream, TimePoint deadline);
     //! Announces to some ledger VMs whether this entry accepts requests.
     void announcePresence(bool isReady);
 
@@ -189,6 +199,8 @@
     template<typename Reply>
     boost::asio::awaitable<std::optional<Reply>> requestFromLeader(FrameBody request, TimePoint deadline,
                                                                    RetryPolicy<Reply> policy);
+    boost::asio::awaitable<std::optional<StreamVersionReply>> requestStreamVersion(StreamVersionRequest request,
+                                                                                   TimePoint deadline);
     void sendBegin(const std::shared_ptr<BeginAttempt> &attempt);
     void onBeginReply(const std::shared_ptr<BeginAttempt> &attempt, const VmName &peer, Result<FrameBody> reply,
                       bool isLast);
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -38,6 +38,7 @@
     , takeovers_(parts.metrics.counter("cardamompost_ledger_takeovers_total"))
     , exhaustedTurns_(parts.metrics.counter("cardamompost_turns_refused_total", {{"reason", "spent"}}))
     , unknownTurns_(parts.metrics.counter("cardamompost_turns_refused_total", {{"reason", "no-such-turn"}}))
+    , missingVersions_(parts.metrics.counter("cardamompost_turns_refused_total", {{"reason", "no-such-version"}}))
     , limitedRequests_(parts.metrics.counter("cardamompost_requests_limited_total"))
     , overloadedTurns_(parts.metrics.counter("cardamompost_turns_refused_total", {{"reason", "overloaded"}}))
 {
@@ -65,6 +66,8 @@
     texts_.open(store);
     discovery_.open(store);
     parts_.disk.start();
+    parts_.metrics.gauge("cardamompost_ledger_streams", {},
+                         [this] { return static_cast<double>(state_.streamCount()); });
     // The term is a fencing token: members reject messages of leaders with a lower term.
     parts_.metrics.gauge("cardamompost_ledger_term", {},
                          [this] { return driver_.isStarted() ? static_cast<double>(driver_.node().term()) : 0.0; });
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -65,6 +65,7 @@
     void onBegin(TurnBegin begin, const Replier &replier);
     void onAdmit(const AdmitRequest &request, const Replier &replier);
     void onFinish(TurnFinish finish, const Replier &replier);
+    void onStreamVersion(const StreamVersionRequest &request, const Replier &replier);
     void onUpdateRequest(const UpdateRequest &request, const Replier &replier)
     {
         updates_.onRequest(request, replier);
@@ -235,6 +236,8 @@
     Milliseconds lastCommitTime_ {0};
     //! Repliers to requests whose TurnFinish is proposed, by turn.
     std::unordered_map<std::string, Replier> finishRepliers_;
+    //! Repliers to requests whose StreamVersion is proposed, by stream and attempt.
+    std::unordered_map<std::string, Replier> streamRepliers_;
     TurnPlacement placement_;
     RequestLimiter limiter_;
     UpdateService updates_;
@@ -242,6 +245,7 @@
     Counter &takeovers_;
     Counter &exhaustedTurns_;
     Counter &unknownTurns_;
+    Counter &missingVersions_;
     Counter &limitedRequests_;
     Counter &overloadedTurns_;
     //! Outcome of the last applied command.
--- a/src/gateway/cp_request_report.cpp
+++ b/src/gateway/cp_request_report.cpp
@@ -10,7 +10,7 @@
 {
 
 constexpr std::size_t logLineBytes = 4096;
-constexpr std::size_t logLineFields = 24;
+constexpr std::size_t logLineFields = 25;
 constexpr unsigned firstServerError = 500;
 
 //! Whether the request was executed, as a metric label.
@@ -67,6 +67,9 @@
         if (!request.metadata.resumes.empty()) {
             line["resumes"] = request.metadata.resumes;
         }
+        if (request.isResumption() && request.requiredVersion) {
+            line["begun_version"] = request.requiredVersion->softwareVersion;
+        }
         if (request.begin) {
             line["placed_by"] = request.isPlacedByLeader ? "leader" : "entry";
         }
--- a/tests/gateway/cp_backend_pool.tests.cpp
+++ b/tests/gateway/cp_backend_pool.tests.cpp
@@ -263,4 +263,30 @@
     }
 }
 
+// Guards against a stream that is resumed at a server of another software version, and against stale state after a
+// restart with a new one.
+BOOST_AUTO_TEST_CASE(a_request_that_requires_a_software_version_gets_only_its_servers)
+{
+    MetricRegistry metrics;
+    BackendPool pool("entry", "apapa", metrics);
+    BackendServer first = server("a");
+    first.softwareVersion = "v1";
+    BackendServer second = server("b");
+    second.softwareVersion = "v2";
+    BOOST_TEST(pool.setList(list(1, 1, {first, second, server("unknown")})));
+    for (const std::uint64_t stickyHash : {0, 5}) {
+        for (int i = 0; i < 100; ++i) {
+            BOOST_TEST(pool.pick({"engines", stickyHash, {}, 0.8, "v2"}, now)->server().id == "b");
+        }
+        BOOST_TEST(pool.pick({"engines", stickyHash, {"b"}, 0.8, "v2"}, now) == nullptr);
+        BOOST_TEST(pool.pick({"engines", stickyHash, {}, 0.8, "v3"}, now) == nullptr);
+    }
+    const auto before = pool.find("b", now);
+    second.softwareVersion = "v1";
+    BOOST_TEST(pool.setList(list(1, 2, {first, second})));
+    BOOST_TEST(before->server().softwareVersion == "v2");
+    BOOST_TEST(pool.find("b", now)->server().softwareVersion == "v1");
+    BOOST_TEST(pool.pick({"engines", 0, {}, 0.8, "v2"}, now) == nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/ledger/cp_ledger_state.tests.cpp
+++ b/tests/ledger/cp_ledger_state.tests.cpp
@@ -219,4 +219,51 @@
     BOOST_TEST(state.usage().items().at("foremen").size() == 1U);
 }
 
+// Guards against a late copy of a record that replaces the version at which the stream's events were delivered.
+BOOST_AUTO_TEST_CASE(a_stream_keeps_the_version_of_its_latest_attempt_until_it_expires)
+{
+    const ServerVersion first {"engines", "v1"};
+    const ServerVersion second {"engines", "v2"};
+    LedgerState state;
+    constexpr std::uint32_t retentionMs = 4000;
+    TurnBegin begin;
+    begin.turn = "s";
+    begin.version = first;
+    begin.streamRetentionMs = retentionMs;
+    state.apply({0, begin}, 1);
+    begin.version = second;
+    state.apply({0, begin}, 2);
+    BOOST_TEST((*state.streamVersion("s") == first));
+    state.apply({0, StreamVersion {"s", second, 2, retentionMs}}, 3);
+    state.apply({0, StreamVersion {"s", first, 1, retentionMs}}, 4);
+    state.apply({0, begin}, 5);
+    BOOST_TEST((*state.streamVersion("s") == second));
+    BOOST_TEST((*LedgerState::decode(state.encode()).value().streamVersion("s") == second));
+    BOOST_TEST(state.streamVersion("other") == nullptr);
+    state.apply({retentionMs, StreamVersion {"other", first, 1, retentionMs}}, 6);
+    BOOST_TEST(state.streamVersion("s") != nullptr);
+    constexpr std::int64_t farLaterMs = 60'000;
+    state.apply({farLaterMs, StreamVersion {"last", first, 1, retentionMs}}, 7);
+    BOOST_TEST(state.streamVersion("s") == nullptr);
+    BOOST_TEST(state.streamCount() == 1U);
+}
+
+// Guards against a refused or short-lived turn that leaves a record, and against records of streams that can't be
+// resumed.
+BOOST_AUTO_TEST_CASE(a_begin_records_a_version_only_for_a_granted_turn_that_can_be_resumed)
+{
+    LedgerState state;
+    TurnBegin begin;
+    begin.turn = "plain";
+    begin.version = {"engines", "v1"};
+    state.apply({0, begin}, 1);
+    begin.turn = "refused";
+    begin.program = "p";
+    begin.streamRetentionMs = 4000;
+    begin.maxTokens = 50;
+    begin.budget = 10;
+    BOOST_TEST((state.apply({0, begin}, 2) == TurnBeginStatus::BudgetExhausted));
+    BOOST_TEST(state.streamCount() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/cp_platform_adapter.tests.cpp
+++ b/tests/platform/cp_platform_adapter.tests.cpp
@@ -114,7 +114,7 @@
 
 const std::string validEntry
     = R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":16,"state":"ready","id":"i-1",
- "models":[{"name":"m","adapters":[]}],"born":1765000000123})";
+ "models":[{"name":"m","version":3,"adapters":[]}],"version":"v1.2","born":1765000000123})";
 
 std::string pageWith(const std::string &entries)
 {
@@ -165,6 +165,7 @@
     const auto valid = adapter.readBackends(pageWith(validEntry)).value();
     BOOST_TEST(valid.skipped == 0U);
     BOOST_TEST(valid.servers.front().incarnation == 1'765'000'000'123U);
+    BOOST_TEST(valid.servers.front().softwareVersion == "v1.2");
 }
 
 // Guards against a list that ends early, which would count all later servers as gone.
--- a/tests/policy/cp_turn_placement.tests.cpp
+++ b/tests/policy/cp_turn_placement.tests.cpp
@@ -261,4 +261,46 @@
     BOOST_TEST(fixture.placement.turnsAt("e1") == 1U);
 }
 
+// Guards against a resumed stream that is placed on an engine of another software version, by load, affinity or need.
+BOOST_AUTO_TEST_CASE(a_turn_that_requires_a_software_version_is_placed_only_on_its_engines)
+{
+    BackendServer oldEngine = engine("old");
+    oldEngine.softwareVersion = "v1";
+    BackendServer newEngine = engine("new");
+    newEngine.softwareVersion = "v2";
+    PlacementFixture fixture({oldEngine, newEngine});
+    SlotRequest resumed = turn("t0", "p", true);
+    resumed.softwareVersion = "v2";
+    BOOST_TEST(fixture.place(resumed) == "new");
+    // The program's affinity is at the new version now.
+    resumed.softwareVersion = "v1";
+    for (int i = 1; i <= 20; ++i) {
+        resumed.turn = "t" + std::to_string(i);
+        BOOST_TEST(fixture.place(resumed) == "old");
+    }
+    fixture.placement.avoid("old", start + std::chrono::seconds(1));
+    resumed.turn = "avoided";
+    BOOST_TEST(fixture.place(resumed) == "old");
+    BOOST_TEST(fixture.placement.mayHaveVersion("engines", "v1"));
+    BOOST_TEST(!fixture.placement.mayHaveVersion("engines", "v3"));
+    // Nothing is known of another service.
+    BOOST_TEST(fixture.placement.mayHaveVersion("others", "v3"));
+}
+
+// Guards against an index that keeps an engine under the version that it had before its restart.
+BOOST_AUTO_TEST_CASE(an_engine_that_restarts_with_another_software_version_is_no_longer_chosen_for_the_former_one)
+{
+    BackendServer restarted = engine("a");
+    restarted.softwareVersion = "v1";
+    PlacementFixture fixture({restarted, engine("b")});
+    BOOST_TEST((fixture.placement.versionOf("a") == ServerVersion {"engines", "v1"}));
+    restarted.softwareVersion = "v2";
+    fixture.placement.updateServers({restarted}, {}, start);
+    BOOST_TEST(!fixture.placement.mayHaveVersion("engines", "v1"));
+    BOOST_TEST((fixture.placement.versionOf("a") == ServerVersion {"engines", "v2"}));
+    fixture.placement.updateServers({}, {"a"}, start);
+    BOOST_TEST(!fixture.placement.mayHaveVersion("engines", "v2"));
+    BOOST_TEST(!fixture.placement.versionOf("a").isKnown());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/cp_fake_platform.hpp
+++ b/tests/support/cp_fake_platform.hpp
@@ -135,6 +135,8 @@
     bool isLeaving = false;
     //! Start time of the server; 0 if the platform reports none.
     std::uint64_t incarnation = 0;
+    //! Nothing listens at the address.
+    bool isUnreachable = false;
 };
 
 //! Simulates the users' platform: backend servers, the first of which also serves the backend list, and an HTTP client
@@ -269,7 +271,8 @@
         for (std::size_t i = 0; i < list_.size(); ++i) {
             const ListedServer &listed = list_[i];
             response.body += std::string(i == 0 ? "" : ",") + R"({"id":"i-)" + std::to_string(listed.server + 1)
-                + R"(","service":"engines","address":")" + local(ports[listed.server]).toString()
+                + R"(","service":"engines","address":")"
+                + local(listed.isUnreachable ? unusedPort : ports[listed.server]).toString()
                 + R"(","zone":"apapa","slots":16,"version":")" + listed.softwareVersion + R"(","born":)"
                 + std::to_string(listed.incarnation) + R"(,"state":")" + (listed.isLeaving ? "draining" : "ready")
                 + R"("})";
@@ -364,6 +367,7 @@
     }
 
     const std::array<std::uint16_t, serverCount> ports {freePort(), freePort(), freePort()};
+    const std::uint16_t unusedPort = freePort();
     boost::asio::io_context io_;
     std::vector<std::unique_ptr<HttpServer>> servers_;
     HttpClient client_;
