Don't start the answer of a turn whose end can't be stored in time

Cause: a turn needs two commits in a row, its begin's and its end's. Once the begin was granted the entry relayed what the engine had long finished, so the response had begun when the second commit didn't come before the deadline; then only a reset is left, and it came up to 2.5 s after the engine's end, later than callers wait. The leader admitted turns by the time of one commit. Ruled out: an entry that stood still; a leader taken for lost. Change: what has arrived as a whole when the begin is granted is sent with its end, once that is durable, or else the caller gets a status; the end is given up at the deadline (250 ms after the stream's end at the earliest); the leader counts two commits for a turn whose end its caller waits for, and refuses at once what can't make it. Why it works: a response that has not begun can still become a failure; one that streams for longer than the begin's commit begins as before. A turn whose stream is still running when its commits get slow can still be cut at its deadline.

--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -112,6 +112,8 @@
     std::string account {};
     //! How long the caller may resume the turn's stream; 0 if it can't be resumed.
     std::uint32_t streamRetentionMs = 0;
+    //! The caller gets its answer only once the end of the turn is committed too. Not replicated.
+    bool isRetained = false;
     //! Version of the servers that run the turn, as far as the leader has placed it. Set by the leader.
     ServerVersion version {};
 };
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -235,6 +235,7 @@
   account @7 :Text;
   streamRetentionMs @8 :UInt32;
   version @9 :ServerVersion;
+  isRetained @10 :Bool;
 }
 
 struct ServerVersion {
--- a/src/cardamompost/net/cp_ledger_schema.cpp
+++ b/src/cardamompost/net/cp_ledger_schema.cpp
@@ -153,6 +153,7 @@
         encodePlacementRequest(in.placement, out.initWish());
     }
     out.setStreamRetentionMs(in.streamRetentionMs);
+    out.setIsRetained(in.isRetained);
     if (in.version.isKnown()) {
         encodeServerVersion(in.version, out.initVersion());
     }
@@ -169,6 +170,7 @@
             decodePlacementRequest(in.getWish()),
             fromText(in.getAccount()),
             in.getStreamRetentionMs(),
+            in.getIsRetained(),
             decodeServerVersion(in.getVersion())};
 }
 
--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -34,7 +34,8 @@
 constexpr Milliseconds defaultIdleTimeout {4000};
 // Tenths of the stated keep-alive timeout for which a connection is reused; the rest covers a request in transit.
 constexpr std::int64_t keepAliveTenths = 7;
-constexpr Milliseconds minCommitTimeout {2500};
+// For a stream that ends at its deadline; its caller may wait a little longer for the answer.
+constexpr Milliseconds minCommitTimeout {250};
 constexpr unsigned statusMisdirected = 421;
 constexpr unsigned statusOk = 200;
 
@@ -356,14 +357,22 @@
         responseHead_
             = makeCallerHead(parser_->get().base(), parts_.names, {std::nullopt, request_.caller->keepsOpen()});
     }
+    // While the begin was committed, the whole stream may have arrived.
+    const bool mayBeWhole = request_.begin && request_.route->keepsHistory && !request_.hasResponseStarted;
     while (!parser_->is_done()) {
         std::string bytes;
-        const boost::system::error_code error = co_await readSome(bytes);
-        if (!bytes.empty()) {
-            const bool isWritten = co_await relayChunk(std::move(bytes));
-            if (!isWritten) {
-                co_return ExchangeEnd::CallerDisconnected;
-            }
+        boost::system::error_code error = co_await readSome(bytes);
+        while (mayBeWhole && !request_.hasResponseStarted && !error && !parser_->is_done() && hasMoreToRead()
+               && bytes.size() < maxBufferedResponseBytes) {
+            error = co_await readSome(bytes);
+        }
+        std::string chunk = makeChunk(std::move(bytes));
+        if (parser_->is_done() && !request_.hasResponseStarted) {
+            co_return co_await endStream(std::move(chunk));
+        }
+        const bool isWritten = chunk.empty() || co_await relayChunk(std::move(chunk));
+        if (!isWritten) {
+            co_return ExchangeEnd::CallerDisconnected;
         }
         if (error) {
             request_.eventScanner.discardPartialEvent();
@@ -371,7 +380,13 @@
             co_return endForError(error);
         }
     }
-    co_return co_await endStream();
+    co_return co_await endStream({});
+}
+
+bool BackendExchange::hasMoreToRead() const
+{
+    boost::system::error_code error;
+    return connection_->buffer.size() > 0 || (connection_->stream.socket().available(error) > 0 && !error);
 }
 
 void BackendExchange::proposeVersion()
@@ -385,7 +400,7 @@
     }
 }
 
-asio::awaitable<bool> BackendExchange::relayChunk(std::string bytes)
+std::string BackendExchange::makeChunk(std::string bytes)
 {
     const std::size_t completeBytes = request_.eventScanner.feed(bytes);
     if (request_.route->isResumable) {
@@ -396,26 +411,29 @@
         bytes = request_.partialEvent.substr(0, relayableBytes);
         request_.partialEvent.erase(0, relayableBytes);
     }
-    if (bytes.empty()) {
-        co_return true;
-    }
-    std::string out = std::exchange(responseHead_, {});
+    return bytes.empty() ? std::string() : fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
+void BackendExchange::startResponse()
+{
     if (!request_.hasResponseStarted) {
         request_.hasResponseStarted = true;
         request_.requiredVersion = version_;
     }
-    out += fmt::format("{:x}\r\n", bytes.size());
-    out += bytes;
-    out += "\r\n";
-    co_return co_await request_.caller->write(std::move(out));
 }
 
-asio::awaitable<ExchangeEnd> BackendExchange::endStream()
+asio::awaitable<bool> BackendExchange::relayChunk(std::string chunk)
+{
+    startResponse();
+    co_return co_await request_.caller->write(std::exchange(responseHead_, {}) + chunk);
+}
+
+asio::awaitable<ExchangeEnd> BackendExchange::endStream(std::string lastChunk)
 {
     releaseConnection();
     if (request_.begin && request_.route->keepsHistory) {
         // The end of the stream confirms the turn to the caller, so it is sent only after a quorum has stored the turn.
-        // How long that takes depends on the disks; it is given up only once the caller no longer waits for it.
+        // A response that has not started until then can still become a failure with a status.
         const TimePoint deadline = std::max(request_.deadline, timeNow() + minCommitTimeout);
         const bool isDurable = co_await parts_.ledger.finish(request_.makeFinish(TurnEnding::Complete), deadline);
         if (!isDurable) {
@@ -423,9 +441,8 @@
         }
     }
     request_.isResponseComplete = true;
-    std::string out = std::exchange(responseHead_, {});
-    request_.hasResponseStarted = true;
-    out += "0\r\n\r\n";
+    startResponse();
+    std::string out = std::exchange(responseHead_, {}) + lastChunk + "0\r\n\r\n";
     const bool isWritten = co_await request_.caller->write(std::move(out));
     co_return isWritten ? ExchangeEnd::Completed : ExchangeEnd::CallerDisconnected;
 }
--- a/src/gateway/cp_backend_exchange.hpp
+++ b/src/gateway/cp_backend_exchange.hpp
@@ -49,9 +49,16 @@
     boost::asio::awaitable<ExchangeEnd> relayStream();
     //! Records the version of a stream that its caller may resume.
     void proposeVersion();
+    //! True if bytes have arrived that are not read yet.
+    [[nodiscard]] bool hasMoreToRead() const;
+    //! Formats bytes of the stream for the caller, without an incomplete event at the end of a resumable stream; empty
+    //! if there is nothing to relay yet.
+    [[nodiscard]] std::string makeChunk(std::string bytes);
+    void startResponse();
     //! \returns false if the caller has disconnected
-    boost::asio::awaitable<bool> relayChunk(std::string bytes);
-    boost::asio::awaitable<ExchangeEnd> endStream();
+    boost::asio::awaitable<bool> relayChunk(std::string chunk);
+    //! \param lastChunk  sent with the end
+    boost::asio::awaitable<ExchangeEnd> endStream(std::string lastChunk);
     [[nodiscard]] bool isNotExecuted() const;
     void recordStatusAndLoad();
     //! Returns the connection to the pool if it can be reused.
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -262,6 +262,7 @@
     begin.maxTokens = request.metadata.maxOutputTokens;
     begin.budget = request.metadata.budget;
     begin.retentionMs = request.makeFinish(TurnEnding::NotRun).retentionMs;
+    begin.isRetained = request.route->keepsHistory;
     begin.streamRetentionMs = static_cast<std::uint32_t>(request.streamRetention().count());
     if (request.service->isEngine) {
         begin.placement = placementRequestFor(request);
--- a/src/gateway/cp_ledger_begins.cpp
+++ b/src/gateway/cp_ledger_begins.cpp
@@ -113,7 +113,8 @@
     // With nothing to commit, the last commit says nothing about the disks of now.
     const Milliseconds expected = proposedBegins_.empty() ? Milliseconds(0) : std::max(delay, lastCommitTime_);
     const Milliseconds timeLeft(begin.placement.timeLeftMs);
-    return timeLeft.count() != 0 && expected >= timeLeft;
+    const int commits = begin.isRetained ? 2 : 1;
+    return timeLeft.count() != 0 && commits * expected >= timeLeft;
 }
 
 void LedgerService::applyAccountLimit(const std::shared_ptr<ActiveBegin> &active)
@@ -329,6 +330,7 @@
     TurnBegin record = active->begin;
     record.placement = {};
     record.account.clear();
+    record.isRetained = false;
     if (record.streamRetentionMs != 0) {
         record.version = placement_.versionOf(active->backend);
     }
--- a/tests/net/cp_frame.tests.cpp
+++ b/tests/net/cp_frame.tests.cpp
@@ -57,6 +57,8 @@
     begin.placement.service = "engines";
     begin.placement.softwareVersion = "v1";
     begin.streamRetentionMs = 4000;
+    begin.isRetained = true;
+    BOOST_TEST(roundTrip(begin).isRetained);
     BOOST_TEST(roundTrip(begin).placement.softwareVersion == "v1");
     BOOST_TEST(roundTrip(begin).streamRetentionMs == 4000U);
     TurnBeginReply granted;
--- a/tests/platform/cp_platform_overload.tests.cpp
+++ b/tests/platform/cp_platform_overload.tests.cpp
@@ -176,4 +176,23 @@
     test.checkAllAnswered();
 }
 
+// Guards against callers that get no answer, since their turn was relayed before its end could be stored.
+BOOST_AUTO_TEST_CASE(every_turn_gets_a_final_status_before_its_deadline_while_disks_are_too_slow)
+{
+    TurnsOnSlowDisks test;
+    test.cluster.turnTimeoutMs = 4000;
+    for (const int syncMs : {900, 1200, 1500, 2000}) {
+        BOOST_TEST_CONTEXT(syncMs << " ms a sync")
+        {
+            test.setSyncTime({0, 1, 2}, syncMs);
+            test.begin("sync" + std::to_string(syncMs) + "-");
+            for (auto &answer : test.answers) {
+                BOOST_TEST(answer.get().status != 0U);
+            }
+            test.answers.clear();
+        }
+    }
+    test.setSyncTime({0, 1, 2}, 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
