Count each request of a caller that repeats one id against its limit

Callers saw: an account with a limit of 10 requests a second had 500 of 500 requests run within half a second by sending all with one request id, and 54 turns where 34 were allowed. Cause: the limiter tells a retry of an entry from a new request by the request id, which is the caller's; a remembered id was admitted uncounted. Class: an id that a caller chooses was used as one of ours. Evidence: the test's counts; RequestLimiter::isDuplicate() is the only way past the bucket. Ruled out: counting each copy; an entry's own retry, also to the next leader, must not be charged twice. Change: the entry gives each arrival an id of its own, which goes with its admission and its begin; a reservation holds it, so a successor recognizes the entry's retry. A turn that repeats the id of one in progress is charged as another request. Why it works: only copies that the system made itself have the same id.

--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -114,6 +114,8 @@
     std::uint32_t streamRetentionMs = 0;
     //! The caller gets its answer only once the end of the turn is committed too. Not replicated.
     bool isRetained = false;
+    //! As AdmitRequest::admission.
+    std::string admission {};
     //! Version of the servers that run the turn, as far as the leader has placed it. Set by the leader.
     ServerVersion version {};
 };
@@ -154,8 +156,11 @@
 //! Asks whether a request other than a turn is within its account's limit.
 struct AdmitRequest {
     std::string account;
-    //! Request id; retries with the same id count once.
+    //! Request id.
     std::string request;
+    //! Id that the entry gives to the arrival of the request; its own retries have the same id and count once. The
+    //! request id is not suitable, since a caller may send many requests with one.
+    std::string admission;
 };
 
 enum class AdmitStatus : std::uint8_t {
--- a/include/cardamompost/ledger/cp_ledger_state.hpp
+++ b/include/cardamompost/ledger/cp_ledger_state.hpp
@@ -26,6 +26,8 @@
     //! \param pendingTokens  sum of the program's reservations that are proposed but not applied yet
     [[nodiscard]] TurnBeginStatus check(const TurnBegin &begin, std::int64_t pendingTokens) const;
     [[nodiscard]] bool isReserved(const std::string &program, const std::string &turn) const;
+    //! True if the turn's reservation was made by this arrival of the request.
+    [[nodiscard]] bool isAdmitted(const TurnBegin &begin) const;
 
     //! The version of the servers that run a stream; null if none is recorded.
     [[nodiscard]] const ServerVersion *streamVersion(const std::string &stream) const;
@@ -102,7 +104,11 @@
     struct Program {
         std::int64_t spent = 0;
         std::int64_t expiresMs = 0;
-        std::map<std::string, std::int64_t> reservations;
+        struct Reservation {
+            std::int64_t tokens = 0;
+            std::string admission;
+        };
+        std::map<std::string, Reservation> reservations;
     };
     struct Turn {
         std::string previous;
--- a/include/cardamompost/limits/cp_request_limiter.hpp
+++ b/include/cardamompost/limits/cp_request_limiter.hpp
@@ -52,7 +52,7 @@
 public:
     struct AdmissionRequest {
         std::string_view account;
-        //! Request id; a repeated request with the same id counts once.
+        //! Id of the request's arrival; a repeated one counts once.
         std::string_view id;
         //! True for the first request of a program.
         bool beginsProgram = false;
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -236,6 +236,7 @@
   streamRetentionMs @8 :UInt32;
   version @9 :ServerVersion;
   isRetained @10 :Bool;
+  admission @11 :Text;
 }
 
 struct ServerVersion {
@@ -282,6 +283,7 @@
 struct AdmitRequest {
   account @0 :Text;
   request @1 :Text;
+  admission @2 :Text;
 }
 
 struct AdmitReply {
@@ -686,6 +688,7 @@
   struct Reservation {
     turn @0 :Text;
     tokens @1 :Int64;
+    admission @2 :Text;
   }
   struct KeptTurn {
     turn @0 :Text;
--- a/src/cardamompost/ledger/cp_ledger_codec.cpp
+++ b/src/cardamompost/ledger/cp_ledger_codec.cpp
@@ -121,9 +121,12 @@
             item.setExpiresMs(program.expiresMs);
             auto reservations = item.initReservations(static_cast<unsigned>(program.reservations.size()));
             unsigned position = 0;
-            for (const auto &[turn, tokens] : program.reservations) {
+            for (const auto &[turn, reservation] : program.reservations) {
                 reservations[position].setTurn(toText(turn));
-                reservations[position++].setTokens(tokens);
+                if (!reservation.admission.empty()) {
+                    reservations[position].setAdmission(toText(reservation.admission));
+                }
+                reservations[position++].setTokens(reservation.tokens);
             }
         }
         encodeTurns(state, out.initTurns(static_cast<unsigned>(state.turns_.size())));
@@ -143,7 +146,9 @@
             program.spent = item.getSpent();
             program.expiresMs = item.getExpiresMs();
             for (const auto reservation : item.getReservations()) {
-                program.reservations.emplace(fromText(reservation.getTurn()), reservation.getTokens());
+                program.reservations.emplace(
+                    fromText(reservation.getTurn()),
+                    LedgerState::Program::Reservation {reservation.getTokens(), fromText(reservation.getAdmission())});
             }
         }
         state.turns_.reserve(in.getTurns().size());
--- a/src/cardamompost/ledger/cp_ledger_state.cpp
+++ b/src/cardamompost/ledger/cp_ledger_state.cpp
@@ -75,6 +75,16 @@
     return found != programs_.end() && found->second.reservations.contains(turn);
 }
 
+bool LedgerState::isAdmitted(const TurnBegin &begin) const
+{
+    const auto program = programs_.find(begin.program);
+    if (program == programs_.end()) {
+        return false;
+    }
+    const auto found = program->second.reservations.find(begin.turn);
+    return found != program->second.reservations.end() && found->second.admission == begin.admission;
+}
+
 TurnBeginStatus LedgerState::check(const TurnBegin &begin, std::int64_t pendingTokens) const
 {
     if (!begin.previous.empty() && !turns_.contains(begin.previous)) {
@@ -100,7 +110,7 @@
     Program &program = programs_[begin.program];
     extendProgramRetention(program, begin.retentionMs);
     if (status == TurnBeginStatus::Granted) {
-        program.reservations.emplace(begin.turn, begin.maxTokens);
+        program.reservations.emplace(begin.turn, Program::Reservation {begin.maxTokens, begin.admission});
     }
     return status;
 }
@@ -199,8 +209,8 @@
 {
     std::int64_t sum = 0;
     if (const auto found = programs_.find(program); found != programs_.end()) {
-        for (const auto &[turn, tokens] : found->second.reservations) {
-            sum += tokens;
+        for (const auto &[turn, reservation] : found->second.reservations) {
+            sum += reservation.tokens;
         }
     }
     return sum;
--- a/src/cardamompost/net/cp_frame_decoder.cpp
+++ b/src/cardamompost/net/cp_frame_decoder.cpp
@@ -160,7 +160,8 @@
         return StreamVersionReply {decodeEnum(in.getStreamVersionReply().getStatus(), StreamVersionStatus::Unknown),
                                    decodeServerVersion(in.getStreamVersionReply().getVersion())};
     case Body::ADMIT:
-        return AdmitRequest {fromText(in.getAdmit().getAccount()), fromText(in.getAdmit().getRequest())};
+        return AdmitRequest {fromText(in.getAdmit().getAccount()), fromText(in.getAdmit().getRequest()),
+                             fromText(in.getAdmit().getAdmission())};
     case Body::ADMIT_REPLY:
         return AdmitReply {decodeEnum(in.getAdmitReply().getStatus(), AdmitStatus::Limited),
                            in.getAdmitReply().getRetryAfterMs()};
--- a/src/cardamompost/net/cp_frame_encoder.cpp
+++ b/src/cardamompost/net/cp_frame_encoder.cpp
@@ -308,6 +308,7 @@
         auto message = out.initAdmit();
         message.setAccount(toText(in.account));
         message.setRequest(toText(in.request));
+        message.setAdmission(toText(in.admission));
     }
 
     void operator()(const AdmitReply &in)
--- a/src/cardamompost/net/cp_ledger_schema.cpp
+++ b/src/cardamompost/net/cp_ledger_schema.cpp
@@ -154,6 +154,9 @@
     }
     out.setStreamRetentionMs(in.streamRetentionMs);
     out.setIsRetained(in.isRetained);
+    if (!in.admission.empty()) {
+        out.setAdmission(toText(in.admission));
+    }
     if (in.version.isKnown()) {
         encodeServerVersion(in.version, out.initVersion());
     }
@@ -171,6 +174,7 @@
             fromText(in.getAccount()),
             in.getStreamRetentionMs(),
             in.getIsRetained(),
+            fromText(in.getAdmission()),
             decodeServerVersion(in.getVersion())};
 }
 
--- a/src/gateway/cp_access_check.cpp
+++ b/src/gateway/cp_access_check.cpp
@@ -53,6 +53,9 @@
         request.account = account->name;
         request.accountRank = account->rank;
         request.isLimited = account->limit.isBounded();
+        if (request.isLimited) {
+            request.admissionId = fmt::format("{:016x}", randomIdentity());
+        }
     }
     if (request.route->allowsAnonymous) {
         return std::nullopt;
@@ -91,7 +94,7 @@
     if (!request.isLimited || request.isTurn()) {
         co_return std::nullopt;
     }
-    AdmitRequest admission {request.account, scopedId(request.account, request.metadata.id)};
+    AdmitRequest admission {request.account, scopedId(request.account, request.metadata.id), request.admissionId};
     const std::optional<AdmitReply> reply = co_await parts_.ledger.admit(
         std::move(admission), std::min(request.deadline, request.arrived + admitTimeout));
     request.admissionTime
--- a/src/gateway/cp_forwarded_request.hpp
+++ b/src/gateway/cp_forwarded_request.hpp
@@ -58,6 +58,8 @@
     //! True if the account has a limit.
     bool isLimited = false;
     TimePoint arrived {};
+    //! Identifies this arrival of the request at the ledger, if the account has a limit; callers may repeat their ids.
+    std::string admissionId;
     //! Arrival plus the shorter of the caller's and the route's timeout.
     TimePoint deadline {};
 
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -259,6 +259,7 @@
     begin.program = request.programId();
     begin.previous = request.route->keepsHistory ? request.previousTurnId() : std::string();
     begin.account = request.isLimited ? request.account : std::string();
+    begin.admission = request.admissionId;
     begin.maxTokens = request.metadata.maxOutputTokens;
     begin.budget = request.metadata.budget;
     begin.retentionMs = request.makeFinish(TurnEnding::NotRun).retentionMs;
--- a/src/gateway/cp_ledger_begins.cpp
+++ b/src/gateway/cp_ledger_begins.cpp
@@ -38,7 +38,11 @@
         return;
     }
     if (const auto found = activeBegins_.find(begin.turn); found != activeBegins_.end()) {
-        onRepeatedBegin(*found->second, replier);
+        if (begin.account.empty() || found->second->begin.admission == begin.admission) {
+            onRepeatedBegin(*found->second, replier);
+        } else {
+            admitRepeatedTurn(std::move(begin), replier);
+        }
         return;
     }
     publishDocument();
@@ -120,7 +124,7 @@
 void LedgerService::applyAccountLimit(const std::shared_ptr<ActiveBegin> &active)
 {
     const TurnBegin &begin = active->begin;
-    if (begin.account.empty() || state_.isReserved(begin.program, begin.turn)) {
+    if (begin.account.empty() || state_.isAdmitted(begin)) {
         readHistory(active);
         return;
     }
@@ -130,8 +134,8 @@
             return;
         }
         const TurnBegin &turn = active->begin;
-        const RequestLimiter::Decision decision
-            = limiter_.admit({turn.account, turn.turn, !isProgramInProgress(turn)}, std::chrono::steady_clock::now());
+        const RequestLimiter::Decision decision = limiter_.admit(
+            {turn.account, turn.admission, !isProgramInProgress(turn)}, std::chrono::steady_clock::now());
         if (decision.isAdmitted) {
             reportUsage();
             runAfter(decision.delay, [this, active] { readHistory(active); });
@@ -143,6 +147,33 @@
     });
 }
 
+void LedgerService::admitRepeatedTurn(TurnBegin begin, const Replier &replier)
+{
+    const std::string account = begin.account;
+    awaitAdmissionLease(
+        account, std::chrono::steady_clock::now() + leaseTimeout,
+        [this, begin = std::move(begin), replier](bool hasLease) {
+            if (!hasLease) {
+                replier->reply(TurnBeginReply {TurnBeginStatus::NotLeader, driver_.leader(), {}, {}});
+                return;
+            }
+            const RequestLimiter::Decision decision
+                = limiter_.admit({begin.account, begin.admission, false}, std::chrono::steady_clock::now());
+            if (!decision.isAdmitted) {
+                recordLimited(begin.account, begin.turn, decision);
+                replier->reply(TurnBeginReply {
+                    TurnBeginStatus::Limited, self_, {}, {}, static_cast<std::uint32_t>(decision.retryAfter.count())});
+                return;
+            }
+            reportUsage();
+            if (const auto active = activeBegins_.find(begin.turn); active != activeBegins_.end()) {
+                onRepeatedBegin(*active->second, replier);
+            } else {
+                onBegin(begin, replier);
+            }
+        });
+}
+
 void LedgerService::onAdmit(const AdmitRequest &request, const Replier &replier)
 {
     publishDocument();
@@ -153,7 +184,7 @@
                 return;
             }
             const RequestLimiter::Decision decision
-                = limiter_.admit({request.account, request.request, false}, std::chrono::steady_clock::now());
+                = limiter_.admit({request.account, request.admission, false}, std::chrono::steady_clock::now());
             if (decision.isAdmitted) {
                 reportUsage();
                 runAfter(decision.delay, [replier] { replier->reply(AdmitReply {AdmitStatus::Admitted, 0}); });
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -167,6 +167,8 @@
     void confirmNoSuchTurn(const TurnBegin &begin, const Replier &replier);
     //! Charges a turn to its account's limit; then rejects it, or continues with it at once or after a delay.
     void applyAccountLimit(const std::shared_ptr<ActiveBegin> &active);
+    //! Charges a turn whose id is that of a begin in progress, and which is another request of the caller.
+    void admitRepeatedTurn(TurnBegin begin, const Replier &replier);
     void recordLimited(const std::string &account, const std::string &id, const RequestLimiter::Decision &decision);
     //! Calls back with true once this leader holds the lease and the account's earlier usage is replicated.
     //! Calls back with false at the deadline, or earlier if this VM stops leading.
--- a/tests/net/cp_frame.tests.cpp
+++ b/tests/net/cp_frame.tests.cpp
@@ -53,7 +53,10 @@
     BOOST_TEST(record.record.attempt == 2U);
     BOOST_TEST(record.isQuery);
     BOOST_TEST((roundTrip(StreamVersionReply {StreamVersionStatus::Recorded, version}).version == version));
+    BOOST_TEST(roundTrip(AdmitRequest {"a", "r", "x"}).admission == "x");
     TurnBegin begin;
+    begin.admission = "x";
+    BOOST_TEST(roundTrip(begin).admission == "x");
     begin.placement.service = "engines";
     begin.placement.softwareVersion = "v1";
     begin.streamRetentionMs = 4000;
--- a/tests/platform/cp_platform_accounts.tests.cpp
+++ b/tests/platform/cp_platform_accounts.tests.cpp
@@ -237,6 +237,32 @@
     }
 }
 
+// Guards against a caller that passes its limit by sending all requests, or all turns, with one id.
+BOOST_AUTO_TEST_CASE(a_rate_limit_counts_each_request_of_a_caller_that_repeats_one_id)
+{
+    constexpr double perSecond = 10;
+    constexpr double burst = 10;
+    constexpr int requests = 500;
+    AccountFixture fixture(R"({"name":"bound","access-keys":["key-b"],"rate-per-s":10,"burst":10})");
+    const Address other = fixture.cluster.addEntry(fixture.cluster.seeds());
+    for (const bool isTurn : {false, true}) {
+        const std::string id = isTurn ? "turn" : "plain";
+        HttpHeaders headers = isTurn ? turnHeaders(id, "key-b", {}) : headersWithKey(id, "key-b");
+        headers["Token-Budget"] = "1000000";
+        const std::string path = isTurn ? "/drafts/1" : "/tools/1";
+        // Refills the account's bucket.
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        const auto startedAt = std::chrono::steady_clock::now();
+        for (int i = 0; i < requests; ++i) {
+            fixture.cluster.platform.call(i % 2 == 0 ? fixture.entry : other, "POST", path, headers, "in");
+        }
+        const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - startedAt;
+        const auto allowed = static_cast<std::size_t>(burst + perSecond * elapsed.count()) + 1;
+        BOOST_TEST(fixture.cluster.platform.runsOf(id) > 0U);
+        BOOST_TEST(fixture.cluster.platform.runsOf(id) <= allowed);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_document_with_ambiguous_accounts_is_rejected_without_exposing_keys)
 {
     AccountFixture fixture;
