The limit's test sends many requests at once

Cause: one caller that waits for each answer is only delayed, so 1,000 requests took 80 s and few were refused. Ruled out: fewer requests; the issue names 1,000, and this sends 1,000 of each kind. Change: batches of 50 at once. The checks are the same. Conclusion: stricter, since refused requests are part of it now.

--- a/tests/platform/cp_platform_accounts.tests.cpp
+++ b/tests/platform/cp_platform_accounts.tests.cpp
@@ -242,7 +242,8 @@
 {
     constexpr double perSecond = 10;
     constexpr double burst = 10;
-    constexpr int requests = 500;
+    constexpr int batches = 20;
+    constexpr int requestsPerBatch = 50;
     AccountFixture fixture(R"({"name":"bound","access-keys":["key-b"],"rate-per-s":10,"burst":10})");
     const Address other = fixture.cluster.addEntry(fixture.cluster.seeds());
     for (const bool isTurn : {false, true}) {
@@ -253,8 +254,16 @@
         // Refills the account's bucket.
         std::this_thread::sleep_for(std::chrono::seconds(1));
         const auto startedAt = std::chrono::steady_clock::now();
-        for (int i = 0; i < requests; ++i) {
-            fixture.cluster.platform.call(i % 2 == 0 ? fixture.entry : other, "POST", path, headers, "in");
+        // Several at once, since a single caller's requests are only delayed.
+        for (int batch = 0; batch < batches; ++batch) {
+            std::vector<std::future<HttpResponse>> answers;
+            for (int i = 0; i < requestsPerBatch; ++i) {
+                const Address &entry = i % 2 == 0 ? fixture.entry : other;
+                answers.push_back(fixture.cluster.platform.begin(entry, "POST", path, headers, "in"));
+            }
+            for (auto &answer : answers) {
+                answer.get();
+            }
         }
         const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - startedAt;
         const auto allowed = static_cast<std::size_t>(burst + perSecond * elapsed.count()) + 1;
