--- a/src/cardamompost/net/cp_frame_decoder.cpp
+++ b/src/cardamompost/net/cp_frame_decoder.cpp
@@ -131,6 +131,16 @@
     }
 }
 
+TurnBeginReply decodeTurnBeginReply(schema::TurnBeginReply::Reader in)
+{
+    return {decodeEnum(in.getStatus(), TurnBeginStatus::NoSuchVersion),
+            fromText(in.getLeader()),
+            fromData(in.getHistory()),
+            fromText(in.getBackend()),
+            in.getRetryAfterMs(),
+            decodeServerVersion(in.getVersion())};
+}
+
 FrameBody decodeLedgerBody(Body::Reader in)
 {
     switch (in.which()) {
@@ -144,15 +154,8 @@
         return LeaderNotice {decodeGroupView(in.getLeaderNotice())};
     case Body::TURN_BEGIN:
         return decodeTurnBegin(in.getTurnBegin());
-    case Body::TURN_BEGIN_REPLY: {
-        const auto reply = in.getTurnBeginReply();
-        return TurnBeginReply {decodeEnum(reply.getStatus(), TurnBeginStatus::NoSuchVersion),
-                               fromText(reply.getLeader()),
-                               fromData(reply.getHistory()),
-                               fromText(reply.getBackend()),
-                               reply.getRetryAfterMs(),
-                               decodeServerVersion(reply.getVersion())};
-    }
+    case Body::TURN_BEGIN_REPLY:
+        return decodeTurnBeginReply(in.getTurnBeginReply());
     case Body::STREAM_VERSION:
         return StreamVersionRequest {decodeStreamVersion(in.getStreamVersion().getRecord()),
                                      in.getStreamVersion().getIsQuery()};
