Log which requests an entry placed itself after the leader's choice failed

Operators saw: placed_by leader in request.end of a turn that ran at a server of the entry's choice. Cause: the flag was set for the first choice and never reset. Ruled out: that the entry had used the leader's choice: backend.unreachable names it, and the run is at the other server. Change: the flag is reset at each choice of the entry; the test checks the line again. Conclusion: the log only.

--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -204,6 +204,7 @@
             return leaderChoice;
         }
     }
+    request.isPlacedByLeader = false;
     const std::string &stickyValue = request.stickyKey();
     const bool isSticky = request.route->isSticky && !stickyValue.empty();
     const PickRequest pickRequest {request.service->name, isSticky ? stableHash(stickyValue) | 1U : 0, request.tried,
--- a/tests/platform/cp_platform_versions.tests.cpp
+++ b/tests/platform/cp_platform_versions.tests.cpp
@@ -223,6 +223,8 @@
         BOOST_TEST((test.cluster.platform.serversOf(name("begun", i)) == std::vector<std::size_t> {1}));
     }
     BOOST_TEST(test.cluster.logCount("backend.unreachable") > 0U);
+    BOOST_TEST(GatewayCluster::eventually(
+        [&] { return test.cluster.matchingLogCount("request.end", R"("placed_by":"entry")") > 0; }));
     test.changeList({{0, "v1"}, {1, "v2", true}, {2, "v2"}});
     for (int i = 0; i < streams; ++i) {
         const std::string id = name("resumed", i);
