Soak: don't lose the exit code of a process that is told to stop twice

Its log ends with process.stopped, and 255 is what asyncio reports for a process that something else has reaped: Popen.send_signal() polls before it signals. Ruled out: an exit of the ledger VM with that code. A script of 60 children that are signalled while they end: 7 with code 255 by send_signal(), 0 by os.kill(). Change: the series of signals uses os.kill(). The check of the code is the same. Conclusion: a fault of the soak.

--- a/tests/platform/gateway_soak.py
+++ b/tests/platform/gateway_soak.py
@@ -23,7 +23,7 @@
 - an entry that is told to stop, once or several times and also while a ledger VM stops, answers what it has taken on a connection
   that its client keeps using, and ends within its grace period.
 """
-import argparse, asyncio, json, os, random, resource, shutil, signal, socket, sys, tempfile, time
+import argparse, asyncio, contextlib, json, os, random, resource, shutil, signal, socket, sys, tempfile, time
 
 # A turn reserves MAX_TURN_TOKENS of its program's BUDGET and uses TOKENS_PER_EVENT for each event of its response.
 TOKENS_PER_EVENT, MAX_TURN_TOKENS, BUDGET = 10, 50, 400
@@ -549,7 +549,9 @@
         for _ in range(self.random.randint(1, 3)):
             # It may have ended after an earlier signal.
             if process.child.returncode is None:
-                process.child.send_signal(signal.SIGTERM)
+                # Not send_signal(), which may reap the process before asyncio does; the exit code would then be lost.
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(process.child.pid, signal.SIGTERM)
             await asyncio.sleep(self.random.uniform(0, 0.3))
         try:
             await asyncio.wait_for(process.child.wait(), patience)
