--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -335,7 +335,7 @@
     co_return ExchangeEnd::Completed;
 }
 
-asio::awaitable<ExchangeEnd> BackendExchange::relayStream()
+asio::awaitable<std::optional<ExchangeEnd>> BackendExchange::waitUntilRelayable()
 {
     if (request_.begin) {
         // Nothing is relayed before the turn's reservation is durable; otherwise a new ledger leader would not know of
@@ -353,16 +353,24 @@
         request_.detail = "the stream's software version was not recorded";
         co_return request_.caller->isDisconnected() ? ExchangeEnd::CallerDisconnected : ExchangeEnd::NotGranted;
     }
+    co_return std::nullopt;
+}
+
+asio::awaitable<ExchangeEnd> BackendExchange::relayStream()
+{
+    if (const std::optional<ExchangeEnd> end = co_await waitUntilRelayable()) {
+        co_return *end;
+    }
     if (!request_.hasResponseStarted) {
         responseHead_
             = makeCallerHead(parser_->get().base(), parts_.names, {std::nullopt, request_.caller->keepsOpen()});
     }
-    // While the begin was committed, the whole stream may have arrived.
-    const bool mayBeWhole = request_.begin && request_.route->keepsHistory && !request_.hasResponseStarted;
+    // While the begin was committed, the complete stream may have arrived.
+    const bool mayBeComplete = request_.begin && request_.route->keepsHistory && !request_.hasResponseStarted;
     while (!parser_->is_done()) {
         std::string bytes;
         boost::system::error_code error = co_await readSome(bytes);
-        while (mayBeWhole && !request_.hasResponseStarted && !error && !parser_->is_done() && hasMoreToRead()
+        while (mayBeComplete && !request_.hasResponseStarted && !error && !parser_->is_done() && hasMoreToRead()
                && bytes.size() < maxBufferedResponseBytes) {
             error = co_await readSome(bytes);
         }
--- a/src/gateway/cp_backend_exchange.hpp
+++ b/src/gateway/cp_backend_exchange.hpp
@@ -46,6 +46,9 @@
     boost::asio::awaitable<boost::system::error_code> readSome(std::string &bytes);
     //! Relays a response that is not an event stream; a small one only once it is complete.
     boost::asio::awaitable<ExchangeEnd> relayBuffered();
+    //! Waits until the ledger has granted the turn and recorded the stream's version.
+    //! \returns how the attempt ended if the stream must not be relayed
+    boost::asio::awaitable<std::optional<ExchangeEnd>> waitUntilRelayable();
     boost::asio::awaitable<ExchangeEnd> relayStream();
     //! Records the version of a stream that its caller may resume.
     void proposeVersion();
