Log how a server's response is framed, and that a stream ended inside an event

Cause: the logs of the incident don't distinguish its hypotheses: an answer that ends with its connection, a last chunk inside an event, and a reset that something else than the reader received look alike in request.end. Ruled out: - Change: request.end has framing (length, chunks or connection); detail tells that a stream ended inside an event, and whether the request had been written by then. No decision uses either yet. Figures: the line has one field more.

--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -209,6 +209,7 @@
         const auto id = parser_->get().find(parts_.names.requestId);
         const bool isMatching = id == parser_->get().end() || view(id->value()) == request_.metadata.id;
         if (isMatching) {
+            recordFraming();
             co_return boost::system::error_code {};
         }
         // A late duplicate response to an earlier request on this connection must not reach this caller.
@@ -254,6 +255,15 @@
     return response.result_int() == statusMisdirected || response.find(parts_.names.notExecuted) != response.end();
 }
 
+void BackendExchange::recordFraming()
+{
+    if (parser_->chunked()) {
+        request_.framing = ResponseFraming::Chunks;
+    } else {
+        request_.framing = parser_->need_eof() ? ResponseFraming::Connection : ResponseFraming::Length;
+    }
+}
+
 void BackendExchange::recordStatusAndLoad()
 {
     request_.status = parser_->get().result_int();
@@ -439,6 +449,10 @@
 asio::awaitable<ExchangeEnd> BackendExchange::endStream(std::string lastChunk)
 {
     releaseConnection();
+    if (request_.eventScanner.isInsideEvent()) {
+        request_.detail
+            = outgoing_->isWritten ? "ended inside an event" : "ended inside an event, the request was not written";
+    }
     if (request_.begin && request_.route->keepsHistory) {
         // The end of the stream confirms the turn to the caller, so it is sent only after a quorum has stored the turn.
         // A response that has not started until then can still become a failure with a status.
--- a/src/gateway/cp_backend_exchange.hpp
+++ b/src/gateway/cp_backend_exchange.hpp
@@ -63,6 +63,7 @@
     //! \param lastChunk  sent with the end
     boost::asio::awaitable<ExchangeEnd> endStream(std::string lastChunk);
     [[nodiscard]] bool isNotExecuted() const;
+    void recordFraming();
     void recordStatusAndLoad();
     //! Returns the connection to the pool if it can be reused.
     void releaseConnection();
--- a/src/gateway/cp_event_stream_scanner.cpp
+++ b/src/gateway/cp_event_stream_scanner.cpp
@@ -48,6 +48,7 @@
 {
     constexpr std::string_view dataField = "data";
     constexpr std::string_view idField = "id";
+    hasField_ = hasField_ || !line.starts_with(':');
     if (line.starts_with("data:")) {
         if (hasData_) {
             data_ += '\n';
@@ -72,6 +73,7 @@
     data_.clear();
     id_.clear();
     hasData_ = false;
+    hasField_ = false;
 }
 
 void EventStreamScanner::discardPartialEvent()
@@ -80,6 +82,7 @@
     data_.clear();
     id_.clear();
     hasData_ = false;
+    hasField_ = false;
 }
 
 } // namespace cardamompost
--- a/src/gateway/cp_event_stream_scanner.hpp
+++ b/src/gateway/cp_event_stream_scanner.hpp
@@ -31,6 +31,11 @@
     {
         return output_;
     }
+    //! True if the bytes so far end with an incomplete event.
+    [[nodiscard]] bool isInsideEvent() const
+    {
+        return hasField_ || !line_.empty();
+    }
     //! Discards an incomplete event, as when a stream is resumed on another connection.
     void discardPartialEvent();
 
@@ -45,6 +50,8 @@
     std::string output_;
     std::uint64_t eventCount_ = 0;
     bool hasData_ = false;
+    //! True if the event has had a field, even without data.
+    bool hasField_ = false;
 };
 
 } // namespace cardamompost
--- a/src/gateway/cp_forwarded_request.hpp
+++ b/src/gateway/cp_forwarded_request.hpp
@@ -41,6 +41,22 @@
     Named {ExchangeEnd::TimedOut, "timed-out"},
 };
 
+//! How the end of a response's body is determined.
+enum class ResponseFraming {
+    None,
+    Length,
+    Chunks,
+    //! The end of the connection.
+    Connection,
+};
+
+inline constexpr std::array responseFramingNames {
+    Named {ResponseFraming::None, "none"},
+    Named {ResponseFraming::Length, "length"},
+    Named {ResponseFraming::Chunks, "chunks"},
+    Named {ResponseFraming::Connection, "connection"},
+};
+
 //! State of a caller's request from its arrival to its final response.
 struct ForwardedRequest {
     CallerRequest message;
@@ -90,6 +106,8 @@
     Milliseconds admissionTime {0};
     bool isPlacedByLeader = false;
     unsigned status = 0;
+    //! Framing of the last response from a server.
+    ResponseFraming framing = ResponseFraming::None;
     //! How the request ended, as logged.
     std::string_view cause;
     //! Error of the last attempt that failed.
--- a/src/gateway/cp_request_report.cpp
+++ b/src/gateway/cp_request_report.cpp
@@ -10,7 +10,7 @@
 {
 
 constexpr std::size_t logLineBytes = 4096;
-constexpr std::size_t logLineFields = 25;
+constexpr std::size_t logLineFields = 26;
 constexpr unsigned firstServerError = 500;
 
 //! Whether the request was executed, as a metric label.
@@ -79,6 +79,9 @@
         if (request.metadata.programTimeLeft) {
             line["left_ms"] = request.metadata.programTimeLeft->count();
         }
+        if (request.framing != ResponseFraming::None) {
+            line["framing"] = nameOf(responseFramingNames, request.framing);
+        }
         line["sends"] = request.sends;
         line["runs"] = request.runs;
         line["list"] = fmt::format("{}.{}", parts_.pool.version().term, parts_.pool.version().sequence);
