--- a/tests/support/cp_fake_platform.hpp
+++ b/tests/support/cp_fake_platform.hpp
@@ -137,6 +137,8 @@
     std::uint64_t incarnation = 0;
     //! Nothing listens at the address.
     bool isUnreachable = false;
+    //! Port of a server that the test runs itself; 0 for the platform's server.
+    std::uint16_t port = 0;
 };
 
 //! Simulates the users' platform: backend servers, the first of which also serves the backend list, and an HTTP client
@@ -270,9 +272,9 @@
         response.body = R"({"instances":[)";
         for (std::size_t i = 0; i < list_.size(); ++i) {
             const ListedServer &listed = list_[i];
+            const std::uint16_t ownPort = listed.isUnreachable ? unusedPort : ports[listed.server];
             response.body += std::string(i == 0 ? "" : ",") + R"({"id":"i-)" + std::to_string(listed.server + 1)
-                + R"(","service":"engines","address":")"
-                + local(listed.isUnreachable ? unusedPort : ports[listed.server]).toString()
+                + R"(","service":"engines","address":")" + local(listed.port == 0 ? ownPort : listed.port).toString()
                 + R"(","zone":"apapa","slots":16,"version":")" + listed.softwareVersion + R"(","born":)"
                 + std::to_string(listed.incarnation) + R"(,"state":")" + (listed.isLeaving ? "draining" : "ready")
                 + R"("})";
