Don't end a stream as complete that its server broke off inside an event

What callers saw: 200, a signature, a part of the stream and the last chunk of a complete answer; of turns, one that could be continued from. Cause: an entry took any end of a response for the end of its stream. A response with neither a length nor chunks ends with its connection, so a server that died looked like one that was done; a length or a last chunk inside an event was passed on as well. Change: SseLineReader splits a stream into lines that end with LF, CRLF or CR, and knows whether an event is incomplete. A stream that ends inside an event is treated like one whose connection broke: continued at another server where the route allows it, else the caller gets a status if nothing was sent, and a reset if something was. An event stream that ends with its connection before its first event has no sign of an end either; one that a caller resumes may be empty. Streams are relayed in whole events on all routes, so that a status is still possible when the first event is cut off, and no tokens are counted that the caller doesn't have. Bodies of other types are passed on as before. What remained of a resumable stream behind its last event, such as a comment, was dropped at its end; it is sent now. An answer with neither length nor chunks that is cut between two events can't be told from a whole one.

--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -49,6 +49,14 @@
     return std::chrono::steady_clock::now();
 }
 
+//! A response of a streaming route without a type is an event stream.
+bool isEventStream(const http::response_header<> &header)
+{
+    constexpr std::string_view type = "text/event-stream";
+    const auto found = header.find(http::field::content_type);
+    return found == header.end() || beast::iequals(found->value().substr(0, type.size()), type);
+}
+
 } // namespace
 
 //! A request as written to the server; lives until the write has ended.
@@ -140,6 +148,7 @@
     }
     const bool isStream = request_.route->kind == RouteKind::Streaming && parser_->get().result_int() == statusOk;
     if (isStream) {
+        request_.isEventStream = isEventStream(parser_->get());
         co_return co_await relayStream();
     }
     co_return co_await relayBuffered();
@@ -385,6 +394,9 @@
             error = co_await readSome(bytes);
         }
         std::string chunk = makeChunk(std::move(bytes));
+        if (error || isCutOff()) {
+            co_return co_await breakOff(std::move(chunk), error);
+        }
         if (parser_->is_done() && !request_.hasResponseStarted) {
             co_return co_await endStream(std::move(chunk));
         }
@@ -392,15 +404,41 @@
         if (!isWritten) {
             co_return ExchangeEnd::CallerDisconnected;
         }
-        if (error) {
-            request_.eventScanner.discardPartialEvent();
-            request_.partialEvent.clear();
-            co_return endForError(error);
-        }
     }
     co_return co_await endStream({});
 }
 
+bool BackendExchange::isCutOff() const
+{
+    if (!parser_->is_done() || !request_.isEventStream) {
+        return false;
+    }
+    // The end of the connection does not tell a stream without events from one that its server broke off.
+    const bool hasNoSignOfEnd
+        = parser_->need_eof() && request_.eventScanner.eventCount() == 0 && !request_.isResumption();
+    return request_.eventScanner.isInsideEvent() || hasNoSignOfEnd;
+}
+
+asio::awaitable<ExchangeEnd> BackendExchange::breakOff(std::string chunk, boost::system::error_code error)
+{
+    request_.eventScanner.discardPartialEvent();
+    request_.partialEvent.clear();
+    if (!request_.hasResponseStarted && !request_.route->isResumable) {
+        // The caller gets a status instead of events that it can't continue from.
+        request_.eventScanner = {};
+        chunk.clear();
+    }
+    const bool isWritten = chunk.empty() || co_await relayChunk(std::move(chunk));
+    if (!isWritten) {
+        co_return ExchangeEnd::CallerDisconnected;
+    }
+    if (error) {
+        co_return endForError(error);
+    }
+    request_.detail = "the stream ended inside an event";
+    co_return request_.hasResponseStarted ? ExchangeEnd::Interrupted : ExchangeEnd::NoResponse;
+}
+
 bool BackendExchange::hasMoreToRead() const
 {
     boost::system::error_code error;
@@ -420,14 +458,16 @@
 
 std::string BackendExchange::makeChunk(std::string bytes)
 {
-    const std::size_t completeBytes = request_.eventScanner.feed(bytes);
-    if (request_.route->isResumable) {
-        // A resumable stream is relayed in whole events, so that another server can continue between two of them.
-        const std::size_t remainder = bytes.size() - completeBytes;
-        request_.partialEvent += bytes;
-        const std::size_t relayableBytes = completeBytes == 0 ? 0 : request_.partialEvent.size() - remainder;
-        bytes = request_.partialEvent.substr(0, relayableBytes);
-        request_.partialEvent.erase(0, relayableBytes);
+    if (request_.isEventStream) {
+        // Relayed in whole events, so that another server can continue between two of them.
+        const std::size_t completeBytes = request_.eventScanner.feed(bytes);
+        const std::size_t heldBytes = bytes.size() - completeBytes;
+        std::string &held = request_.partialEvent;
+        held += bytes;
+        const bool isEnd = parser_->is_done() && !isCutOff();
+        const std::size_t relayableBytes = completeBytes == 0 ? 0 : held.size() - heldBytes;
+        bytes = held.substr(0, isEnd ? held.size() : relayableBytes);
+        held.erase(0, bytes.size());
     }
     return bytes.empty() ? std::string() : fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
 }
@@ -449,10 +489,6 @@
 asio::awaitable<ExchangeEnd> BackendExchange::endStream(std::string lastChunk)
 {
     releaseConnection();
-    if (request_.eventScanner.isInsideEvent()) {
-        request_.detail
-            = outgoing_->isWritten ? "ended inside an event" : "ended inside an event, the request was not written";
-    }
     if (request_.begin && request_.route->keepsHistory) {
         // The end of the stream confirms the turn to the caller, so it is sent only after a quorum has stored the turn.
         // A response that has not started until then can still become a failure with a status.
--- a/src/gateway/cp_backend_exchange.hpp
+++ b/src/gateway/cp_backend_exchange.hpp
@@ -54,8 +54,14 @@
     void proposeVersion();
     //! True if bytes have arrived that are not read yet.
     [[nodiscard]] bool hasMoreToRead() const;
-    //! Formats bytes of the stream for the caller, without an incomplete event at the end of a resumable stream; empty
-    //! if there is nothing to relay yet.
+    //! True if the response has ended and its event stream lacks the end of an event, or has not begun.
+    [[nodiscard]] bool isCutOff() const;
+    //! Ends the attempt after a stream that is not complete.
+    //! \param chunk  events that precede the end
+    //! \param error  why reading ended; none if the server ended the response
+    boost::asio::awaitable<ExchangeEnd> breakOff(std::string chunk, boost::system::error_code error);
+    //! Formats bytes of the stream for the caller, without an incomplete event at the end; empty if there is nothing to
+    //! relay yet.
     [[nodiscard]] std::string makeChunk(std::string bytes);
     void startResponse();
     //! \returns false if the caller has disconnected
--- a/src/gateway/cp_event_stream_scanner.cpp
+++ b/src/gateway/cp_event_stream_scanner.cpp
@@ -21,26 +21,15 @@
 std::size_t EventStreamScanner::feed(std::string_view bytes)
 {
     std::size_t completeBytes = 0;
-    std::size_t begin = 0;
-    while (begin < bytes.size()) {
-        const std::size_t end = bytes.find('\n', begin);
-        if (end == std::string_view::npos) {
-            line_ += bytes.substr(begin);
-            break;
-        }
-        line_ += bytes.substr(begin, end - begin);
-        begin = end + 1;
-        if (line_.ends_with('\r')) {
-            line_.pop_back();
-        }
-        if (line_.empty()) {
+    lines_.feed(bytes, [&](const SseLine &line) {
+        if (line.text.empty()) {
             dispatchEvent();
-            completeBytes = begin;
         } else {
-            processField(line_);
+            processField(line.text);
         }
-        line_.clear();
-    }
+        completeBytes = line.endsBetweenEvents ? line.end : completeBytes;
+        return true;
+    });
     return completeBytes;
 }
 
@@ -48,7 +37,6 @@
 {
     constexpr std::string_view dataField = "data";
     constexpr std::string_view idField = "id";
-    hasField_ = hasField_ || !line.starts_with(':');
     if (line.starts_with("data:")) {
         if (hasData_) {
             data_ += '\n';
@@ -73,16 +61,14 @@
     data_.clear();
     id_.clear();
     hasData_ = false;
-    hasField_ = false;
 }
 
 void EventStreamScanner::discardPartialEvent()
 {
-    line_.clear();
+    lines_.discardPartialEvent();
     data_.clear();
     id_.clear();
     hasData_ = false;
-    hasField_ = false;
 }
 
 } // namespace cardamompost
--- a/src/gateway/cp_event_stream_scanner.hpp
+++ b/src/gateway/cp_event_stream_scanner.hpp
@@ -1,6 +1,8 @@
 #ifndef CARDAMOMPOST_CP_EVENT_STREAM_SCANNER_HPP_INCLUDED
 #define CARDAMOMPOST_CP_EVENT_STREAM_SCANNER_HPP_INCLUDED
 
+#include <cardamompost/net/cp_sse_line_reader.hpp>
+
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -13,7 +15,7 @@
 class EventStreamScanner
 {
 public:
-    //! \returns the number of bytes up to the end of the last complete event; 0 if none ends in these bytes
+    //! \returns the number of bytes up to the last place between two events; 0 if there is none in these bytes
     std::size_t feed(std::string_view bytes);
 
     //! Number of complete events that have data.
@@ -34,7 +36,7 @@
     //! True if the bytes so far end with an incomplete event.
     [[nodiscard]] bool isInsideEvent() const
     {
-        return hasField_ || !line_.empty();
+        return lines_.isInsideEvent();
     }
     //! Discards an incomplete event, as when a stream is resumed on another connection.
     void discardPartialEvent();
@@ -43,15 +45,13 @@
     void processField(std::string_view line);
     void dispatchEvent();
 
-    std::string line_;
+    SseLineReader lines_;
     std::string data_;
     std::string id_;
     std::string lastId_;
     std::string output_;
     std::uint64_t eventCount_ = 0;
     bool hasData_ = false;
-    //! True if the event has had a field, even without data.
-    bool hasField_ = false;
 };
 
 } // namespace cardamompost
--- a/src/gateway/cp_forwarded_request.hpp
+++ b/src/gateway/cp_forwarded_request.hpp
@@ -82,7 +82,9 @@
     //! Set for a turn, which needs admission by the ledger.
     std::shared_ptr<PendingBegin> begin;
     EventStreamScanner eventScanner;
-    //! Bytes of an incomplete event, held back on a resumable stream.
+    //! True if the response is a stream of events, false if it has a body of another type.
+    bool isEventStream = true;
+    //! Bytes of an incomplete event, which are held back.
     std::string partialEvent;
     //! True once the head of the response has been written.
     bool hasResponseStarted = false;
--- a/tests/gateway/cp_event_stream_scanner.tests.cpp
+++ b/tests/gateway/cp_event_stream_scanner.tests.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 using namespace cardamompost;
 
 BOOST_AUTO_TEST_SUITE(event_stream_scanner)
@@ -48,4 +50,34 @@
     BOOST_TEST(scanner.output() == "a\nb\n");
 }
 
+// Guards against a stream that is broken off inside an event and taken for complete, and the reverse.
+BOOST_AUTO_TEST_CASE(a_stream_is_between_events_only_after_an_empty_line_or_a_comment)
+{
+    for (const std::string lineEnd : {"\n", "\r\n", "\r"}) {
+        const std::string first = "id: 1" + lineEnd + "data: a" + lineEnd + lineEnd;
+        const std::string comment = ": wait" + lineEnd;
+        const std::string stream = first + comment + "weight-versions: 3" + lineEnd + lineEnd;
+        const std::set<std::size_t> boundaries {0, first.size(), first.size() + comment.size(), stream.size()};
+        for (std::size_t size = 0; size <= stream.size(); ++size) {
+            EventStreamScanner scanner;
+            scanner.feed(std::string_view(stream).substr(0, size));
+            BOOST_TEST(scanner.isInsideEvent() == !boundaries.contains(size), size << " bytes of " << stream);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(lines_may_end_with_a_carriage_return_alone)
+{
+    const std::string stream = "id: 1\rdata: one\r\rid: 2\rdata: two\r\r";
+    for (std::size_t size = 1; size <= stream.size(); ++size) {
+        EventStreamScanner scanner;
+        for (std::size_t offset = 0; offset < stream.size(); offset += size) {
+            scanner.feed(std::string_view(stream).substr(offset, size));
+        }
+        BOOST_TEST(scanner.lastId() == "2");
+        BOOST_TEST(scanner.output() == "one\ntwo\n");
+        BOOST_TEST(!scanner.isInsideEvent());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/cp_platform_cut_answers.tests.cpp
+++ b/tests/platform/cp_platform_cut_answers.tests.cpp
@@ -8,16 +8,12 @@
 namespace
 {
 
-//! Sends a request that is answered so. Checks that the caller takes the answer for complete only if it is whole, that
-//! a whole one arrives unchanged, and that a caller who got nothing gets a status.
-void checkAnswer(CutAnswerCluster &test, const CutAnswer &answer, const std::string &id, const std::string &path,
-                 bool isTurn = false)
+//! Checks that the caller takes the answer for complete only if it is whole, that a whole one arrives unchanged, and
+//! that a caller who got nothing gets a status.
+void checkReceived(const ReceivedResponse &received, const CutAnswer &answer)
 {
-    test.script(id, {answer.response(id)});
-    const ReceivedResponse received = test.request(id, path, isTurn);
-    BOOST_TEST_CONTEXT(path << ", framing " << static_cast<int>(answer.framing) << ", cut "
-                            << static_cast<int>(answer.cut) << " after " << answer.sentBytes << " bytes of "
-                            << answer.body())
+    BOOST_TEST_CONTEXT("framing " << static_cast<int>(answer.framing) << ", cut " << static_cast<int>(answer.cut)
+                                  << " after " << answer.sentBytes << " bytes of " << answer.body())
     {
         if (answer.isWhole()) {
             BOOST_TEST(received.status == answer.status);
@@ -63,7 +59,9 @@
     int number = 0;
     for (const std::string path : {"/drafts/1", "/resumes/1"}) {
         for (const CutAnswer &answer : allCuts()) {
-            checkAnswer(test, answer, "c" + std::to_string(++number), path);
+            const std::string id = "c" + std::to_string(++number);
+            test.script(id, {answer.response(id)});
+            checkReceived(test.request(id, path), answer);
         }
     }
 }
@@ -71,21 +69,38 @@
 // Guards against a turn that its server breaks off and that is stored as the turn to continue from.
 BOOST_AUTO_TEST_CASE(a_turn_that_ends_inside_an_event_is_not_stored)
 {
+    struct Turn {
+        ReceivedResponse received;
+        //! Status of a turn that continues from it.
+        unsigned nextStatus = 0;
+    };
+    constexpr std::size_t turnsAtOnce = 16;
     CutAnswerCluster test;
-    int number = 0;
-    for (const CutAnswer &answer : allCuts()) {
-        if (answer.framing != AnswerFraming::Connection && answer.cut == CutKind::Close) {
-            continue;
-        }
-        const std::string id = "t" + std::to_string(++number);
-        checkAnswer(test, answer, id, "/plans/1", true);
-        HttpHeaders next = CutAnswerCluster::headers(id + "-next", true);
-        next["Previous-Turn"] = id;
+    const auto run = [&test](const CutAnswer &answer, const std::string &id) {
         CutAnswer whole {twoEvents("\n"), AnswerFraming::Length, CutKind::Framed};
         whole.sentBytes = whole.body().size();
-        test.script(id + "-next", {whole.response(id + "-next")});
-        const ReceivedResponse continued = RawCaller(test.entry).call("POST", "/plans/1", next, "in");
-        BOOST_TEST(continued.status == (answer.isWhole() ? 200U : 404U));
+        const std::string next = id + "-next";
+        test.script(id, {answer.response(id)});
+        test.script(next, {whole.response(next)});
+        Turn turn;
+        turn.received = test.request(id, "/plans/1", true);
+        HttpHeaders headers = CutAnswerCluster::headers(next, true);
+        headers["Previous-Turn"] = id;
+        turn.nextStatus = RawCaller(test.entry).call("POST", "/plans/1", headers, "in").status;
+        return turn;
+    };
+    const std::vector<CutAnswer> answers = allCuts();
+    for (std::size_t first = 0; first < answers.size(); first += turnsAtOnce) {
+        std::vector<std::future<Turn>> turns;
+        for (std::size_t i = first; i < std::min(first + turnsAtOnce, answers.size()); ++i) {
+            turns.push_back(std::async(std::launch::async, run, answers[i], "t" + std::to_string(i)));
+        }
+        for (std::size_t i = 0; i < turns.size(); ++i) {
+            const Turn turn = turns[i].get();
+            const CutAnswer &answer = answers[first + i];
+            checkReceived(turn.received, answer);
+            BOOST_TEST(turn.nextStatus == (answer.isWhole() ? 200U : 404U));
+        }
     }
 }
 
--- a/tools/scripts/fuzz.sh
+++ b/tools/scripts/fuzz.sh
@@ -14,12 +14,13 @@
     src/cardamompost/consensus/cp_membership.cpp src/cardamompost/program/*.cpp src/cardamompost/policy/cp_policy_registry.cpp
     src/plugins/*.cpp src/cardamompost/net/cp_frame.cpp src/cardamompost/net/cp_frame_encoder.cpp
     src/cardamompost/net/cp_frame_decoder.cpp src/cardamompost/net/cp_schema_codec.cpp src/cardamompost/net/cp_ledger_schema.cpp
-    src/cardamompost/routing/*.cpp platform/cp_platform_*.cpp src/cardamompost/net/cp_http_message.cpp src/cardamompost/net/cp_sse_parser.cpp schema/generated/cardamompost.capnp.c++)
+    src/cardamompost/routing/*.cpp platform/cp_platform_*.cpp src/cardamompost/net/cp_http_message.cpp src/cardamompost/net/cp_sse_parser.cpp
+    src/gateway/cp_event_stream_scanner.cpp schema/generated/cardamompost.capnp.c++)
 for source in "${sources[@]}"; do
     echo "$source $out/$(echo "$source" | tr '/+' '__').o"
 done >$out/list.txt
 xargs -P "$(nproc)" -L 1 bash -c 'ccache clang++ '"$(printf '%q ' "${flags[@]}")"' -x c++ -c "$0" -o "$1"' <$out/list.txt
-for target in ini_document call_request frame platform; do
+for target in ini_document call_request frame platform event_stream; do
     clang++ "${flags[@]}" fuzzing/fuzz_$target.cpp $(cut -d' ' -f2 $out/list.txt) -lcapnp -lkj -lfmt -lxxhash -lcrypto -lboost_json -o $out/fuzz_$target
     rm -rf "$out/corpus_$target"
     mkdir -p "$out/corpus_$target"
