Continue a broken stream only with events

What callers saw: by the test, a stream that ends as complete with the body of a failure in place of its last events. An entry that continues a broken stream at another server passed on whatever that server answered: a failure's body, or a body of another type, became the rest of the stream, with the last chunk of a complete answer. Evidence: a_stream_is_continued_only_with_events on: statuses 500 and 404 and a 200 with another type, in each framing, all looked complete to their callers. Ruled out: - Change: in a response that has begun, only a 200 with events is passed on; anything else ends the attempt as broken off, so another server may be tried, and otherwise the caller's connection is reset. The log keeps the status that the caller got.

--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -147,8 +147,13 @@
         co_return ExchangeEnd::NotExecuted;
     }
     const bool isStream = request_.route->kind == RouteKind::Streaming && parser_->get().result_int() == statusOk;
+    const bool hasEvents = isStream && isEventStream(parser_->get());
+    if (request_.hasResponseStarted && !hasEvents) {
+        request_.detail = fmt::format("status {} to a continued stream, without events", parser_->get().result_int());
+        co_return ExchangeEnd::Interrupted;
+    }
     if (isStream) {
-        request_.isEventStream = isEventStream(parser_->get());
+        request_.isEventStream = hasEvents;
         co_return co_await relayStream();
     }
     co_return co_await relayBuffered();
@@ -275,7 +280,9 @@
 
 void BackendExchange::recordStatusAndLoad()
 {
-    request_.status = parser_->get().result_int();
+    if (!request_.hasResponseStarted) {
+        request_.status = parser_->get().result_int();
+    }
     const auto found = parser_->get().find(parts_.names.serverLoad);
     if (found == parser_->get().end()) {
         return;
--- a/tests/platform/cp_platform_cut_answers.tests.cpp
+++ b/tests/platform/cp_platform_cut_answers.tests.cpp
@@ -104,4 +104,28 @@
     }
 }
 
+// Guards against a failure, or another body, that is passed on as the rest of a stream.
+BOOST_AUTO_TEST_CASE(a_stream_is_continued_only_with_events)
+{
+    CutAnswerCluster test(2);
+    CutAnswer cut {twoEvents("\n"), AnswerFraming::Connection, CutKind::Close};
+    cut.sentBytes = cut.events.front().size() + 4;
+    int number = 0;
+    for (const unsigned status : {500U, 404U, 200U}) {
+        for (const AnswerFraming framing : {AnswerFraming::Length, AnswerFraming::Chunks, AnswerFraming::Connection}) {
+            CutAnswer other {{"{\"error\":\"x\"}"}, framing};
+            other.status = status;
+            other.isEventStream = false;
+            other.sentBytes = other.body().size();
+            other.cut = framing == AnswerFraming::Connection ? CutKind::Close : CutKind::Framed;
+            const std::string id = "f" + std::to_string(++number);
+            test.script(id, {cut.response(id), other.response(id)});
+            const ReceivedResponse received = test.request(id, "/resumes/1");
+            BOOST_TEST((test.attempts(id) == std::vector<std::string> {"", "1"}));
+            BOOST_TEST(!received.isComplete);
+            BOOST_TEST(received.body == cut.events.front());
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
