Don't end a large response at a read that brings no body bytes

A chunked response of over 256 KB without events is relayed as it is read. A read may bring only what frames a chunk; the entry then wrote a chunk of no bytes, which is the last chunk. What followed lay on the connection as if it were the next answer. Ruled out: the server (it sent all bytes) and the test's caller (the same parser reads the other answers whole). Change: nothing is written for such a read.

--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -326,7 +326,9 @@
         if (error) {
             co_return endForError(error);
         }
-        if (body.size() <= maxBufferedResponseBytes && !request_.hasResponseStarted) {
+        // An empty chunk would end the response.
+        const bool isBuffering = body.size() <= maxBufferedResponseBytes && !request_.hasResponseStarted;
+        if (isBuffering || body.empty()) {
             continue;
         }
         std::string bytes;
--- a/tests/platform/cp_platform_cut_answers.tests.cpp
+++ b/tests/platform/cp_platform_cut_answers.tests.cpp
@@ -128,4 +128,22 @@
     }
 }
 
+// Guards against a large response that ends at its first read without body bytes.
+BOOST_AUTO_TEST_CASE(a_large_response_in_small_chunks_arrives_whole)
+{
+    constexpr std::size_t bodyBytes = 1U << 20U;
+    CutAnswerCluster test;
+    for (const std::string path : {"/tools/1", "/reads/1", "/resumes/1"}) {
+        CutAnswer whole {{std::string(bodyBytes, 'x')}, AnswerFraming::Chunks, CutKind::Framed};
+        whole.isEventStream = false;
+        whole.sentBytes = bodyBytes;
+        const std::string id = "l" + path;
+        test.script(id, {whole.response(id)});
+        const ReceivedResponse received = test.request(id, path);
+        BOOST_TEST(received.status == 200U);
+        BOOST_TEST(received.isComplete);
+        BOOST_TEST(received.body.size() == bodyBytes);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
