Send a response again only where the caller can continue from what it has

What callers saw: by the tests, the start of a body, then the whole body again, as one complete answer; events twice. A safe request or a resumable stream whose response broke off after its first part had been relayed was sent to another server, and that answer relayed behind the first part. That holds only for events whose last one has an id, which the next server is told. The body's test allows for a reset that overtakes the body: then nothing was sent, and the second attempt's answer is whole. Conclusion: such a request ends with a reset of the caller's connection, and the caller may send it again.

--- a/src/gateway/cp_event_stream_scanner.cpp
+++ b/src/gateway/cp_event_stream_scanner.cpp
@@ -55,6 +55,7 @@
     }
     if (hasData_) {
         ++eventCount_;
+        hasLastEventId_ = !id_.empty();
         output_ += data_;
         output_ += '\n';
     }
--- a/src/gateway/cp_event_stream_scanner.hpp
+++ b/src/gateway/cp_event_stream_scanner.hpp
@@ -38,6 +38,11 @@
     {
         return lines_.isInsideEvent();
     }
+    //! True if the last event names the place after which another server can continue.
+    [[nodiscard]] bool canContinue() const
+    {
+        return eventCount_ == 0 || hasLastEventId_;
+    }
     //! Discards an incomplete event, as when a stream is resumed on another connection.
     void discardPartialEvent();
 
@@ -52,6 +57,8 @@
     std::string output_;
     std::uint64_t eventCount_ = 0;
     bool hasData_ = false;
+    //! True if the last event with data has an id.
+    bool hasLastEventId_ = false;
 };
 
 } // namespace cardamompost
--- a/src/gateway/cp_forwarded_request.hpp
+++ b/src/gateway/cp_forwarded_request.hpp
@@ -145,6 +145,14 @@
     {
         return route->kind == RouteKind::Safe || (route->kind == RouteKind::Streaming && route->isResumable);
     }
+    //! True if another attempt can provide what the caller still lacks: all of a response that has not started, or the
+    //! events after the last one that was relayed.
+    [[nodiscard]] bool canContinue() const
+    {
+        const bool isContinuableStream
+            = route->kind == RouteKind::Streaming && route->isResumable && isEventStream && eventScanner.canContinue();
+        return !hasResponseStarted || isContinuableStream;
+    }
     //! True if the caller resumes a stream that another request began.
     [[nodiscard]] bool isResumption() const
     {
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -444,7 +444,8 @@
     case ExchangeEnd::ResponseOverdue:
     case ExchangeEnd::Interrupted: {
         RetryState *retryState = retryStateFor(request);
-        const bool canRetry = retryState != nullptr && request.runs < request.route->maxAttempts && hasTimeLeft;
+        const bool canRetry = retryState != nullptr && request.runs < request.route->maxAttempts && hasTimeLeft
+            && request.canContinue();
         if (canRetry && retryState->budget.tryRetry()) {
             (request.hasResponseStarted ? resumedStreams_ : retries_).add();
             co_return true;
--- a/tests/platform/cp_platform_cut_answers.tests.cpp
+++ b/tests/platform/cp_platform_cut_answers.tests.cpp
@@ -146,4 +146,54 @@
     }
 }
 
+// Guards against a response that breaks off after its first part was sent, and is sent again from its start behind it.
+BOOST_AUTO_TEST_CASE(a_body_that_has_begun_is_not_sent_twice)
+{
+    constexpr std::size_t bodyBytes = 1U << 20U;
+    CutAnswerCluster test(2);
+    int number = 0;
+    for (const std::string path : {"/reads/1", "/resumes/1"}) {
+        for (const AnswerFraming framing : {AnswerFraming::Length, AnswerFraming::Chunks, AnswerFraming::Connection}) {
+            CutAnswer whole {{std::string(bodyBytes, 'x')}, framing, CutKind::Framed};
+            whole.isEventStream = false;
+            whole.sentBytes = bodyBytes;
+            CutAnswer cut = whole;
+            cut.sentBytes = bodyBytes - 1;
+            cut.cut = CutKind::Close;
+            if (framing == AnswerFraming::Connection) {
+                cut.cut = CutKind::Reset;
+                whole.cut = CutKind::Close;
+            }
+            const std::string id = "b" + std::to_string(++number);
+            test.script(id, {cut.response(id), whole.response(id)});
+            const ReceivedResponse received = test.request(id, path);
+            BOOST_TEST(whole.body().starts_with(received.body));
+            // A reset may overtake the body. The response has then not begun, and is sent again.
+            const bool maySendAgain = cut.cut == CutKind::Reset && received.body.size() == bodyBytes;
+            BOOST_TEST(received.isComplete == maySendAgain);
+            BOOST_TEST(test.attempts(id).size() == (maySendAgain ? 2U : 1U));
+        }
+    }
+}
+
+// Guards against events that arrive twice because none of them names the place from which to continue.
+BOOST_AUTO_TEST_CASE(a_stream_without_event_ids_is_not_continued)
+{
+    CutAnswerCluster test(2);
+    const std::vector<std::vector<std::string>> streams {{"data: a\n\n", "data: b\n\n"},
+                                                         {"id: 1\ndata: a\n\n", "data: b\n\n", "data: c\n\n"}};
+    for (std::size_t i = 0; i < streams.size(); ++i) {
+        CutAnswer whole {streams[i], AnswerFraming::Chunks, CutKind::Framed};
+        whole.sentBytes = whole.body().size();
+        CutAnswer cut {streams[i], AnswerFraming::Connection, CutKind::Close};
+        cut.sentBytes = whole.sentBytes - streams[i].back().size() + 1;
+        const std::string id = "n" + std::to_string(i);
+        test.script(id, {cut.response(id), whole.response(id)});
+        const ReceivedResponse received = test.request(id, "/resumes/1");
+        BOOST_TEST(test.attempts(id).size() == 1U);
+        BOOST_TEST(!received.isComplete);
+        BOOST_TEST(received.body == cut.sent().substr(0, cut.sentBytes - 1));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
