Pass on a response without a body as one

What callers saw: by the test, a HEAD request to a stream is answered with a last chunk, which the caller reads as the start of its next answer (9 of 9 next requests on such connections got nothing); other responses without a body stated a length of 0 that the server hadn't. A turn that was asked for with HEAD was even stored as complete. Evidence: a_response_without_a_body_is_passed_on_without_one on: 40 checks fail, on all routes that stream and on others with the length. Ruled out: - Change: the answer to HEAD, a 204 and a 304 go the way of whole answers, without a chunk, and with a length only if the server stated one. Figures: 40 failed checks before, none now.

--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -38,6 +38,8 @@
 constexpr Milliseconds minCommitTimeout {250};
 constexpr unsigned statusMisdirected = 421;
 constexpr unsigned statusOk = 200;
+constexpr unsigned statusNoContent = 204;
+constexpr unsigned statusNotModified = 304;
 
 std::string_view view(beast::string_view text)
 {
@@ -146,7 +148,8 @@
         }
         co_return ExchangeEnd::NotExecuted;
     }
-    const bool isStream = request_.route->kind == RouteKind::Streaming && parser_->get().result_int() == statusOk;
+    const bool isStream
+        = request_.route->kind == RouteKind::Streaming && parser_->get().result_int() == statusOk && hasBody();
     const bool hasEvents = isStream && isEventStream(parser_->get());
     if (request_.hasResponseStarted && !hasEvents) {
         request_.detail = fmt::format("status {} to a continued stream, without events", parser_->get().result_int());
@@ -263,6 +266,12 @@
     co_return error;
 }
 
+bool BackendExchange::hasBody() const
+{
+    const unsigned status = parser_->get().result_int();
+    return request_.message.method() != http::verb::head && status != statusNoContent && status != statusNotModified;
+}
+
 bool BackendExchange::isNotExecuted() const
 {
     const auto &response = parser_->get();
@@ -320,7 +329,7 @@
     if (parser_->content_length()) {
         length = *parser_->content_length();
     }
-    BodyFraming framing {length, caller.keepsOpen()};
+    BodyFraming framing {length, caller.keepsOpen(), hasBody()};
     while (!parser_->is_done()) {
         const boost::system::error_code error = co_await readSome(body);
         if (error) {
@@ -346,8 +355,7 @@
     releaseConnection();
     std::string bytes;
     if (!request_.hasResponseStarted) {
-        const bool isHeadRequest = request_.message.method() == http::verb::head;
-        framing.length = isHeadRequest ? length.value_or(0) : body.size();
+        framing.length = framing.hasBody ? body.size() : length;
         framing.keepsOpen = caller.keepsOpen();
         bytes = makeCallerHead(parser_->get().base(), parts_.names, framing) + body;
     } else if (!framing.length) {
@@ -391,7 +399,7 @@
     }
     if (!request_.hasResponseStarted) {
         responseHead_
-            = makeCallerHead(parser_->get().base(), parts_.names, {std::nullopt, request_.caller->keepsOpen()});
+            = makeCallerHead(parser_->get().base(), parts_.names, {std::nullopt, request_.caller->keepsOpen(), true});
     }
     // While the begin was committed, the complete stream may have arrived.
     const bool mayBeComplete = request_.begin && request_.route->keepsHistory && !request_.hasResponseStarted;
--- a/src/gateway/cp_backend_exchange.hpp
+++ b/src/gateway/cp_backend_exchange.hpp
@@ -68,6 +68,7 @@
     boost::asio::awaitable<bool> relayChunk(std::string chunk);
     //! \param lastChunk  sent with the end
     boost::asio::awaitable<ExchangeEnd> endStream(std::string lastChunk);
+    [[nodiscard]] bool hasBody() const;
     [[nodiscard]] bool isNotExecuted() const;
     void recordFraming();
     void recordStatusAndLoad();
--- a/src/gateway/cp_request_head.cpp
+++ b/src/gateway/cp_request_head.cpp
@@ -267,7 +267,7 @@
     }
     if (framing.length) {
         addHeader(text, "Content-Length", fmt::to_string(*framing.length));
-    } else {
+    } else if (framing.hasBody) {
         addHeader(text, "Transfer-Encoding", "chunked");
     }
     if (!framing.keepsOpen) {
--- a/src/gateway/cp_request_head.hpp
+++ b/src/gateway/cp_request_head.hpp
@@ -66,6 +66,8 @@
     //! Nothing for chunked encoding.
     std::optional<std::uint64_t> length;
     bool keepsOpen = true;
+    //! False for a response without a body, such as that to HEAD; its length is what the server stated.
+    bool hasBody = true;
 };
 
 //! Formats the status line and headers for the caller, including the empty line.
--- a/tests/gateway/cp_request_head.tests.cpp
+++ b/tests/gateway/cp_request_head.tests.cpp
@@ -151,13 +151,13 @@
     response.set("X-Load", "1,0,8");
     response.set(http::field::connection, "close");
     response.set(http::field::content_length, "3");
-    const std::string fixedLength = makeCallerHead(response.base(), testNames(), {3, true});
+    const std::string fixedLength = makeCallerHead(response.base(), testNames(), {3, true, true});
     BOOST_TEST(fixedLength.starts_with("HTTP/1.1 500 "));
     BOOST_TEST(has(fixedLength, "X-Signature: s\r\n"));
     BOOST_TEST(has(fixedLength, "Content-Length: 3\r\n"));
     BOOST_TEST(!has(fixedLength, "X-Load"));
     BOOST_TEST(!has(fixedLength, "close"));
-    const std::string chunked = makeCallerHead(response.base(), testNames(), {std::nullopt, false});
+    const std::string chunked = makeCallerHead(response.base(), testNames(), {std::nullopt, false, true});
     BOOST_TEST(has(chunked, "Transfer-Encoding: chunked\r\n"));
     BOOST_TEST(has(chunked, "Connection: close\r\n"));
 }
--- a/tests/platform/cp_platform_cut_answers.tests.cpp
+++ b/tests/platform/cp_platform_cut_answers.tests.cpp
@@ -196,4 +196,45 @@
     }
 }
 
+// Guards against a body, or the length of one, in a response that has none: the caller takes it for the next response.
+BOOST_AUTO_TEST_CASE(a_response_without_a_body_is_passed_on_without_one)
+{
+    struct Bodyless {
+        std::string method;
+        std::string status;
+    };
+    CutAnswerCluster test;
+    int number = 0;
+    for (const Bodyless &kind : {Bodyless {"HEAD", "200"}, Bodyless {"HEAD", "404"}, Bodyless {"POST", "204"}}) {
+        for (const std::string path : {"/tools/1", "/reads/1", "/drafts/1", "/resumes/1", "/plans/1"}) {
+            for (const std::string framing : {"Content-Length: 12\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+                if (kind.status == "204" && !framing.empty()) {
+                    continue;
+                }
+                const std::string id = "h" + std::to_string(++number);
+                const std::string head = "HTTP/1.1 " + kind.status + " Some\r\nRequest-Id: " + id
+                    + "\r\nServer-Signature: sig\r\nContent-Type: text/event-stream\r\n" + framing + "\r\n";
+                test.script(id, {{head, ResponseEnd::KeepOpen, {}}});
+                CutAnswer whole {twoEvents("\n"), AnswerFraming::Length, CutKind::Framed};
+                whole.sentBytes = whole.body().size();
+                test.script(id + "-next", {whole.response(id + "-next")});
+                RawCaller caller(test.entry);
+                const bool isTurn = path == "/plans/1";
+                ReceivedResponse received = caller.call(kind.method, path, CutAnswerCluster::headers(id, isTurn), "");
+                BOOST_TEST_CONTEXT(kind.method << " " << path << " " << head)
+                {
+                    BOOST_TEST(std::to_string(received.status) == kind.status);
+                    BOOST_TEST(received.isComplete);
+                    const std::string stated = framing.starts_with("Content-Length") ? "12" : "";
+                    BOOST_TEST(received.headers["Content-Length"] == stated);
+                    const ReceivedResponse next
+                        = caller.call("POST", "/tools/1", CutAnswerCluster::headers(id + "-next", false), "in");
+                    BOOST_TEST(next.status == 200U);
+                    BOOST_TEST(next.body == whole.body());
+                }
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
