Notice a reset that only the writer of a request was told of

What callers saw: by the test, a part of a body in an answer that looks complete. The operating system reports a reset once. A large request is written while its response is read; if the write fails with the reset, the reader sees an ordinary end, and a response that ends with its connection seems complete. Change: a response that ends with its connection is broken off if writing its request failed with a reset. A broken pipe doesn't count: it says that the server had ended the connection before. Conclusion: responses with a length or chunks tell their end themselves and are not affected.

--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -71,6 +71,8 @@
     //! Holds the body while a large request is written.
     std::string bodyCopy;
     bool isWritten = false;
+    //! True if writing failed with a reset, which the operating system reports only once.
+    bool wasReset = false;
 
     [[nodiscard]] std::array<asio::const_buffer, 3> buffers() const
     {
@@ -205,6 +207,7 @@
                     std::shared_ptr<BackendConnection> connection) -> asio::awaitable<void> {
         const auto [error, written] = co_await asio::async_write(connection->stream, outgoing->buffers(), asTuple);
         outgoing->isWritten = !error;
+        outgoing->wasReset = error == asio::error::connection_reset;
     };
     asio::co_spawn(parts_.io, write(outgoing_, connection_), asio::detached);
     co_return true;
@@ -263,6 +266,9 @@
     if (error == http::error::need_buffer) {
         error = {};
     }
+    if (!error && parser_->is_done() && parser_->need_eof() && outgoing_->wasReset) {
+        error = asio::error::connection_reset;
+    }
     co_return error;
 }
 
--- a/tests/platform/cp_platform_cut_answers.tests.cpp
+++ b/tests/platform/cp_platform_cut_answers.tests.cpp
@@ -237,4 +237,36 @@
     }
 }
 
+// Guards against a reset that only the request's writer notices: its reader then sees an ordinary end of the response.
+BOOST_AUTO_TEST_CASE(a_response_that_is_reset_while_its_request_is_written_does_not_look_complete)
+{
+    constexpr std::size_t requestBytes = 16U << 20U;
+    constexpr int requests = 40;
+    CutAnswerCluster test;
+    std::string large = document(4);
+    const std::string limit = R"("max-body-bytes":100000)";
+    large.replace(large.find(limit), limit.size(), R"("max-body-bytes":33554432)");
+    test.cluster.put(large);
+    BOOST_REQUIRE(GatewayCluster::eventually([&] {
+        const std::string body(limit.size() + 200'000, 'x');
+        test.script("probe", {{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", ResponseEnd::KeepOpen, {}}});
+        return RawCaller(test.entry).call("POST", "/tools/1", CutAnswerCluster::headers("probe", false), body).status
+            == 200;
+    }));
+    const std::string body(requestBytes, 'x');
+    for (int i = 0; i < requests; ++i) {
+        CutAnswer cut {{"a part of it"}, AnswerFraming::Connection, CutKind::Reset};
+        cut.isEventStream = false;
+        cut.sentBytes = cut.body().size();
+        const std::string id = "w" + std::to_string(i);
+        ScriptedResponse response = cut.response(id);
+        response.readsBody = false;
+        response.pauses = {1};
+        test.script(id, {response});
+        const ReceivedResponse received
+            = RawCaller(test.entry).call("POST", "/tools/1", CutAnswerCluster::headers(id, false), body);
+        BOOST_TEST((received.status == 502U || !received.isComplete));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
