Reuse a client connection only if nothing but the response has arrived on it

What callers saw: by the test, an error; with other sizes of the rest, bytes of one response in the next. The HTTP client kept a connection unless the response had the header Connection: close. It also kept connections that had ended with their response, that had brought more bytes than it (those already read were dropped, the rest would have been read as the next response), and closed ones. A response to HEAD was waited for until its body came. Ruled out: - Change: the parser decides whether a connection is ready for another request, and only if nothing was read behind the response. A kept one on which something arrived meanwhile is closed when it is its turn. HEAD responses have no body.

--- a/src/cardamompost/net/cp_http_client.cpp
+++ b/src/cardamompost/net/cp_http_client.cpp
@@ -11,6 +11,8 @@
 #include <array>
 #include <map>
 #include <mutex>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 namespace cardamompost
@@ -40,6 +42,14 @@
     return beast::iequals(header[http::field::content_type].substr(0, type.size()), type);
 }
 
+//! False if a socket has bytes that no request asked for, or has been closed by the server.
+bool isSilent(asio::ip::tcp::socket::native_handle_type handle)
+{
+    char byte = 0;
+    const auto received = ::recv(handle, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 } // namespace
 
 struct HttpClient::Connection {
@@ -51,6 +61,8 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     bool isReused = false;
+    //! True if the last response leaves the connection ready for another request.
+    bool isReusable = false;
 };
 
 struct HttpClient::Pool {
@@ -82,10 +94,15 @@
     if (call.reuseConnection) {
         const std::lock_guard lock(pool_->mutex);
         auto &idle = pool_->idle[call.address.toString()];
-        if (!idle.empty()) {
-            connection->stream.socket().assign(endpoint.protocol(), idle.back());
-            connection->isReused = true;
+        while (!idle.empty() && !connection->isReused) {
+            const auto handle = idle.back();
             idle.pop_back();
+            if (isSilent(handle)) {
+                connection->stream.socket().assign(endpoint.protocol(), handle);
+                connection->isReused = true;
+            } else {
+                ::close(handle);
+            }
         }
     }
     if (connection->isReused) {
@@ -138,7 +155,7 @@
         }
         result = co_await exchange(*connected.value(), call, none);
     }
-    if (result && result.value().header("Connection") != "close") {
+    if (result && connected.value()->isReusable) {
         returnToPool(address, std::move(connected.value()));
     }
     co_return result;
@@ -168,6 +185,7 @@
     auto [error, count] = co_await http::async_write(stream, message, asTuple);
     call.body = std::move(message.body());
     http::response_parser<http::buffer_body> parser;
+    parser.skip(message.method() == http::verb::head);
     parser.body_limit(onData ? boost::none : boost::optional<std::uint64_t>(maxResponseBytes));
     if (!error) {
         std::tie(error, count) = co_await http::async_read_header(stream, connection.buffer, parser, asTuple);
@@ -204,6 +222,8 @@
     if (!isStopped && lines.isInsideEvent()) {
         co_return makeError(ErrorKind::BackendFailed, call.address.toString() + ": the stream ended inside an event");
     }
+    // Bytes behind the response are not the response to the next request.
+    connection.isReusable = !isStopped && parser.keep_alive() && connection.buffer.size() == 0;
     for (const auto &field : parser.get()) {
         response.headers.insert_or_assign(std::string(field.name_string()), std::string(field.value()));
     }
--- a/tests/net/cp_http_client.tests.cpp
+++ b/tests/net/cp_http_client.tests.cpp
@@ -85,4 +85,30 @@
     }
 }
 
+// Guards against bytes behind a response that are returned as the response to the next request.
+BOOST_AUTO_TEST_CASE(a_connection_is_not_reused_after_more_bytes_than_the_response)
+{
+    const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+    const std::string extra = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra";
+    const std::string second = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond";
+    constexpr Milliseconds untilAllHasArrived {10};
+    for (std::size_t size = 0; size <= extra.size(); ++size) {
+        ScriptedResponse spoiled {first + extra, ResponseEnd::KeepOpen, {first.size() + size}};
+        ClientTest test({spoiled, {second, ResponseEnd::KeepOpen, {}}});
+        BOOST_TEST(test.request("GET").value().body == "first");
+        std::this_thread::sleep_for(untilAllHasArrived);
+        BOOST_TEST(test.request("GET").value().body == "second", "after " << size << " bytes");
+    }
+}
+
+// Guards against waiting for the body that a HEAD response announces.
+BOOST_AUTO_TEST_CASE(a_response_to_head_has_no_body)
+{
+    ClientTest test({{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", ResponseEnd::KeepOpen, {}}});
+    const Result<HttpResponse> response = test.request("HEAD");
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response.value().body.empty());
+    BOOST_TEST(response.value().header("Content-Length") == "5");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
