Fuzz how answers are split and cut, in their heads and when they are resumed

Random answers (framing, line ends, events, type, status, where they are cut, where the server pauses) on all kinds of route; answers that end in their head; the rest of a stream that its caller resumes, down to nothing.

--- a/tests/platform/cp_platform_cut_answers.tests.cpp
+++ b/tests/platform/cp_platform_cut_answers.tests.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <random>
+
 using namespace cardamompost;
 using namespace cardamompost::tests;
 
@@ -249,4 +251,95 @@
     }
 }
 
+// Guards against an answer that is read differently depending on how its bytes are split.
+BOOST_AUTO_TEST_CASE(randomly_split_answers_look_complete_only_if_they_are_whole)
+{
+    constexpr unsigned seed = 58;
+    constexpr int answers = 600;
+    CutAnswerCluster test;
+    std::mt19937 random(seed);
+    const auto draw = [&random](std::size_t limit) { return random() % limit; };
+    const std::array<std::string, 3> lineEnds {"\n", "\r\n", "\r"};
+    const std::array<std::string, 5> paths {"/drafts/1", "/resumes/1", "/plans/1", "/reads/1", "/tools/1"};
+    for (int i = 0; i < answers; ++i) {
+        const std::string &lineEnd = lineEnds.at(draw(lineEnds.size()));
+        const std::string &path = paths.at(draw(paths.size()));
+        CutAnswer answer;
+        for (std::size_t event = 1; event <= 1 + draw(4); ++event) {
+            answer.events.push_back("id: " + std::to_string(event) + lineEnd + "data: " + std::string(draw(40), 'x')
+                                    + lineEnd + lineEnd);
+        }
+        answer.framing = AnswerFraming(draw(3));
+        answer.cut = CutKind(draw(answer.framing == AnswerFraming::Connection ? 2 : 3));
+        const std::size_t size = answer.body().size();
+        answer.sentBytes = draw(2) == 0 ? size : draw(size + 1);
+        answer.status = draw(5) == 0 ? 500 : 200;
+        // Only a stream is read as events.
+        const bool isStreamRoute = path != "/reads/1" && path != "/tools/1";
+        answer.isEventStream = isStreamRoute && answer.status == 200;
+        const std::string id = "s" + std::to_string(i);
+        ScriptedResponse response = answer.response(id);
+        for (std::size_t pause = draw(6); pause > 0; --pause) {
+            response.pauses.insert(1 + draw(response.bytes.size() - 1));
+        }
+        test.script(id, {response});
+        checkReceived(test.request(id, path, path == "/plans/1"), answer);
+    }
+}
+
+// Guards against a response that is cut off in its head and relayed as an answer.
+BOOST_AUTO_TEST_CASE(a_response_that_ends_in_its_head_becomes_a_failure)
+{
+    CutAnswerCluster test;
+    int number = 0;
+    for (const std::string path : {"/drafts/1", "/tools/1"}) {
+        for (const AnswerFraming framing : {AnswerFraming::Length, AnswerFraming::Chunks, AnswerFraming::Connection}) {
+            const CutAnswer answer {twoEvents("\n"), framing, CutKind::Close};
+            const std::string head = answer.response("id").bytes;
+            for (const ResponseEnd end : {ResponseEnd::Close, ResponseEnd::Reset}) {
+                for (std::size_t size = 0; size < head.size(); size += 3) {
+                    const std::string id = "e" + std::to_string(++number);
+                    test.script(id, {{head.substr(0, size), end, {}}});
+                    const ReceivedResponse received = test.request(id, path);
+                    BOOST_TEST(received.status == 502U);
+                    BOOST_TEST(received.isComplete);
+                }
+            }
+        }
+    }
+}
+
+// Guards against a resumed stream that is cut off and looks complete, and against one with nothing left that does not.
+BOOST_AUTO_TEST_CASE(a_stream_that_its_caller_resumes_is_complete_only_at_its_end)
+{
+    CutAnswerCluster test;
+    CutAnswer begun {twoEvents("\n"), AnswerFraming::Connection, CutKind::Close};
+    begun.sentBytes = begun.body().size() - 1;
+    test.script("begun", {begun.response("begun")});
+    BOOST_TEST(!test.request("begun", "/resumes/1").isComplete);
+    int number = 0;
+    for (const bool hasRest : {true, false}) {
+        for (const AnswerFraming framing : {AnswerFraming::Length, AnswerFraming::Chunks, AnswerFraming::Connection}) {
+            CutAnswer rest {{begun.events.back()}, framing, CutKind::Framed};
+            rest.cut = framing == AnswerFraming::Connection ? CutKind::Close : CutKind::Framed;
+            const std::size_t size = rest.body().size();
+            for (rest.sentBytes = hasRest ? 1 : 0; rest.sentBytes <= (hasRest ? size : 0); ++rest.sentBytes) {
+                const std::string id = "r" + std::to_string(++number);
+                test.script(id, {rest.response(id)});
+                HttpHeaders headers = CutAnswerCluster::headers(id, false);
+                headers["Resumes"] = "begun";
+                headers["Last-Event-Id"] = "1";
+                const ReceivedResponse received = RawCaller(test.entry).call("POST", "/resumes/1", headers, "in");
+                const bool isWhole = rest.sentBytes == (hasRest ? size : 0);
+                BOOST_TEST_CONTEXT(rest.description())
+                {
+                    BOOST_TEST(received.status == (isWhole ? 200U : 502U));
+                    BOOST_TEST(received.isComplete);
+                    BOOST_TEST((!isWhole || received.body == rest.sent()));
+                }
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
