Soak: servers answer with a length, in chunks or with neither, and break off inside events

Ruled out: - Change: each answer has one of three framings and one of two line ends; broken off streams end inside an event, by a reset, an end of the connection, or a last chunk. Checked: an answer that looks complete has all its events.

--- a/tests/platform/gateway_soak.py
+++ b/tests/platform/gateway_soak.py
@@ -9,6 +9,7 @@
 fault lasts. Programs run against a stand-in that serves as
 engine, service and backend list. Checked:
 - a turn arrives with its complete history, and a turn that was answered completely is never unknown;
+- an answer that a server breaks off, with a length, in chunks or with neither, never looks complete, and is no turn to continue from;
 - unsafe requests run at most once, and requests refused as not executed have not run;
 - no program gets more than its token budget and one turn;
 - the newest acknowledged document is read back;
@@ -30,6 +31,8 @@
 # An account's rate limit in requests per second (also its burst), the window, and the permitted excess.
 RATE, WINDOW, OVER_SHARE, OVER_REQUESTS = 15, 5.0, 0.1, 20
 KEY = "stay-officers"
+# Events of a turn.
+TURN_EVENTS = 3
 # Events of a stream that can be resumed, and the pause between them in seconds.
 STREAM_EVENTS, STREAM_PAUSE = 6, 0.02
 # Servers at once, and the time in seconds for which a leaving server stays in the list.
@@ -215,30 +218,56 @@
                     writer.transport.abort()
                     return
                 common = {"Request-Id": request, "Server-Signature": "s-" + request}
+                framing = self.random.choice(["chunks", "length", "connection"])
                 if path.startswith("/tools/") or path.startswith("/grown"):
-                    self.answer(writer, b"done-" + request.encode(), common)
+                    self.answer(writer, b"done-" + request.encode(), common, framed=framing != "connection")
+                    if framing == "connection":
+                        break
                     continue
-                writer.write(b"HTTP/1.1 200 OK\r\n" + b"".join(b"%s: %s\r\n" % (n.encode(), v.encode()) for n, v in common.items())
-                             + b"Transfer-Encoding: chunked\r\n\r\n")
                 is_draft = path.startswith("/drafts/")
                 first = int(headers.get("last-event-id", -1)) + 1
-                for number in range(first, STREAM_EVENTS if is_draft else 3):
-                    text = server.version if is_draft else request
-                    event = b"id: %d\ndata: %d-%s\n\n" % (number, number, text.encode())
-                    writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-                    await writer.drain()
-                    await asyncio.sleep(STREAM_PAUSE if is_draft else 0.004)
-                    if (draw > 0.98 or is_draft and draw > 0.8) and number == first + 1:
-                        writer.transport.abort()
-                        return
-                writer.write(b"0\r\n\r\n")
+                text, end = server.version if is_draft else request, self.random.choice(["\n", "\r\n"])
+                events = [f"id: {number}{end}data: {number}-{text}{end}{end}".encode()
+                          for number in range(first, STREAM_EVENTS if is_draft else TURN_EVENTS)]
+                cut = 1 if draw > 0.98 or is_draft and draw > 0.8 else len(events)
+                if not await self.stream(writer, common, framing, events, cut, STREAM_PAUSE if is_draft else 0.004):
+                    return
+            writer.close()
         except (OSError, asyncio.IncompleteReadError, ValueError, KeyError):
             writer.close()
 
+    async def stream(self, writer, headers, framing, events, cut, pause):
+        """Writes events, and breaks off inside the event with the index cut. Returns whether the connection stays open."""
+        text = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        text += {"chunks": "Transfer-Encoding: chunked\r\n", "length": f"Content-Length: {len(b''.join(events))}\r\n",
+                 "connection": ""}[framing]
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{text}\r\n".encode())
+        is_chunked = framing == "chunks"
+        for index, event in enumerate(events):
+            part = event[:self.random.randint(1, len(event) - 1)] if index == cut else event
+            writer.write(b"%x\r\n%s\r\n" % (len(part), part) if is_chunked else part)
+            await writer.drain()
+            if index == cut:
+                if self.random.random() < 0.3:
+                    writer.transport.abort()
+                elif is_chunked and self.random.random() < 0.5:
+                    writer.write(b"0\r\n\r\n")
+                    return True
+                else:
+                    writer.close()
+                return False
+            await asyncio.sleep(pause)
+        if is_chunked:
+            writer.write(b"0\r\n\r\n")
+        if framing == "connection":
+            writer.close()
+        return framing != "connection"
+
     @staticmethod
-    def answer(writer, body, headers, status="200 OK"):
+    def answer(writer, body, headers, status="200 OK", framed=True):
         text = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-        writer.write(f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n{text}\r\n".encode() + body)
+        text += f"Content-Length: {len(body)}\r\n" if framed else ""
+        writer.write(f"HTTP/1.1 {status}\r\n{text}\r\n".encode() + body)
 
 
 class Process:
@@ -399,7 +428,9 @@
                 headers["Previous-Turn"] = previous
             text = f"in-{number}-{turn};".encode()
             request, status, answer = await self.send("/plans/x", headers, text, key)
-            received_tokens += answer.count(b"\n\n") * TOKENS_PER_EVENT
+            answer = answer.replace(b"\r\n", b"\n")
+            received_events = answer.count(b"\n\n")
+            received_tokens += received_events * TOKENS_PER_EVENT
             received_body = self.backend.bodies.get(request)
             if received_body is not None and received_body != history + text:
                 self.fail(f"{request} reached the engine with a wrong history")
@@ -407,6 +438,8 @@
                 self.fail(f"{request}: the completed turn {previous} is unknown")
             if status == 402:
                 break
+            if status == 200 and received_events != TURN_EVENTS:
+                self.fail(f"{request} got {received_events} of {TURN_EVENTS} events in an answer that looks complete")
             if status == 200:
                 data = b"".join(line[6:] + b"\n" for line in answer.split(b"\n") if line.startswith(b"data: "))
                 previous, history = request, history + text + data
@@ -429,7 +462,7 @@
                     return status, False
                 while size := int(await asyncio.wait_for(reader.readline(), 6), 16):
                     chunk = await asyncio.wait_for(reader.readexactly(size + 2), 6)
-                    for event in chunk.decode().split("\n\n")[:-1]:
+                    for event in chunk.decode().replace("\r\n", "\n").split("\n\n")[:-1]:
                         number, text = [line.split(": ")[1] for line in event.strip().split("\n")]
                         events.append((int(number), text.split("-")[1]))
                     if len(events) >= most:
@@ -468,6 +501,8 @@
             versions, numbers = {version for _, version in events}, [number for number, _ in events]
             if len(versions) > 1:
                 self.fail(f"the stream {begun} holds events of {sorted(versions)}")
+            if ended and len(events) != STREAM_EVENTS:
+                self.fail(f"the stream {begun} ended as complete after {len(events)} of {STREAM_EVENTS} events")
             if numbers != list(range(len(numbers))):
                 self.fail(f"the stream {begun} has the events {numbers}")
             await asyncio.sleep(0.01)
