--- a/tests/platform/cp_platform_adapter.tests.cpp
+++ b/tests/platform/cp_platform_adapter.tests.cpp
@@ -178,4 +178,26 @@
     BOOST_TEST(!adapter.readBackends(R"({"instances":[],"next":7})").has_value());
 }
 
+// Guards against a list that was cut off on its way and removes the servers that it lacks.
+BOOST_AUTO_TEST_CASE(a_list_that_is_cut_off_is_rejected)
+{
+    const std::string list
+        = R"("instances":[{"id":"i-1","service":"s","address":"127.0.0.1:1","zone":"z","slots":1,)"
+          R"("state":"ready","models":[{"name":"m","adapters":[]}]},)"
+          R"({"id":"i-2","service":"s","address":"127.0.0.1:2","zone":"z","slots":1,"state":"ready"}])";
+    const std::string next = R"("next":null)";
+    const PlatformAdapter adapter;
+    for (const std::string &page : {"{" + list + "," + next + "}", "{" + next + "," + list + "}"}) {
+        BOOST_TEST(adapter.readBackends(page).value().servers.size() == 2U);
+        std::string spoiled = page;
+        spoiled.replace(spoiled.find("\"i-1\""), 5, "-oops");
+        BOOST_TEST(adapter.readBackends(spoiled).value().servers.size() == 1U);
+        for (std::size_t size = 0; size + 1 < page.size(); ++size) {
+            const Result<BackendPage> read = adapter.readBackends(std::string_view(page).substr(0, size));
+            // Behind the last entry nothing is missing.
+            BOOST_TEST((!read || read.value().servers.size() == 2U), page.substr(0, size));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
