A failing test of a stream resumed at a server that restarted under its id

Cause: the finding was by reading. A request names the id of its server, which the server keeps when it restarts; the list may name the former start, and with it the former version, for a while. The stand-in reports when it started, as servers do.

--- a/tests/platform/cp_platform_versions.tests.cpp
+++ b/tests/platform/cp_platform_versions.tests.cpp
@@ -262,4 +262,22 @@
     checkResumed("b-plain", false);
 }
 
+// Guards against a stream that goes on at a server which restarted under its id while the list names its former start.
+BOOST_AUTO_TEST_CASE(a_stream_is_not_resumed_at_a_server_that_restarted_under_its_id)
+{
+    constexpr std::uint64_t formerStart = 100;
+    constexpr std::uint64_t start = 200;
+    ResumedStreams test({{0, "v1", false, formerStart}});
+    test.cluster.platform.restart(0, formerStart);
+    for (int i = 0; i < streams; ++i) {
+        test.begin(name("begun", i), i % 2 == 0);
+    }
+    test.cluster.platform.restart(0, start);
+    for (int i = 0; i < streams; ++i) {
+        const std::string id = name("resumed", i);
+        BOOST_TEST(test.resume(test.second, id, name("begun", i), i % 2 == 0).status == 503U);
+        BOOST_TEST(test.cluster.platform.runsOf(id) == 0U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/cp_fake_platform.hpp
+++ b/tests/support/cp_fake_platform.hpp
@@ -241,6 +241,12 @@
         const std::lock_guard lock(mutex_);
         isFirstAddressReused_ = true;
     }
+    //! Restarts a server under its id; the list keeps the former start until it is changed.
+    void restart(std::size_t server, std::uint64_t incarnation)
+    {
+        const std::lock_guard lock(mutex_);
+        incarnations_[server] = incarnation;
+    }
     //! Changes the list, which has the first two servers at the start.
     void setList(std::vector<ListedServer> list)
     {
@@ -282,6 +288,14 @@
         response.body += R"(],"next":null})";
         return response;
     }
+    //! What a server says of itself.
+    [[nodiscard]] HttpResponse report(std::size_t server)
+    {
+        const std::lock_guard lock(mutex_);
+        HttpResponse response;
+        response.body = R"({"stage":"both","busy":false,"born":)" + std::to_string(incarnations_[server]) + "}";
+        return response;
+    }
     //! Records a request. \returns the number of earlier ones with the same id
     std::size_t recordRequest(std::size_t server, const std::string &id, const HttpRequest &request)
     {
@@ -310,6 +324,10 @@
             co_await responder.respond(list());
             co_return;
         }
+        if (request.path == "/cardamompost/report") {
+            co_await responder.respond(report(server));
+            co_return;
+        }
         const std::string id(request.header("Request-Id"));
         if (!isExpectedInstance(server, std::string(request.header("Expected-Instance")))) {
             HttpResponse misdirected;
@@ -375,6 +393,8 @@
     HttpClient client_;
     std::mutex mutex_;
     std::vector<ListedServer> list_ {{0}, {1}};
+    //! When each server started.
+    std::map<std::size_t, std::uint64_t> incarnations_;
     std::map<std::string, std::string> bodies_;
     std::map<std::string, HttpHeaders> headers_;
     std::map<std::string, std::vector<std::size_t>> runs_;
