--- a/tests/platform/cp_platform_cut_answers.tests.cpp
+++ b/tests/platform/cp_platform_cut_answers.tests.cpp
@@ -38,14 +38,18 @@
 BOOST_AUTO_TEST_CASE(a_stream_that_ends_inside_an_event_does_not_look_complete)
 {
     CutAnswerCluster test;
-    int number = 0;
+    std::size_t number = 0;
+    std::size_t whole = 0;
     for (const std::string path : {"/drafts/1", "/resumes/1"}) {
         for (const CutAnswer &answer : allCuts()) {
             const std::string id = "c" + std::to_string(++number);
             test.script(id, {answer.response(id)});
             checkReceived(test.request(id, path), answer);
+            whole += answer.isWhole() ? 1 : 0;
         }
     }
+    BOOST_TEST(GatewayCluster::eventually([&] { return test.cluster.logCount("request.end") >= number; }));
+    BOOST_TEST(test.cluster.matchingLogCount("request.end", R"("cause":"answered")") == whole);
 }
 
 // Guards against a turn that its server breaks off and that is stored as the turn to continue from.
--- a/tests/platform/gateway_soak.py
+++ b/tests/platform/gateway_soak.py
@@ -1,12 +1,12 @@
 #!/usr/bin/env python3
 """Fault injection soak of the gateway: real processes on loopback under injected faults, with invariants checked throughout.
 
-usage: gateway_soak.py [--build FOLDER] [--seconds S] [--plant] SEED...
+usage: gateway_soak.py [--build FOLDER] [--seconds S] [--entries N] [--plant] SEED...
 --plant wipes two of three ledger VMs at once, more than the system tolerates: the checks must detect it.
 
-Three ledger VMs and two entries run as processes. Connections to a ledger VM pass a proxy that can delay, reset or blackhole them,
+Three ledger VMs and two or more entries run as processes. Connections to a ledger VM pass a proxy that can delay, reset or blackhole them,
 also in one direction only. Processes are killed, suspended, wiped, and denied writes; entries are killed at any time, also while another
-fault lasts. Programs run against a stand-in that serves as
+fault lasts; all get SIGHUP in series, with changes of the document and of servers meanwhile. Programs run against a stand-in that serves as
 engine, service and backend list. Checked:
 - a turn arrives with its complete history, and a turn that was answered completely is never unknown;
 - an answer that a server breaks off, with a length, in chunks or with neither, never looks complete, and is no turn to continue from;
@@ -39,8 +39,8 @@
 SERVERS, LEAVING_TIME = 5, 1.0
 # Resumptions from which the share that is served counts, and the least share.
 MIN_RESUMPTIONS, MIN_RESUMED_SHARE = 12, 0.5
-# An entry's grace period after SIGTERM, in seconds.
-GRACE = 8
+# An entry's grace period after SIGTERM, and the time in which a started process is sure to handle SIGHUP, in seconds.
+GRACE, HANDLER_TIME = 8, 2.0
 DOCUMENT = {"routes": [
     {"name": "plans", "host": "h.example", "path-prefix": "/plans/", "kind": "streaming", "timeout-ms": 4000, "service": "e",
      "max-attempts": 1, "retains-context": True, "retention-s": 60.0, "sticky-sessions": True},
@@ -274,7 +274,7 @@
     def __init__(self, soak, name, role, settings):
         self.soak, self.name, self.role, self.settings, self.child, self.first = soak, name, role, settings, None, True
         # Held by whatever stops, suspends or kills the process.
-        self.lock, self.kills = asyncio.Lock(), 0
+        self.lock, self.kills, self.started_at = asyncio.Lock(), 0, 0.0
         self.data = os.path.join(soak.folder, name)
 
     async def start(self):
@@ -292,7 +292,7 @@
             await asyncio.sleep(0.1)
             if self.child.returncode is None:
                 break
-        self.first = False
+        self.first, self.started_at = False, time.monotonic()
 
     async def kill(self):
         if self.child.returncode is None:
@@ -301,8 +301,8 @@
 
 
 class Soak:
-    def __init__(self, build, seed, plant):
-        self.plant = plant
+    def __init__(self, build, seed, plant, entry_count=2):
+        self.plant, self.entry_count = plant, entry_count
         self.executable = os.path.abspath(os.path.join(build, "cardamompost-gateway"))
         self.random, self.seed, self.broken, self.notes = random.Random(seed), seed, [], []
         self.folder = tempfile.mkdtemp(prefix="gateway-soak-")
@@ -324,7 +324,8 @@
 
     async def start(self):
         await self.backend.start(self.listen)
-        ports = [self.free_port() for _ in range(3 * 3 + 2 * 3)]
+        count = self.entry_count
+        ports = [self.free_port() for _ in range(3 * 3 + count * 3)]
         for i in range(3):
             self.forwarders.append(Forwarder(("127.0.0.1", ports[i])))
         self.peer_ports = [(await self.listen(forwarder.serve))[1] for forwarder in self.forwarders]
@@ -335,10 +336,11 @@
                 "control": f"127.0.0.1:{ports[3 + i]}", "directory": f"127.0.0.1:{ports[6 + i]}",
                 "backend_list": "%s:%d" % self.backend.address, "list_interval_ms": 300, "limit_window_s": WINDOW,
                 "limit_over_share": OVER_SHARE, "limit_over_requests": OVER_REQUESTS}))
-        self.fronts = [("127.0.0.1", port) for port in ports[9:11]]
-        for i in range(2):
+        self.fronts = [("127.0.0.1", port) for port in ports[9:9 + count]]
+        for i in range(count):
             self.entries.append(Process(self, f"entry-{i}", "entry", {
-                "grace_ms": GRACE * 1000, "peer": f"127.0.0.1:{ports[13 + i]}", "front": f"127.0.0.1:{ports[9 + i]}", "ready": f"127.0.0.1:{ports[11 + i]}"}))
+                "grace_ms": GRACE * 1000, "peer": f"127.0.0.1:{ports[9 + 2 * count + i]}", "front": f"127.0.0.1:{ports[9 + i]}",
+                "ready": f"127.0.0.1:{ports[9 + count + i]}"}))
         for process in self.ledgers + self.entries:
             await process.start()
         await self.put_document(1, 20)
@@ -564,6 +566,17 @@
             await asyncio.sleep(self.random.uniform(1, 4))
             await asyncio.gather(*(self.crash(entry) for entry in self.random.sample(self.entries, self.random.choice([1, 1, 2]))))
 
+    async def hang_up(self, until):
+        """Sends series of SIGHUP to processes that have run long enough to have a handler."""
+        while time.monotonic() < until:
+            await asyncio.sleep(self.random.uniform(0.1, 1))
+            process = self.random.choice(self.ledgers + self.entries)
+            for _ in range(self.random.randint(1, 5)):
+                if process.child.returncode is None and time.monotonic() > process.started_at + HANDLER_TIME:
+                    with contextlib.suppress(ProcessLookupError):
+                        os.kill(process.child.pid, signal.SIGHUP)
+                await asyncio.sleep(self.random.uniform(0, 0.05))
+
     async def crash(self, process):
         if process.lock.locked():
             return
@@ -666,13 +679,13 @@
                 await ledger.kill()
             await ledger.start()
         elif kind in ("freeze", "entry"):
-            process = ledger if kind == "freeze" else self.entries[number % 2]
+            process = ledger if kind == "freeze" else self.random.choice(self.entries)
             async with process.lock:
                 process.child.send_signal(signal.SIGSTOP)
                 await asyncio.sleep(self.random.uniform(0.5, 2.5))
                 process.child.send_signal(signal.SIGCONT)
         elif kind == "stop":
-            stops = [self.stop(self.entries[number % 2], GRACE + 2)]
+            stops = [self.stop(self.random.choice(self.entries), GRACE + 2)]
             if self.random.random() < 0.5:
                 stops.append(self.stop(ledger, GRACE + 2))
             await asyncio.gather(*stops)
@@ -693,7 +706,7 @@
         await self.start()
         until = time.monotonic() + seconds
         work = asyncio.gather(self.traffic(until), self.press(until), self.operator(until), self.keep(until), self.keep(until),
-                              self.backend.roll(until), self.crash_entries(until), *(self.resume_streams(until) for _ in range(4)))
+                              self.backend.roll(until), self.crash_entries(until), self.hang_up(until), *(self.resume_streams(until) for _ in range(4)))
         while time.monotonic() + 6 < until:
             await self.fault()
         await work
@@ -736,12 +749,13 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--build", default="build")
     parser.add_argument("--seconds", type=float, default=25)
+    parser.add_argument("--entries", type=int, default=2)
     parser.add_argument("--plant", action="store_true")
     parser.add_argument("seeds", type=int, nargs="+")
     arguments = parser.parse_args()
     failed = 0
     for seed in arguments.seeds:
-        soak = Soak(arguments.build, seed, arguments.plant)
+        soak = Soak(arguments.build, seed, arguments.plant, arguments.entries)
         try:
             await soak.run(arguments.seconds)
         finally:
