Interfaces for service rates, shares of accounts, admission and prompts that follow their program

Cause: placement counts turns and knows neither engines' speeds, accounts nor the state of the queue; the messages lack what would tell it. Ruled out: messages of their own for rates or loads (the begin and the end of a turn pass the leader anyway).

--- a/include/cardamompost/edge/cp_iplatform_adapter.hpp
+++ b/include/cardamompost/edge/cp_iplatform_adapter.hpp
@@ -20,6 +20,8 @@
     std::string programTimeLeft;
     std::string tokenBudget;
     std::string tokenUsage;
+    //! The caller's estimate of the generated tokens.
+    std::string expectedOutput;
     std::string previousTurn;
     std::string deadline;
     std::string expectedInstance;
@@ -35,6 +37,8 @@
     std::string account;
     //! Equal for requests that concern the same object.
     std::string affinity;
+    //! Address of an engine from which another one fetches cached parts of a prompt.
+    std::string promptSource;
     //! Headers that only the system may set; those of callers are removed.
     std::vector<std::string> reserved;
 };
--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -61,6 +61,10 @@
     std::vector<std::string> unreachable {};
     //! The only software version that may run the turn; empty for any.
     std::string softwareVersion {};
+    //! Tokens of the whole prompt, history included; 0 if unknown.
+    std::uint32_t promptTokens = 0;
+    //! Expected number of generated tokens; 0 if unknown.
+    std::uint32_t outputTokens = 0;
 };
 
 //! Version of the servers that run a stream. Only servers of this version may resume it.
@@ -138,6 +142,8 @@
     Overloaded,
     //! No backend server has the software version that the turn requires; the turn is not run.
     NoSuchVersion,
+    //! The program can't be served in time beside those that are in progress; its first turn is not run.
+    NotAdmitted,
 };
 
 struct TurnBeginReply {
@@ -147,10 +153,13 @@
     std::string history;
     //! Id of the backend server with a slot for the turn; empty if the entry has to choose. Only with Tentative.
     std::string backend;
-    //! Only with Limited and Overloaded.
+    //! Only with Limited, Overloaded and NotAdmitted.
     std::uint32_t retryAfterMs = 0;
     //! Recorded version of the turn's stream, if there is one; only with Granted.
     ServerVersion version {};
+    //! Id of another engine that is expected to have the program's prompt in its cache; empty if there is none. Only
+    //! with Tentative.
+    std::string promptSource {};
 };
 
 //! Asks whether a request other than a turn is within its account's limit.
@@ -186,6 +195,18 @@
     Interrupted,
 };
 
+//! How long a turn took at its engine, as observed by the entry. 0 stands for unknown.
+struct TurnTiming {
+    //! Tokens of the whole prompt, history included.
+    std::uint32_t promptTokens = 0;
+    //! From sending the request to the first event.
+    std::uint32_t firstEventMs = 0;
+    //! From the first event to the last one.
+    std::uint32_t streamMs = 0;
+
+    friend bool operator==(const TurnTiming &, const TurnTiming &) = default;
+};
+
 struct TurnFinish {
     std::string turn;
     std::string program;
@@ -200,6 +221,8 @@
     std::string output;
     //! Id of the backend server that ran the turn; empty if none or unknown.
     std::string backend;
+    //! Only of a complete turn. Replicated, so that a new leader knows the servers' rates.
+    TurnTiming timing {};
 };
 
 struct TurnFinishReply {
--- a/include/cardamompost/policy/cp_turn_placement.hpp
+++ b/include/cardamompost/policy/cp_turn_placement.hpp
@@ -3,6 +3,7 @@
 
 #include <cardamompost/core/cp_time.hpp>
 #include <cardamompost/policy/cp_engine_load_index.hpp>
+#include <cardamompost/policy/cp_placement_options.hpp>
 #include <cardamompost/routing/cp_backend_list.hpp>
 
 #include <functional>
@@ -34,6 +35,13 @@
     Milliseconds timeLeft {0};
     //! The only software version that may run the turn; empty for any.
     std::string softwareVersion {};
+    //! Client account; empty if the document has none.
+    std::string account {};
+    //! Tokens of the whole prompt, and expected generated tokens; 0 if unknown.
+    std::uint32_t promptTokens = 0;
+    std::uint32_t outputTokens = 0;
+    //! Time to the program's target completion; nothing if unknown.
+    std::optional<Milliseconds> programTimeLeft {};
 };
 
 //! Assigns turns to engine slots for all entries.
@@ -52,7 +60,7 @@
     //! waiting at clear(). Not called for a turn that is released while it waits.
     using PlacementCallback = std::function<void(const std::string &engine)>;
 
-    explicit TurnPlacement(std::uint64_t seed);
+    explicit TurnPlacement(std::uint64_t seed, PlacementOptions options = {});
 
     //! Replaces the engines; draining engines receive no new turns.
     void setServers(const std::vector<BackendServer> &servers, TimePoint now);
@@ -164,6 +172,7 @@
     void expireAffinities(TimePoint now);
 
     std::uint64_t seed_;
+    PlacementOptions options_;
     Engines engines_;
     std::unordered_map<std::string, Service> services_;
     //! Ends of the times for which engines are avoided; an engine may have several.
--- a/include/cardamompost/routing/cp_route_document.hpp
+++ b/include/cardamompost/routing/cp_route_document.hpp
@@ -69,6 +69,8 @@
     std::uint64_t cacheTokens = 0;
     //! Tokens counted for each event of a stream.
     unsigned tokensPerEvent = 1;
+    //! An engine can fetch cached parts of a prompt from another engine of the service.
+    bool canFetchPrompts = false;
 };
 
 //! A group of interchangeable backend servers.
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -269,6 +269,8 @@
   patienceMs @4 :UInt32;
   unreachable @5 :List(Text);
   softwareVersion @6 :Text;
+  promptTokens @7 :UInt32;
+  outputTokens @8 :UInt32;
 }
 
 struct TurnBeginReply {
@@ -278,6 +280,7 @@
   backend @3 :Text;
   retryAfterMs @4 :UInt32;
   version @5 :ServerVersion;
+  promptSource @6 :Text;
 }
 
 struct AdmitRequest {
@@ -302,6 +305,9 @@
   input @7 :Data;
   output @8 :Data;
   backend @9 :Text;
+  promptTokens @10 :UInt32;
+  firstEventMs @11 :UInt32;
+  streamMs @12 :UInt32;
 }
 
 struct TurnFinishReply {
@@ -359,6 +365,7 @@
   slots @3 :UInt32;
   cacheTokens @4 :UInt64;
   tokensPerEvent @5 :UInt32;
+  canFetchPrompts @6 :Bool;
 }
 
 struct CallerBounds {
--- a/src/cardamompost/net/cp_frame_decoder.cpp
+++ b/src/cardamompost/net/cp_frame_decoder.cpp
@@ -133,12 +133,13 @@
 
 TurnBeginReply decodeTurnBeginReply(schema::TurnBeginReply::Reader in)
 {
-    return {decodeEnum(in.getStatus(), TurnBeginStatus::NoSuchVersion),
+    return {decodeEnum(in.getStatus(), TurnBeginStatus::NotAdmitted),
             fromText(in.getLeader()),
             fromData(in.getHistory()),
             fromText(in.getBackend()),
             in.getRetryAfterMs(),
-            decodeServerVersion(in.getVersion())};
+            decodeServerVersion(in.getVersion()),
+            fromText(in.getPromptSource())};
 }
 
 FrameBody decodeLedgerBody(Body::Reader in)
--- a/src/cardamompost/net/cp_frame_encoder.cpp
+++ b/src/cardamompost/net/cp_frame_encoder.cpp
@@ -287,6 +287,9 @@
         if (in.version.isKnown()) {
             encodeServerVersion(in.version, message.initVersion());
         }
+        if (!in.promptSource.empty()) {
+            message.setPromptSource(toText(in.promptSource));
+        }
     }
 
     void operator()(const StreamVersionRequest &in)
--- a/src/cardamompost/net/cp_ledger_schema.cpp
+++ b/src/cardamompost/net/cp_ledger_schema.cpp
@@ -20,6 +20,8 @@
     if (!in.softwareVersion.empty()) {
         out.setSoftwareVersion(toText(in.softwareVersion));
     }
+    out.setPromptTokens(in.promptTokens);
+    out.setOutputTokens(in.outputTokens);
 }
 
 PlacementRequest decodePlacementRequest(schema::PlacementWish::Reader in)
@@ -30,7 +32,9 @@
                                 in.getProgramTimeLeftMs(),
                                 in.getPatienceMs(),
                                 {},
-                                fromText(in.getSoftwareVersion())};
+                                fromText(in.getSoftwareVersion()),
+                                in.getPromptTokens(),
+                                in.getOutputTokens()};
     for (const auto server : in.getUnreachable()) {
         placement.unreachable.push_back(fromText(server));
     }
@@ -190,6 +194,9 @@
     out.setInput(toData(in.input));
     out.setOutput(toData(in.output));
     out.setBackend(toText(in.backend));
+    out.setPromptTokens(in.timing.promptTokens);
+    out.setFirstEventMs(in.timing.firstEventMs);
+    out.setStreamMs(in.timing.streamMs);
 }
 
 TurnFinish decodeTurnFinish(schema::TurnFinish::Reader in)
@@ -207,7 +214,8 @@
             in.getIsKept(),
             fromData(in.getInput()),
             fromData(in.getOutput()),
-            fromText(in.getBackend())};
+            fromText(in.getBackend()),
+            {in.getPromptTokens(), in.getFirstEventMs(), in.getStreamMs()}};
 }
 
 void encodeUpdateRequest(const UpdateRequest &in, schema::NewsRequest::Builder out)
--- a/src/cardamompost/policy/cp_turn_placement.cpp
+++ b/src/cardamompost/policy/cp_turn_placement.cpp
@@ -34,8 +34,9 @@
 
 } // namespace
 
-TurnPlacement::TurnPlacement(std::uint64_t seed)
+TurnPlacement::TurnPlacement(std::uint64_t seed, PlacementOptions options)
     : seed_(seed)
+    , options_(options)
 {
 }
 
--- a/src/cardamompost/routing/cp_document_buckets.cpp
+++ b/src/cardamompost/routing/cp_document_buckets.cpp
@@ -125,6 +125,7 @@
     out.setSlots(service.engine.slots);
     out.setCacheTokens(service.engine.cacheTokens);
     out.setTokensPerEvent(service.engine.tokensPerEvent);
+    out.setCanFetchPrompts(service.engine.canFetchPrompts);
 }
 
 BackendService decodeService(schema::RoutedService::Reader in)
@@ -132,7 +133,7 @@
     return {fromText(in.getName()),
             in.getMaxConnections(),
             in.getIsEngine(),
-            {in.getSlots(), in.getCacheTokens(), in.getTokensPerEvent()}};
+            {in.getSlots(), in.getCacheTokens(), in.getTokensPerEvent(), in.getCanFetchPrompts()}};
 }
 
 void encodeAccount(const Account &account, schema::Account::Builder out)
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -5,6 +5,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+#include <limits>
+
 namespace cardamompost
 {
 
@@ -44,6 +47,11 @@
     return std::chrono::steady_clock::now();
 }
 
+std::uint32_t toCount(std::int64_t number)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(number, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
 } // namespace
 
 Forwarder::RetryState::RetryState()
@@ -182,6 +190,8 @@
     if (request.requiredVersion) {
         placement.softwareVersion = request.requiredVersion->softwareVersion;
     }
+    placement.promptTokens = toCount(request.metadata.tokensIn);
+    placement.outputTokens = toCount(request.metadata.expectedOutputTokens.value_or(request.metadata.maxOutputTokens));
     placement.unreachable = parts_.pool.ejected(request.service->name, now);
     return placement;
 }
@@ -292,6 +302,8 @@
         refusal = access_.overLimitResponse(request.begin->retryAfter());
     } else if (request.begin->status() == TurnBeginStatus::Overloaded) {
         refusal = {statusUnavailable, "the ledger is overloaded", request.begin->retryAfter()};
+    } else if (request.begin->status() == TurnBeginStatus::NotAdmitted) {
+        refusal = {statusUnavailable, "the program can't be served in time", request.begin->retryAfter()};
     } else if (request.begin->status() == TurnBeginStatus::NoSuchVersion) {
         refusal = missingVersionResponse(request);
     }
--- a/src/gateway/cp_gateway_settings.cpp
+++ b/src/gateway/cp_gateway_settings.cpp
@@ -68,6 +68,10 @@
         std::chrono::duration<double>(reader.number("limit_window_s", 0, 0, maxLimitWindowSeconds)));
     settings.limitTolerance.excessShare = reader.number("limit_over_share", 0, 0, 1);
     settings.limitTolerance.excessRequests = reader.number("limit_over_requests", 0, 0, maxExcessRequests);
+    settings.placement.usesServiceRates = reader.boolean("place_by_service_rate", false);
+    settings.placement.sharesByAccount = reader.boolean("share_by_account", false);
+    settings.placement.refusesHopelessPrograms = reader.boolean("refuse_hopeless_programs", false);
+    settings.placement.namesPromptSources = reader.boolean("fetch_prompts", false);
     settings.logFile = reader.text("log_file", "-");
     settings.logLevel = reader.text("log_level", "info");
     // Keys of the other role are accepted, so that one template serves both.
--- a/src/gateway/cp_gateway_settings.hpp
+++ b/src/gateway/cp_gateway_settings.hpp
@@ -6,6 +6,7 @@
 #include <cardamompost/core/cp_name_table.hpp>
 #include <cardamompost/core/cp_time.hpp>
 #include <cardamompost/limits/cp_request_limiter.hpp>
+#include <cardamompost/policy/cp_placement_options.hpp>
 
 namespace cardamompost
 {
@@ -59,6 +60,8 @@
     bool failsClosed = false;
     //! Tolerance for exceeding accounts' limits.
     LimitTolerance limitTolerance;
+    //! Ledger: how turns are placed.
+    PlacementOptions placement;
     //! "-" for standard output.
     std::string logFile = "-";
     std::string logLevel;
--- a/src/gateway/cp_ledger_begins.cpp
+++ b/src/gateway/cp_ledger_begins.cpp
@@ -285,6 +285,12 @@
     request.isInProgress = isResumed || isProgramInProgress(begin);
     request.isLate = !isResumed && placement.programTimeLeftMs < 0;
     request.softwareVersion = placement.softwareVersion;
+    request.account = accountOf(begin.turn);
+    request.promptTokens = placement.promptTokens;
+    request.outputTokens = placement.outputTokens;
+    if (placement.programTimeLeftMs != 0) {
+        request.programTimeLeft = Milliseconds(placement.programTimeLeftMs);
+    }
     placement_.request(std::move(request), now,
                        [this, active](const std::string &backend) { onPlaced(*active, backend); });
 }
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -152,6 +152,7 @@
         attempt->begin.placement.softwareVersion.clear();
         pending.history_ = std::move(answer->history);
         pending.backend_ = std::move(answer->backend);
+        pending.promptSource_ = std::move(answer->promptSource);
         pending.notifyWaiters();
         return;
     }
@@ -164,7 +165,8 @@
         resendLater(attempt);
         return;
     }
-    const bool isDeferred = answer->status == TurnBeginStatus::Overloaded || answer->status == TurnBeginStatus::Limited;
+    const bool isDeferred = answer->status == TurnBeginStatus::Overloaded || answer->status == TurnBeginStatus::Limited
+        || answer->status == TurnBeginStatus::NotAdmitted;
     if (isDeferred && pending.isTentative_) {
         // A successor of the leader that placed the turn, which may have run since, admits no new ones for now.
         resendLater(attempt, Milliseconds(answer->retryAfterMs));
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -77,12 +77,17 @@
     {
         return backend_;
     }
+    //! Another engine whose cache is expected to have the prompt; empty if there is none. Valid once isTentative().
+    [[nodiscard]] const std::string &promptSource() const
+    {
+        return promptSource_;
+    }
     //! Recorded version of the turn's stream; valid once isGranted().
     [[nodiscard]] const ServerVersion &recordedVersion() const
     {
         return recordedVersion_;
     }
-    //! Valid once status() is Limited or Overloaded.
+    //! Valid once status() is Limited, Overloaded or NotAdmitted.
     [[nodiscard]] Milliseconds retryAfter() const
     {
         return retryAfter_;
@@ -104,6 +109,7 @@
     BeginFailure failure_ = BeginFailure::None;
     std::string history_;
     std::string backend_;
+    std::string promptSource_;
     ServerVersion recordedVersion_;
     Milliseconds retryAfter_ {0};
 };
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -30,7 +30,7 @@
     , joinTimer_(parts.io)
     , presenceTimer_(parts.io)
     , discovery_({parts.io, parts.disk, parts.log})
-    , placement_(randomIdentity())
+    , placement_(randomIdentity(), parts.settings.placement)
     , limiter_(parts.settings.limitTolerance)
     , updates_({parts.io, parts.peers, parts.log, parts.metrics, self_, [this] { return updateSource(); },
                 [this] { return groupView().members; }})
--- a/src/gateway/cp_request_head.cpp
+++ b/src/gateway/cp_request_head.cpp
@@ -123,6 +123,11 @@
             metadata.malformedHeader = names.tokenBudget;
         }
     }
+    // An estimate that can't be read is no reason to reject the request.
+    const auto expected = readNumber(headerValue(request, names.expectedOutput));
+    if (expected && *expected > 0) {
+        metadata.expectedOutputTokens = expected;
+    }
     if (request.find(names.tokenUsage) == request.end()) {
         return;
     }
@@ -244,6 +249,9 @@
     if (options.priority >= 0) {
         addHeader(text, names.priority, fmt::to_string(options.priority));
     }
+    if (!options.promptSource.empty()) {
+        addHeader(text, names.promptSource, options.promptSource);
+    }
     if (!options.lastEventId.empty()) {
         addHeader(text, names.lastEventId, options.lastEventId);
     }
--- a/src/gateway/cp_request_head.hpp
+++ b/src/gateway/cp_request_head.hpp
@@ -27,6 +27,8 @@
     std::int64_t budget = -1;
     std::int64_t tokensIn = 0;
     std::int64_t maxOutputTokens = 0;
+    //! The caller's estimate of the generated tokens, if given.
+    std::optional<std::int64_t> expectedOutputTokens;
     std::string lastEventId;
     //! Id of the request that received the first event of the stream to resume; empty for none.
     std::string resumes;
@@ -54,6 +56,8 @@
     bool stripsCredentials = false;
     //! Name of the client account; empty for an anonymous request.
     std::string_view account;
+    //! Address of the engine from which to fetch cached parts of the prompt; empty for none.
+    std::string_view promptSource;
 };
 
 //! Formats the request line and headers for a backend server, including the empty line.
