Resume a stream only at a server that reports the listed start

Cause: a resumption names the server's id, and a server may restart under it with other software. While the list named its former start, streams that the former start began were resumed there, by their callers and within an answer. A question lost with a kept connection, or answered by a late response or with "Connection: close", says nothing of the server, so it is asked once more on a new one. Change: IncarnationCheck asks a server whose start the list names for its report, on the connection on which the request then goes, at most 0.4 s and not beyond the request's deadline. Another start, no answer or one that can't be read: the server is passed over for this request. A later start is remembered in BackendState, so that the server isn't asked again until the list names it. No question for streams that begin, nor at servers without a known start. Path and format are the adapter's. The fake platform's servers report the listed start unless a test restarts them, so that the existing test of an address taken by another instance still comes to the request's refusal. A stream that begins at such a server is still recorded with the version of its former start.

--- a/fuzzing/fuzz_platform.cpp
+++ b/fuzzing/fuzz_platform.cpp
@@ -5,7 +5,8 @@
 
 using namespace cardamompost;
 
-// Parses platform server lists and route documents. Accepted servers must have an id, a service and at least one slot.
+// Parses platform server lists, route documents and servers' reports. Accepted servers must have an id, a service and
+// at least one slot.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const PlatformAdapter adapter;
@@ -20,5 +21,6 @@
     if (const auto document = adapter.readDocument(bytes)) {
         static_cast<void>(checkRouteDocument(document.value()));
     }
+    static_cast<void>(adapter.readReportedIncarnation(bytes));
     return 0;
 }
--- a/include/cardamompost/edge/cp_iplatform_adapter.hpp
+++ b/include/cardamompost/edge/cp_iplatform_adapter.hpp
@@ -75,6 +75,10 @@
                                                      const std::string &page) const = 0;
     //! Errors: BackendFailed for a malformed page.
     [[nodiscard]] virtual Result<BackendPage> readBackends(std::string_view bytes) const = 0;
+    //! Target of the request for what a backend server reports about itself.
+    [[nodiscard]] virtual std::string reportTarget() const = 0;
+    //! The incarnation in a backend server's report. Errors: BackendFailed if the report is malformed or has none.
+    [[nodiscard]] virtual Result<std::uint64_t> readReportedIncarnation(std::string_view bytes) const = 0;
     [[nodiscard]] virtual std::string writeDirectory(const std::vector<std::string> &addresses,
                                                      Milliseconds lifetime) const = 0;
     [[nodiscard]] virtual std::string writeRetirement(bool isCompleted) const = 0;
--- a/src/gateway/cp_backend_pool.cpp
+++ b/src/gateway/cp_backend_pool.cpp
@@ -244,8 +244,8 @@
         return nullptr;
     }
     const auto isUntried = [&](const BackendState &backend) {
-        const bool hasVersion
-            = request.softwareVersion.empty() || backend.server_.softwareVersion == request.softwareVersion;
+        const bool hasVersion = request.softwareVersion.empty()
+            || (backend.server_.softwareVersion == request.softwareVersion && !backend.hasRestarted());
         return hasVersion && !request.tried.contains(backend.server_.id);
     };
     const auto isUsable = [&](const BackendState &backend) { return !backend.isEjected(now) && isUntried(backend); };
--- a/src/gateway/cp_backend_pool.hpp
+++ b/src/gateway/cp_backend_pool.hpp
@@ -62,12 +62,23 @@
     {
         return now < ejectedUntil_;
     }
+    //! Records the incarnation that the server reported.
+    void recordIncarnation(std::uint64_t reported)
+    {
+        reportedIncarnation_ = reported;
+    }
+    //! True if the server has reported a later incarnation than the listed one, whose software version may differ.
+    [[nodiscard]] bool hasRestarted() const
+    {
+        return reportedIncarnation_ > server_.incarnation;
+    }
 
 private:
     friend class BackendPool;
     friend class InFlightGuard;
 
     BackendServer server_;
+    std::uint64_t reportedIncarnation_ = 0;
     //! Position in the entry's order of preference; lower goes first.
     std::pair<bool, std::uint64_t> preference_;
     unsigned inFlight_ = 0;
@@ -107,7 +118,8 @@
     std::set<std::string> tried {};
     //! Share of its slots above which a server loses its sticky requests.
     double stickyLoadLimit = 0.8;
-    //! The only software version that may run the request; empty for any.
+    //! The only software version that may run the request; empty for any. Servers that have restarted with an unknown
+    //! one are excluded.
     std::string softwareVersion {};
 };
 
--- a/src/gateway/cp_forwarded_request.hpp
+++ b/src/gateway/cp_forwarded_request.hpp
@@ -158,6 +158,11 @@
     {
         return route->kind == RouteKind::Streaming && !metadata.lastEventId.empty();
     }
+    //! True if the next attempt continues a stream that another request or attempt began.
+    [[nodiscard]] bool continuesStream() const
+    {
+        return isResumption() || hasResponseStarted;
+    }
     //! How long the caller may resume the stream that this request begins; 0 if it can't.
     [[nodiscard]] Milliseconds streamRetention() const
     {
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -55,6 +55,7 @@
     : parts_(parts)
     , report_({parts.pool, parts.ledger, parts.log, parts.metrics})
     , access_({parts.adapter, parts.settings, parts.ledger, parts.metrics})
+    , incarnationCheck_({parts.adapter, parts.pool, parts.log, parts.metrics})
     , responseTimeouts_(parts.metrics.counter("cardamompost_answers_given_up_total"))
     , lostRequests_(parts.metrics.counter("cardamompost_backend_lost_total"))
     , retries_(parts.metrics.counter("cardamompost_requests_repeated_total"))
@@ -199,7 +200,9 @@
     // The leader's choice is preferred for the first attempt, since it sees the turns of all entries.
     if (request.begin && request.tried.empty()) {
         const auto leaderChoice = parts_.pool.find(request.begin->backend(), now);
-        if (leaderChoice && (!request.requiredVersion || leaderChoice->server().version() == required)) {
+        const bool hasVersion
+            = leaderChoice && leaderChoice->server().version() == required && !leaderChoice->hasRestarted();
+        if (leaderChoice && (!request.requiredVersion || hasVersion)) {
             request.isPlacedByLeader = true;
             return leaderChoice;
         }
@@ -352,6 +355,12 @@
         }
         const std::string backendId = backend->server().id;
         request.connection = co_await connect(request, backend);
+        if (request.connection) {
+            const bool isUsable = co_await incarnationCheck_.confirm(request, backend);
+            if (!isUsable) {
+                request.connection.reset();
+            }
+        }
         if (!request.connection) {
             request.tried.insert(backendId);
             if (++connectFailures >= maxConnectFailures) {
--- a/src/gateway/cp_forwarder.hpp
+++ b/src/gateway/cp_forwarder.hpp
@@ -4,6 +4,7 @@
 #include "cp_access_check.hpp"
 #include "cp_backend_pool.hpp"
 #include "cp_forwarded_request.hpp"
+#include "cp_incarnation_check.hpp"
 #include "cp_ledger_client.hpp"
 #include "cp_request_report.hpp"
 
@@ -96,6 +97,7 @@
     Parts parts_;
     RequestReport report_;
     AccessCheck access_;
+    IncarnationCheck incarnationCheck_;
     std::shared_ptr<const RouteTable> table_;
     //! Keyed by route name.
     std::unordered_map<std::string, RetryState> retryStates_;
--- a/tests/gateway/cp_backend_pool.tests.cpp
+++ b/tests/gateway/cp_backend_pool.tests.cpp
@@ -76,6 +76,32 @@
     BOOST_TEST(picked(pool, {"a", "b"}).empty());
 }
 
+// Guards against streams that continue at a server whose listed software version is that of its former start.
+BOOST_AUTO_TEST_CASE(a_server_that_restarted_continues_no_streams_until_its_start_is_listed)
+{
+    const auto listed = [](std::uint64_t incarnation) {
+        BackendServer item = server("a");
+        item.softwareVersion = "v1";
+        item.incarnation = incarnation;
+        return item;
+    };
+    MetricRegistry metrics;
+    BackendPool pool("entry", "apapa", metrics);
+    PickRequest continued {"engines"};
+    continued.softwareVersion = "v1";
+    pool.setList(list(1, 1, {listed(100)}));
+    BOOST_TEST(pool.pick(continued, now) != nullptr);
+    pool.find("a", now)->recordIncarnation(100);
+    BOOST_TEST(pool.pick(continued, now) != nullptr);
+    pool.find("a", now)->recordIncarnation(200);
+    BOOST_TEST(pool.pick(continued, now) == nullptr);
+    BOOST_TEST(pool.pick({"engines"}, now) != nullptr);
+    pool.setList(list(1, 2, {listed(100)}));
+    BOOST_TEST(pool.pick(continued, now) == nullptr);
+    pool.setList(list(1, 3, {listed(200)}));
+    BOOST_TEST(pool.pick(continued, now) != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(an_ejected_server_is_chosen_only_if_there_is_no_other)
 {
     MetricRegistry metrics;
--- a/tests/platform/cp_platform_adapter.tests.cpp
+++ b/tests/platform/cp_platform_adapter.tests.cpp
@@ -109,6 +109,23 @@
     BOOST_TEST(errorAfterReplacing(R"("traffic-split":[)", R"("service":null,"traffic-split":[)").empty());
 }
 
+// Guards against a start that is taken from another place of a server's report, or read as a number that it is not.
+BOOST_AUTO_TEST_CASE(the_incarnation_in_a_report_is_read_at_its_top_level_only)
+{
+    const PlatformAdapter adapter;
+    const auto read = adapter.readReportedIncarnation(R"({"stage":"both","seq":2,"born":1765000000123,"handles":0})");
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read.value() == 1765000000123U);
+    for (const std::string malformed :
+         {"", "null", "[]", "7", "{", R"({"stage":"both"})", R"({"born":null})", R"({"born":0})", R"({"born":-1})",
+          R"({"born":1.5})", R"({"born":"1765000000123"})", R"({"models":[{"born":1765000000123}]})",
+          R"({"born":1765000000123}{})", R"({"born":1765000000)"}) {
+        const auto unreadable = adapter.readReportedIncarnation(malformed);
+        BOOST_TEST(!unreadable.has_value(), malformed);
+        BOOST_TEST((unreadable.has_value() || unreadable.error().kind == ErrorKind::BackendFailed));
+    }
+}
+
 namespace
 {
 
--- a/tests/platform/cp_platform_versions.tests.cpp
+++ b/tests/platform/cp_platform_versions.tests.cpp
@@ -280,4 +280,109 @@
     }
 }
 
+// Guards against an answer that goes on at a server which restarted under its id, after the first server broke off.
+BOOST_AUTO_TEST_CASE(a_broken_stream_does_not_continue_within_its_answer_at_a_server_that_restarted)
+{
+    constexpr std::uint64_t formerStart = 100;
+    constexpr std::uint64_t start = 200;
+    ResumedStreams test({{0, "v1", false, formerStart}, {1, "v1", false, formerStart}});
+    test.cluster.platform.restart(0, start);
+    test.cluster.platform.restart(1, start);
+    for (int i = 0; i < streams; ++i) {
+        const std::string id = name("broken", i);
+        BOOST_TEST(test.begin(id, i % 2 == 0, "/resumes/cut-once").status == 0U);
+        BOOST_TEST(test.cluster.platform.runsOf(id) == 1U);
+    }
+}
+
+// Guards against a refusal, another answer, or a question too many where no server has restarted.
+BOOST_AUTO_TEST_CASE(a_stream_is_resumed_as_before_at_a_server_that_reports_the_listed_start)
+{
+    for (const std::uint64_t listedStart : {0U, 100U}) {
+        ResumedStreams test({{0, "v1", false, listedStart}});
+        FakePlatform &platform = test.cluster.platform;
+        const auto second = [](const std::string &id) { return "id: 2\ndata: b-" + id + "\n\n"; };
+        for (int i = 0; i < streams; ++i) {
+            test.begin(name("begun", i), i % 2 == 0);
+        }
+        BOOST_TEST(platform.reportsOf(0) == 0U);
+        for (int i = 0; i < streams; ++i) {
+            const std::string id = name("resumed", i);
+            const HttpResponse answer = test.resume(test.second, id, name("begun", i), i % 2 == 0);
+            BOOST_TEST(answer.status == 200U);
+            BOOST_TEST(answer.body == second(id));
+            BOOST_TEST(platform.headerOf(id, "Last-Event-Id") == "1");
+            BOOST_TEST(platform.runsOf(id) == 1U);
+        }
+        BOOST_TEST(platform.reportsOf(0) == (listedStart == 0 ? 0U : std::size_t(streams)));
+        test.changeList({{0, "v1", false, listedStart}, {1, "v1", false, listedStart}});
+        for (int i = 0; i < streams; ++i) {
+            const std::string id = name("broken", i);
+            const HttpResponse answer = test.begin(id, i % 2 == 0, "/resumes/cut-once");
+            BOOST_TEST(answer.status == 200U);
+            BOOST_TEST(answer.body == "id: 1\ndata: a-" + id + "\n\n" + second(id));
+            BOOST_TEST(platform.runsOf(id) == 2U);
+        }
+    }
+}
+
+// Guards against a stream that goes on, or a caller that waits, at a server which never says which start it is.
+BOOST_AUTO_TEST_CASE(a_stream_is_not_resumed_at_a_server_whose_report_never_comes)
+{
+    ResumedStreams test({{0, "v1", false, 100}});
+    test.cluster.platform.setReport(0, std::nullopt);
+    for (const bool isTurn : {true, false}) {
+        const std::string begun = isTurn ? "turn" : "plain";
+        test.begin(begun, isTurn);
+        const HttpResponse refused = test.resume(test.second, begun + "-resumed", begun, isTurn);
+        BOOST_TEST(refused.status == 503U);
+        BOOST_TEST(!refused.header("Retry-After").empty());
+        BOOST_TEST(test.cluster.platform.runsOf(begun + "-resumed") == 0U);
+    }
+    test.changeList({{0, "v1", false, 100}, {1, "v1", false, 100}});
+    for (const bool isTurn : {true, false}) {
+        const std::string begun = isTurn ? "turn" : "plain";
+        const std::string id = begun + "-resumed-elsewhere";
+        BOOST_TEST(test.resume(test.second, id, begun, isTurn).status == 200U);
+        BOOST_TEST((test.cluster.platform.serversOf(id) == std::vector<std::size_t> {1}));
+    }
+}
+
+// Guards against a report without a start, or with one elsewhere in it, that is taken for that of the listed one.
+BOOST_AUTO_TEST_CASE(a_stream_is_not_resumed_at_a_server_whose_report_is_unreadable)
+{
+    ResumedStreams test({{0, "v1", false, 100}});
+    test.begin("begun", true);
+    int number = 0;
+    for (const std::string body :
+         {"", "{", R"({"stage":"both"})", R"({"born":"100"})", R"({"models":[{"born":100}]})"}) {
+        test.cluster.platform.setReport(0, body);
+        for (const bool isTurn : {true, false}) {
+            const std::string id = name("resumed", ++number);
+            BOOST_TEST(test.resume(test.second, id, "begun", isTurn).status == 503U);
+            BOOST_TEST(test.cluster.platform.runsOf(id) == 0U);
+        }
+    }
+}
+
+// Guards against a question for each stream while the list is behind, and a server that stays unused after that.
+BOOST_AUTO_TEST_CASE(a_server_that_restarted_is_asked_once_and_used_again_once_its_start_is_listed)
+{
+    constexpr std::uint64_t formerStart = 100;
+    constexpr std::uint64_t start = 200;
+    ResumedStreams test({{0, "v1", false, formerStart}});
+    for (int i = 0; i < streams; ++i) {
+        test.begin(name("begun", i), i % 2 == 0);
+    }
+    test.cluster.platform.restart(0, start);
+    for (int i = 0; i < streams; ++i) {
+        BOOST_TEST(test.resume(test.second, name("refused", i), name("begun", i), i % 2 == 0).status == 503U);
+    }
+    BOOST_TEST(test.cluster.platform.reportsOf(0) == 1U);
+    test.changeList({{0, "v1", false, start}});
+    for (int i = 0; i < streams; ++i) {
+        BOOST_TEST(test.resume(test.second, name("resumed", i), name("begun", i), i % 2 == 0).status == 200U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/cp_fake_platform.hpp
+++ b/tests/support/cp_fake_platform.hpp
@@ -247,6 +247,18 @@
         const std::lock_guard lock(mutex_);
         incarnations_[server] = incarnation;
     }
+    //! Sets what a server says of itself; nothing for a server that never answers the question.
+    void setReport(std::size_t server, std::optional<std::string> body)
+    {
+        const std::lock_guard lock(mutex_);
+        reports_[server] = std::move(body);
+    }
+    //! How many times a server was asked what it says of itself.
+    std::size_t reportsOf(std::size_t server)
+    {
+        const std::lock_guard lock(mutex_);
+        return asked_[server];
+    }
     //! Changes the list, which has the first two servers at the start.
     void setList(std::vector<ListedServer> list)
     {
@@ -288,12 +300,23 @@
         response.body += R"(],"next":null})";
         return response;
     }
-    //! What a server says of itself.
-    [[nodiscard]] HttpResponse report(std::size_t server)
+    //! What a server says of itself: the listed start unless it has restarted. Nothing if it never answers.
+    [[nodiscard]] std::optional<HttpResponse> report(std::size_t server)
     {
         const std::lock_guard lock(mutex_);
+        ++asked_[server];
         HttpResponse response;
-        response.body = R"({"stage":"both","busy":false,"born":)" + std::to_string(incarnations_[server]) + "}";
+        const auto set = reports_.find(server);
+        if (set != reports_.end()) {
+            response.body = set->second.value_or(std::string());
+            return set->second ? std::optional(response) : std::nullopt;
+        }
+        const auto listed
+            = std::find_if(list_.begin(), list_.end(), [&](const ListedServer &item) { return item.server == server; });
+        const auto restarted = incarnations_.find(server);
+        const std::uint64_t listedStart = listed == list_.end() ? 0 : listed->incarnation;
+        const std::uint64_t start = restarted == incarnations_.end() ? listedStart : restarted->second;
+        response.body = R"({"stage":"both","busy":false,"born":)" + std::to_string(start) + "}";
         return response;
     }
     //! Records a request. \returns the number of earlier ones with the same id
@@ -325,7 +348,12 @@
             co_return;
         }
         if (request.path == "/cardamompost/report") {
-            co_await responder.respond(report(server));
+            std::optional<HttpResponse> answer = report(server);
+            if (!answer) {
+                co_await sleepFor(Milliseconds(60'000));
+            }
+            HttpResponse response = answer.value_or(HttpResponse {});
+            co_await responder.respond(std::move(response));
             co_return;
         }
         const std::string id(request.header("Request-Id"));
@@ -395,6 +423,8 @@
     std::vector<ListedServer> list_ {{0}, {1}};
     //! When each server started.
     std::map<std::size_t, std::uint64_t> incarnations_;
+    std::map<std::size_t, std::optional<std::string>> reports_;
+    std::map<std::size_t, std::size_t> asked_;
     std::map<std::string, std::string> bodies_;
     std::map<std::string, HttpHeaders> headers_;
     std::map<std::string, std::vector<std::size_t>> runs_;
