Leader names the engine that keeps a turn's prompt

Cause: a program that leaves its engine has its whole history computed again at the next one, although the former engine still keeps it. Ruled out: naming only open engines (a release takes the engines one after the other, and each is listed as leaving while it still serves); naming engines of another software version (nobody says that their cached data fits); remembering sources beside the slots (the slot ends with the turn, so nothing has to be dropped). Change: TurnPlacement takes the program's former engine before the affinity is replaced and keeps it with the turn's slot (promptSourceOf). Engines that the list names as leaving are kept for that until the list drops them. None is named that is gone, avoided, restarted (the affinity has the incarnation now), of another service or of another known software version, for a prompt below 256 tokens, or without the option. LedgerService sends it with the placement, also to a repeated begin. A restart that happens while the leader changes is not noticed; such a source has nothing to give.

--- a/include/cardamompost/policy/cp_turn_placement.hpp
+++ b/include/cardamompost/policy/cp_turn_placement.hpp
@@ -86,6 +86,9 @@
     //! Version of an open engine; unknown if there is none with this id.
     [[nodiscard]] ServerVersion versionOf(const std::string &engine) const;
     [[nodiscard]] std::size_t waiting() const;
+    //! Id of another engine that is expected to have the prompt of a turn with a slot in its cache; empty if there is
+    //! none. Only with PlacementOptions::namesPromptSources.
+    [[nodiscard]] std::string promptSourceOf(const std::string &turn) const;
     //! Turns that hold a slot at the engine.
     [[nodiscard]] unsigned turnsAt(const std::string &engine) const;
     //! Engines examined for all placements so far.
@@ -111,6 +114,12 @@
         }
     };
     using Engines = std::unordered_map<std::string, Engine>;
+    //! An engine that gets no new turns, but keeps its cached prompts until it has left the list.
+    struct LeavingEngine {
+        ServerVersion version;
+        std::uint64_t incarnation = 0;
+        TimePoint avoidUntil {};
+    };
     //! The open engines of a service.
     struct Service {
         EngineLoadIndex usable;
@@ -122,6 +131,7 @@
     struct SlotReservation {
         std::string engine;
         TimePoint expiresAt;
+        std::string promptSource;
     };
     //! Lower goes first.
     struct QueueKey {
@@ -142,6 +152,8 @@
     struct Affinity {
         std::string engine;
         TimePoint lastUsed;
+        //! Incarnation of the engine that ran the turn; 0 if unknown.
+        std::uint64_t incarnation = 0;
     };
     using Queue = std::map<QueueKey, WaitingTurn>;
     //! Turns by a time, earliest first.
@@ -168,12 +180,22 @@
     void reserveSlot(const SlotRequest &request, const std::string &engine, TimePoint now);
     void removeFromQueue(const std::string &turn);
     void placeWaitingTurns(TimePoint now);
+    //! The engine whose cache has the prompt of a turn that is placed on another one; empty if there is none.
+    [[nodiscard]] std::string findPromptSource(const SlotRequest &request, const std::string &engine,
+                                               TimePoint now) const;
+    //! Whether an engine still keeps the prompts of programs with this affinity, and a server of the other version can
+    //! fetch them.
+    [[nodiscard]] bool keepsPrompts(const Affinity &affinity, const ServerVersion &target, TimePoint now) const;
+    [[nodiscard]] std::uint64_t incarnationOf(const std::string &engine) const;
+    void addLeaving(const BackendServer &server);
     void expireReservations(TimePoint now);
     void expireAffinities(TimePoint now);
 
     std::uint64_t seed_;
     PlacementOptions options_;
     Engines engines_;
+    //! Engines that the list names as leaving.
+    std::unordered_map<std::string, LeavingEngine> leaving_;
     std::unordered_map<std::string, Service> services_;
     //! Ends of the times for which engines are avoided; an engine may have several.
     std::multimap<TimePoint, std::string> avoidedUntil_;
--- a/src/cardamompost/policy/cp_turn_placement.cpp
+++ b/src/cardamompost/policy/cp_turn_placement.cpp
@@ -52,6 +52,7 @@
             removed.push_back(id);
         }
     }
+    std::erase_if(leaving_, [&](const auto &item) { return !listed.contains(item.first); });
     updateServers(servers, removed, now);
 }
 
@@ -66,9 +67,11 @@
             resetEngine(server.id);
         }
         if (server.isLeaving) {
+            addLeaving(server);
             closeEngine(server.id);
             continue;
         }
+        leaving_.erase(server.id);
         Engine &engine = engines_[server.id];
         if (!engine.isOpen) {
             opened.insert(server.id);
@@ -77,6 +80,7 @@
     }
     for (const std::string &id : removed) {
         closeEngine(id);
+        leaving_.erase(id);
     }
     countPrograms(opened);
     placeWaitingTurns(now);
@@ -272,11 +276,13 @@
 
 void TurnPlacement::reserveSlot(const SlotRequest &request, const std::string &engine, TimePoint now)
 {
+    // The affinity, which is about to be replaced, tells where the prompt is cached.
+    std::string promptSource = findPromptSource(request, engine, now);
     Engine &reserved = engines_[engine];
     ++reserved.turns;
     reindex(engine, reserved);
     const TimePoint expiresAt = now + request.timeLeft + reservationMargin;
-    reservations_[request.turn] = {engine, expiresAt};
+    reservations_[request.turn] = {engine, expiresAt, std::move(promptSource)};
     reservationExpiries_.emplace(expiresAt, request.turn);
     setAffinity(request.program, engine, now);
 }
@@ -298,7 +304,7 @@
             reindex(engine, found->second);
         }
     }
-    affinity = {engine, now};
+    affinity = {engine, now, incarnationOf(engine)};
 }
 
 void TurnPlacement::removeAffinity(const Affinity &affinity)
@@ -404,6 +410,9 @@
 
 void TurnPlacement::avoid(const std::string &engine, TimePoint until)
 {
+    if (const auto leaving = leaving_.find(engine); leaving != leaving_.end()) {
+        leaving->second.avoidUntil = std::max(leaving->second.avoidUntil, until);
+    }
     const auto found = engines_.find(engine);
     if (found == engines_.end() || until <= found->second.avoidUntil) {
         return;
@@ -466,6 +475,7 @@
     queueKeys_.clear();
     queueTimes_.clear();
     engines_.clear();
+    leaving_.clear();
     services_.clear();
     avoidedUntil_.clear();
     for (auto &[service, queue] : std::exchange(queues_, {})) {
--- a/src/gateway/cp_ledger_begins.cpp
+++ b/src/gateway/cp_ledger_begins.cpp
@@ -82,7 +82,7 @@
 {
     active.replier = replier;
     if (active.isPlaced) {
-        replier->reply(TurnBeginReply {TurnBeginStatus::Tentative, self_, active.history, active.backend}, false);
+        replyPlacement(active);
     } else {
         replier->reply(TurnBeginReply {TurnBeginStatus::Queued, self_, {}, {}}, false);
     }
@@ -299,13 +299,21 @@
 {
     active.isPlaced = true;
     active.backend = backend;
+    active.promptSource = placement_.promptSourceOf(active.begin.turn);
     placementSeconds_.observe(std::chrono::duration<double>(std::chrono::steady_clock::now() - active.since).count());
-    active.replier->reply(TurnBeginReply {TurnBeginStatus::Tentative, self_, active.history, backend}, false);
+    replyPlacement(active);
     if (active.decided) {
         onDecided(active, *active.decided);
     }
 }
 
+void LedgerService::replyPlacement(const ActiveBegin &active)
+{
+    TurnBeginReply reply {TurnBeginStatus::Tentative, self_, active.history, active.backend};
+    reply.promptSource = active.promptSource;
+    active.replier->reply(std::move(reply), false);
+}
+
 void LedgerService::onDecided(ActiveBegin &active, TurnBeginStatus status)
 {
     active.decided = status;
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -140,6 +140,8 @@
         bool isPlaced = false;
         //! The quorum's decision; empty while it is pending.
         std::optional<TurnBeginStatus> decided;
+        //! Another server that is expected to have the turn's prompt in its cache; empty if there is none.
+        std::string promptSource {};
     };
 
     Result<void> startMember(RaftStoredState stored);
@@ -185,6 +187,8 @@
     void startBegin(const std::shared_ptr<ActiveBegin> &active);
     void requestPlacement(const std::shared_ptr<ActiveBegin> &active);
     void onPlaced(ActiveBegin &active, const std::string &backend);
+    //! Tells the entry where the turn has been placed.
+    void replyPlacement(const ActiveBegin &active);
     void commitBegin(const std::shared_ptr<ActiveBegin> &active);
     void onDecided(ActiveBegin &active, TurnBeginStatus status);
     //! Sends the final reply and removes the begin.
