Entries ask engines to fetch prompts from a program's former engine

Cause: the leader names the engine that keeps a turn's prompt, and nothing used it. Ruled out: naming the source again after an attempt that was not executed (the source may be why it was refused); an engine that this entry failed to reach. Change: BackendExchange names the source's address if the document says that the service's engines can fetch, the request goes to the leader's choice, and the list knows the address (BackendPool::addressOf, also of leaving servers). prompt_source in request.end, counter cardamompost_prompt_fetches_total. Conclusion: a turn takes its prompt along when its engine leaves. An entry that can't use the leader's choice computes the prompt.

--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -1,5 +1,7 @@
 #include "cp_backend_exchange.hpp"
 
+#include "cp_prompt_source.hpp"
+
 #include <cardamompost/policy/cp_turn_priority.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -182,6 +184,12 @@
     if (request_.service->isEngine) {
         options.priority = turnPriority({request_.route->rank, request_.metadata.programTimeLeft});
     }
+    const std::optional<PromptSource> source = findPromptSource(request_, backend_->server(), parts_.pool, timeNow());
+    if (source) {
+        options.promptSource = source->address;
+        request_.promptSource = source->engine;
+        parts_.promptFetches.add();
+    }
     const std::string lastId = request_.eventScanner.lastId();
     if (request_.hasResponseStarted) {
         options.lastEventId = lastId;
--- a/src/gateway/cp_backend_exchange.hpp
+++ b/src/gateway/cp_backend_exchange.hpp
@@ -18,6 +18,8 @@
         const HeaderNames &names;
         BackendPool &pool;
         LedgerClient &ledger;
+        //! Counts requests that name another engine as the source of their prompt.
+        Counter &promptFetches;
     };
 
     BackendExchange(Parts parts, ForwardedRequest &request, std::shared_ptr<BackendState> backend,
--- a/src/gateway/cp_backend_pool.cpp
+++ b/src/gateway/cp_backend_pool.cpp
@@ -218,6 +218,13 @@
     return isUsable ? found->second : nullptr;
 }
 
+std::optional<Address> BackendPool::addressOf(const std::string &id, TimePoint now) const
+{
+    const auto found = byId_.find(id);
+    const bool isReachable = found != byId_.end() && !found->second->isEjected(now);
+    return isReachable ? std::optional(found->second->server_.address) : std::nullopt;
+}
+
 void BackendPool::eject(BackendState &backend, TimePoint until)
 {
     backend.ejectedUntil_ = until;
--- a/src/gateway/cp_backend_pool.hpp
+++ b/src/gateway/cp_backend_pool.hpp
@@ -13,6 +13,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <unordered_map>
@@ -129,6 +130,8 @@
     }
     //! The server with this id; null if it is unknown, leaving or ejected.
     [[nodiscard]] std::shared_ptr<BackendState> find(const std::string &id, TimePoint now) const;
+    //! Address of a listed server, which may be leaving; nothing if it is unknown or ejected.
+    [[nodiscard]] std::optional<Address> addressOf(const std::string &id, TimePoint now) const;
     //! Ids of a service's ejected servers.
     [[nodiscard]] std::vector<std::string> ejected(std::string_view service, TimePoint now);
     //! Excludes a server from choices until the given time.
--- a/src/gateway/cp_forwarded_request.hpp
+++ b/src/gateway/cp_forwarded_request.hpp
@@ -107,6 +107,8 @@
     //! Time from arrival until the ledger admitted or refused the request, or the wait for it ended.
     Milliseconds admissionTime {0};
     bool isPlacedByLeader = false;
+    //! Id of the engine from which a server was asked to fetch the prompt; empty if none was.
+    std::string promptSource;
     unsigned status = 0;
     //! Framing of the last response from a server.
     ResponseFraming framing = ResponseFraming::None;
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -67,6 +67,7 @@
     , lostRequests_(parts.metrics.counter("cardamompost_backend_lost_total"))
     , retries_(parts.metrics.counter("cardamompost_requests_repeated_total"))
     , resumedStreams_(parts.metrics.counter("cardamompost_streams_resumed_total"))
+    , promptFetches_(parts.metrics.counter("cardamompost_prompt_fetches_total"))
     , resumptions_(parts.metrics.counter("cardamompost_resumptions_total"))
     , unknownVersions_(parts.metrics.counter("cardamompost_resumptions_refused_total", {{"reason", "unknown-version"}}))
     , missingVersions_(parts.metrics.counter("cardamompost_resumptions_refused_total", {{"reason", "no-such-version"}}))
@@ -374,8 +375,8 @@
         }
         request.lastBackend = backendId;
         request.lastBackendVersion = backend->server().softwareVersion;
-        BackendExchange exchange({parts_.io, parts_.adapter.headers(), parts_.pool, parts_.ledger}, request, backend,
-                                 request.connection);
+        BackendExchange exchange({parts_.io, parts_.adapter.headers(), parts_.pool, parts_.ledger, promptFetches_},
+                                 request, backend, request.connection);
         const std::optional<Milliseconds> responseTimeout = responseTimeoutFor(request);
         const ExchangeEnd end = co_await exchange.run(responseTimeout);
         request.connection.reset();
--- a/src/gateway/cp_forwarder.hpp
+++ b/src/gateway/cp_forwarder.hpp
@@ -104,6 +104,7 @@
     Counter &lostRequests_;
     Counter &retries_;
     Counter &resumedStreams_;
+    Counter &promptFetches_;
     Counter &resumptions_;
     Counter &unknownVersions_;
     Counter &missingVersions_;
--- a/src/gateway/cp_request_report.cpp
+++ b/src/gateway/cp_request_report.cpp
@@ -73,6 +73,9 @@
         if (request.begin) {
             line["placed_by"] = request.isPlacedByLeader ? "leader" : "entry";
         }
+        if (!request.promptSource.empty()) {
+            line["prompt_source"] = request.promptSource;
+        }
         if (request.begin || request.isLimited) {
             line["waited_ms"] = request.admissionTime.count();
         }
--- a/tests/gateway/cp_backend_pool.tests.cpp
+++ b/tests/gateway/cp_backend_pool.tests.cpp
@@ -56,6 +56,31 @@
     BOOST_TEST((allCandidates(pool) == std::set<std::string> {"b"}));
 }
 
+// Guards against forgetting a leaving server's address while others can still fetch from it.
+BOOST_AUTO_TEST_CASE(the_address_of_a_server_is_known_for_as_long_as_it_is_listed)
+{
+    MetricRegistry metrics;
+    BackendPool pool("entry", "apapa", metrics);
+    BackendServer first = server("a");
+    first.address.port = 7;
+    const BackendServer leavingFromTheStart = server("b", true);
+    pool.setList(list(1, 1, {first, leavingFromTheStart}));
+    BOOST_TEST(pool.addressOf("a", now)->port == 7);
+    BOOST_TEST(pool.addressOf("b", now)->port == 1);
+    BOOST_TEST(!pool.addressOf("unknown", now).has_value());
+    BOOST_TEST(!pool.addressOf("", now).has_value());
+    first.isLeaving = true;
+    pool.setList(list(1, 2, {first, server("c")}));
+    BOOST_TEST(pool.find("a", now) == nullptr);
+    BOOST_TEST(pool.addressOf("a", now)->port == 7);
+    BOOST_TEST(!pool.addressOf("b", now).has_value());
+    pool.eject(*pool.find("c", now), now + Milliseconds(100));
+    BOOST_TEST(!pool.addressOf("c", now).has_value());
+    BOOST_TEST(pool.addressOf("c", now + Milliseconds(100)).has_value());
+    pool.setList(list(1, 3, {server("c")}));
+    BOOST_TEST(!pool.addressOf("a", now).has_value());
+}
+
 // Guards against a late list of a former leader that returns leaving servers to use.
 BOOST_AUTO_TEST_CASE(an_older_list_or_one_of_an_older_term_is_ignored)
 {
--- a/tests/gateway/cp_request_head.tests.cpp
+++ b/tests/gateway/cp_request_head.tests.cpp
@@ -27,7 +27,8 @@
     names.serverLoad = "X-Load";
     names.lastEventId = "Last-Event-ID";
     names.priority = "X-Priority";
-    names.reserved = {"X-Hold"};
+    names.promptSource = "X-Source";
+    names.reserved = {"X-Hold", "X-Source"};
     return names;
 }
 
@@ -144,6 +145,21 @@
     BOOST_TEST(head.ends_with("\r\n\r\n"));
 }
 
+// Guards against callers that make an engine connect to an address of theirs.
+BOOST_AUTO_TEST_CASE(the_source_of_a_prompt_is_set_by_the_gateway_only)
+{
+    const CallerRequest request
+        = parse("POST /a/ HTTP/1.1\r\nX-Id: 9c\r\nx-source: 10.9.9.9:1\r\nX-Source: 10.9.9.9:2\r\n\r\n");
+    BackendHeadOptions options;
+    BOOST_TEST(!has(makeBackendHead(request, testNames(), options), "ource"));
+    options.promptSource = "10.0.0.1:8080";
+    const std::string head = makeBackendHead(request, testNames(), options);
+    const std::size_t position = head.find("X-Source: 10.0.0.1:8080\r\n");
+    BOOST_REQUIRE(position != std::string::npos);
+    BOOST_TEST(!has(head, "10.9.9.9"));
+    BOOST_TEST(head.find("X-Source", position + 1) == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(a_response_keeps_its_status_and_headers_but_not_its_framing)
 {
     http::response<http::empty_body> response(static_cast<http::status>(500), 11);
--- a/tests/support/cp_fake_platform.hpp
+++ b/tests/support/cp_fake_platform.hpp
@@ -150,6 +150,7 @@
 //! - "cut-begin" aborts each stream that begins, after its first event
 //! - "slow" pauses before each event
 //! - "never" doesn't respond
+//! - "no-fetch" refuses requests to fetch a prompt, without executing them
 class FakePlatform
 {
 public:
@@ -177,6 +178,11 @@
         return local(ports.front());
     }
 
+    [[nodiscard]] Address addressOf(std::size_t server) const
+    {
+        return local(ports[server]);
+    }
+
     //! Sends a request. The future holds the complete response, or status 0 if there was none.
     std::future<HttpResponse> begin(const Address &address, std::string method, std::string target,
                                     HttpHeaders headers = {}, std::string body = {},
@@ -341,6 +347,14 @@
         if (pathContains("/never") || (pathContains("silent-once") && earlierAttempts == 0)) {
             co_await sleepFor(Milliseconds(60'000));
         }
+        if (pathContains("/no-fetch") && !request.header("Kv-Fetch").empty()) {
+            HttpResponse refusal;
+            refusal.status = 503;
+            refusal.headers["Request-Id"] = id;
+            refusal.headers["Not-Executed"] = "1";
+            co_await responder.respond(std::move(refusal));
+            co_return;
+        }
         if (pathContains("/lost")) {
             responder.abort();
             co_return;
--- a/tests/support/cp_gateway_cluster.hpp
+++ b/tests/support/cp_gateway_cluster.hpp
@@ -46,8 +46,9 @@
 class GatewayCluster
 {
 public:
-    GatewayCluster()
-        : folder_(std::filesystem::temp_directory_path() / ("cardamompost-path-" + std::to_string(randomIdentity())))
+    explicit GatewayCluster(PlacementOptions placement = {})
+        : placement_(placement)
+        , folder_(std::filesystem::temp_directory_path() / ("cardamompost-path-" + std::to_string(randomIdentity())))
     {
         std::filesystem::create_directories(folder_);
         for (int i = 0; i < founderCount; ++i) {
@@ -112,6 +113,7 @@
         // Small, so that histories are read back from the disk.
         settings.memoryBytes = 2U << 20U;
         settings.isFirstStart = true;
+        settings.placement = placement_;
         return settings;
     }
 
@@ -334,6 +336,7 @@
         BOOST_REQUIRE(ledgerThreads.back()->isStarted());
     }
 
+    const PlacementOptions placement_;
     std::filesystem::path folder_;
 };
 
