Model fleet: engines fetch prompts, and a release replaces them

Cause: whether moving a program pays depends on what its prompt costs at the new engine; the model could only compute it again. Change: a run may come with a fetched prompt, transfers to an engine run one after another at 1,200 tokens/ms (18 KB a token at 180 Gbit/s; prefill 85); FleetLoad has placement options and a release that replaces the engines one after the other; the fleet counts fetched tokens and those that were computed although the former engine kept them. Without leaving engines as sources the new case fails.

--- a/tests/policy/cp_heavy_load.tests.cpp
+++ b/tests/policy/cp_heavy_load.tests.cpp
@@ -93,4 +93,25 @@
     BOOST_TEST(earnedShareOf(load) >= withoutChange - 0.025);
 }
 
+// Guards against computing all prompts again while a release replaces the engines.
+BOOST_AUTO_TEST_CASE(prompts_of_programs_that_leave_their_engines_in_a_release_are_fetched)
+{
+    constexpr double minFetchedShare = 0.9;
+    FleetLoad load = mixedLoad(78);
+    load.release = FleetRelease {5000};
+    for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+        load.placement.namesPromptSources = false;
+        EngineFleet computing(load, seed);
+        computing.run();
+        BOOST_TEST(computing.fetchedTokens() == 0);
+        load.placement.namesPromptSources = true;
+        EngineFleet fetching(load, seed);
+        fetching.run();
+        BOOST_TEST_MESSAGE("seed " << seed << ": computed again " << computing.recomputedTokens() << " and "
+                                   << fetching.recomputedTokens() << ", fetched " << fetching.fetchedTokens());
+        const double moved = fetching.fetchedTokens() + fetching.recomputedTokens();
+        BOOST_TEST(fetching.fetchedTokens() >= minFetchedShare * moved);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/cp_engine_fleet.hpp
+++ b/tests/support/cp_engine_fleet.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <queue>
+#include <utility>
 
 namespace cardamompost::tests
 {
@@ -55,12 +56,22 @@
     std::string kind;
 };
 
+//! Replaces the engines one after the other: each is listed as leaving, and another one starts.
+struct FleetRelease {
+    Ms from = 0;
+    Ms interval = 100;
+    //! Time from an engine's leaving until the list drops it; it still runs its turns then.
+    Ms drainTime = 1500;
+};
+
 struct FleetLoad {
     EngineModel engine;
+    PlacementOptions placement;
     std::size_t engines = 77;
     std::vector<ProgramKind> kinds;
     std::vector<LoadBurst> bursts;
     std::optional<LeaderLoss> leaderLoss;
+    std::optional<FleetRelease> release;
     //! Programs arrive until this time.
     Ms arrivalPeriod = 34'000;
 };
@@ -86,19 +97,12 @@
     EngineFleet(FleetLoad load, std::uint64_t seed)
         : load_(std::move(load))
         , random_(seed)
-        , placement_(std::make_unique<TurnPlacement>(seed))
-        , follower_(std::make_unique<TurnPlacement>(seed + 1))
+        , placement_(std::make_unique<TurnPlacement>(seed, load_.placement))
+        , follower_(std::make_unique<TurnPlacement>(seed + 1, load_.placement))
     {
         for (std::size_t i = 0; i < load_.engines; ++i) {
-            engines_.emplace_back(load_.engine, i % 3 == 2 ? load_.engine.slowness : 1.0);
-            BackendServer server;
-            server.id = std::to_string(i);
-            server.service = "engines";
-            server.failureDomain = domainOf(i);
-            server.slots = load_.engine.slots;
-            servers_.push_back(std::move(server));
+            addEngine(i);
         }
-        isBusy_.resize(load_.engines);
         placement_->setServers(servers_, timeAt(0));
     }
 
@@ -111,6 +115,10 @@
         if (load_.leaderLoss) {
             schedule(load_.leaderLoss->at, [this] { replaceLeader(); });
         }
+        for (std::size_t i = 0; load_.release && i < load_.engines; ++i) {
+            schedule(load_.release->from + static_cast<double>(i) * load_.release->interval,
+                     [this, i] { replaceEngine(i); });
+        }
         while (!events_.empty()) {
             const Event next = events_.top();
             events_.pop();
@@ -143,6 +151,16 @@
         }
         return sum;
     }
+    //! Tokens of prompts that engines fetched from others.
+    [[nodiscard]] double fetchedTokens() const
+    {
+        return fetchedTokens_;
+    }
+    //! Tokens of prompts that engines computed although the programs' former engines kept them.
+    [[nodiscard]] double recomputedTokens() const
+    {
+        return recomputedTokens_;
+    }
 
 private:
     static constexpr Ms networkDelay = 13;
@@ -164,6 +182,9 @@
         double outputTokens = 0;
         std::string id;
         std::string engine;
+        std::string promptSource;
+        //! The engine of the program's last turn; nothing for the first one.
+        std::optional<std::size_t> formerEngine;
     };
     struct Program {
         std::size_t kind = 0;
@@ -173,6 +194,7 @@
         double valueFactor = 1;
         bool isDone = false;
         bool hasStarted = false;
+        std::optional<std::size_t> lastEngine;
         unsigned subAgents = 0;
         std::size_t mainConversation = 0;
         //! For each turn, drawn at the start of the program.
@@ -217,6 +239,27 @@
         }
         return rate;
     }
+    //! \param number  an engine has the speed and failure domain of the one that it replaces
+    void addEngine(std::size_t number)
+    {
+        BackendServer server;
+        server.id = std::to_string(engines_.size());
+        server.service = "engines";
+        server.failureDomain = domainOf(number);
+        server.slots = load_.engine.slots;
+        servers_.push_back(std::move(server));
+        engines_.emplace_back(load_.engine, number % 3 == 2 ? load_.engine.slowness : 1.0);
+        isBusy_.push_back(false);
+        linkFreeAt_.push_back(0);
+    }
+    void replaceEngine(std::size_t number)
+    {
+        addEngine(number);
+        servers_[number].isLeaving = true;
+        placement_->updateServers({servers_[number], servers_.back()}, {}, timeAt(now_));
+        schedule(now_ + load_.release->drainTime,
+                 [this, number] { placement_->updateServers({}, {servers_[number].id}, timeAt(now_)); });
+    }
     void tick()
     {
         placement_->tick(timeAt(now_));
@@ -317,6 +360,7 @@
         slotRequest.isInProgress = program.hasStarted;
         slotRequest.isLate = now_ > program.began + program.targetDuration;
         slotRequest.timeLeft = Milliseconds(3000);
+        slotRequest.promptTokens = static_cast<std::uint32_t>(conversation.prompt);
         unplacedTurns_[number] = std::move(slotRequest);
         place(number);
     }
@@ -333,7 +377,7 @@
         hasLeader_ = false;
         formerLeader_ = std::move(placement_);
         placement_ = std::move(follower_);
-        follower_ = std::make_unique<TurnPlacement>(random_());
+        follower_ = std::make_unique<TurnPlacement>(random_(), load_.placement);
         schedule(now_ + load_.leaderLoss->electionTime, [this] {
             hasLeader_ = true;
             std::vector<std::size_t> waiting;
@@ -357,9 +401,12 @@
         // Without an assigned engine, the entry hashes the program's name.
         const std::size_t conversation = turns_[turnNumber].conversation;
         const std::size_t number
-            = engine.empty() ? stableHash(programNameOf(conversation)) % engines_.size() : std::stoul(engine);
+            = engine.empty() ? stableHash(programNameOf(conversation)) % load_.engines : std::stoul(engine);
         turns_[turnNumber].engine = std::to_string(number);
-        programs_[conversations_[conversation].program].hasStarted = true;
+        turns_[turnNumber].promptSource = placement_->promptSourceOf(turns_[turnNumber].id);
+        Program &program = programs_[conversations_[conversation].program];
+        turns_[turnNumber].formerEngine = std::exchange(program.lastEngine, number);
+        program.hasStarted = true;
         schedule(now_ + networkDelay + load_.engine.requestSetupTime,
                  [this, turnNumber, number] { arriveAtEngine(turnNumber, number); });
     }
@@ -367,9 +414,33 @@
     {
         const Turn &turn = turns_[turnNumber];
         const Conversation &conversation = conversations_[turn.conversation];
-        engines_[engine].add(
-            {turnNumber, conversation.name, conversation.parent, conversation.prompt, conversation.parentPrompt,
-             load_.kinds[programs_[conversation.program].kind].sharedPrefixTokens, 0, turn.outputTokens, 0});
+        ModelEngine::Run run {turnNumber,
+                              conversation.name,
+                              conversation.parent,
+                              conversation.prompt,
+                              conversation.parentPrompt,
+                              load_.kinds[programs_[conversation.program].kind].sharedPrefixTokens,
+                              0,
+                              turn.outputTokens,
+                              0,
+                              0};
+        const double kept = turn.formerEngine ? engines_[*turn.formerEngine].keptTokens(run) : 0;
+        const double missing = kept - engines_[engine].keptTokens(run);
+        const bool isFetched = missing > 0 && turn.promptSource == std::to_string(turn.formerEngine.value_or(engine));
+        if (!isFetched) {
+            recomputedTokens_ += std::max(missing, 0.0);
+            startRun(std::move(run), engine);
+            return;
+        }
+        run.fetchedPrompt = kept;
+        // Transfers to an engine run one after another.
+        fetchedTokens_ += missing;
+        linkFreeAt_[engine] = std::max(linkFreeAt_[engine], now_) + missing / load_.engine.fetchTokensPerMs;
+        schedule(linkFreeAt_[engine], [this, run, engine] { startRun(run, engine); });
+    }
+    void startRun(ModelEngine::Run run, std::size_t engine)
+    {
+        engines_[engine].add(std::move(run));
         if (!isBusy_[engine]) {
             isBusy_[engine] = true;
             step(engine);
@@ -451,6 +522,10 @@
     std::map<std::size_t, SlotRequest> unplacedTurns_;
     std::vector<ModelEngine> engines_;
     std::vector<bool> isBusy_;
+    //! End of the last transfer of a prompt to each engine.
+    std::vector<Ms> linkFreeAt_;
+    double fetchedTokens_ = 0;
+    double recomputedTokens_ = 0;
     std::priority_queue<Event> events_;
     std::uint64_t sequence_ = 0;
     Ms now_ = 0;
--- a/tests/support/cp_model_engine.hpp
+++ b/tests/support/cp_model_engine.hpp
@@ -23,6 +23,8 @@
     Ms requestSetupTime = 11;
     //! Key-value memory in tokens, for running turns and cached prompts.
     double memoryTokens = 50'000;
+    //! Speed at which an engine receives cached prompts of another one.
+    double fetchTokensPerMs = 1200;
     //! Slowdown factor of the slow engines of a fleet.
     double slowness = 1.3;
 };
@@ -44,6 +46,8 @@
         double tokensToPrefill = 0;
         double outputTokens = 0;
         double generatedTokens = 0;
+        //! Tokens of the prompt, from its start, that are cached here because they were fetched from another engine.
+        double fetchedPrompt = 0;
     };
 
     ModelEngine(EngineModel model, double slowness)
@@ -92,6 +96,13 @@
         freeMemory();
         return time;
     }
+    //! Tokens of a run's prompt, from its start, that are cached.
+    [[nodiscard]] double keptTokens(const Run &run) const
+    {
+        const double inherited
+            = run.parent.empty() ? run.parentPrompt : std::min(run.parentPrompt, cachedTokens(run.parent));
+        return std::max(cachedTokens(run.conversation), inherited);
+    }
     [[nodiscard]] double prefilledTokens() const
     {
         return prefilledTokens_;
@@ -114,9 +125,8 @@
         while (!queue_.empty() && running_.size() < model_.slots) {
             Run run = std::move(queue_.front());
             queue_.pop_front();
-            const double inherited
-                = run.parent.empty() ? run.parentPrompt : std::min(run.parentPrompt, cachedTokens(run.parent));
-            const double reusable = std::max(removeFromCache(run.conversation), inherited);
+            const double reusable = std::max(keptTokens(run), run.fetchedPrompt);
+            removeFromCache(run.conversation);
             run.tokensToPrefill = std::max(run.prompt - reusable, 1.0);
             if (!run.parent.empty()) {
                 // The parent's prompt is a prefix of this one, so it is cached as well.
