Soak: fetches of prompts, and the optional parts of placement by seed

Cause: nothing checked under faults that turns name only engines that can be fetched from, and the new ledger settings ran nowhere beside faults. Ruled out: drawing the settings from the same numbers as the faults (the faults of a seed would change with each setting); setting them in the measurements that use the same processes (their figures would no longer compare). Change: fetch_prompts, place_by_service_rate, share_by_account, refuse_hopeless_programs and the document's word on fetches are on or off by the seed. Callers name an engine themselves. A server that is asked to fetch checks that document and settings allow it, that the request is a turn, and that another server of the list is named, and refuses one in five as not executed. Three in four programs have long prompts.

--- a/tests/platform/gateway_soak.py
+++ b/tests/platform/gateway_soak.py
@@ -6,8 +6,8 @@
 
 Three ledger VMs and two or more entries run as processes. Connections to a ledger VM pass a proxy that can delay, reset or blackhole them,
 also in one direction only. Processes are killed, suspended, wiped, and denied writes; entries are killed at any time, also while another
-fault lasts; all get SIGHUP in series, with changes of the document and of servers meanwhile. Programs run against a stand-in that serves as
-engine, service and backend list. Checked:
+fault lasts; all get SIGHUP in series, with changes of the document and of servers meanwhile. The optional parts of turn placement are on or
+off by the seed. Programs run against a stand-in that serves as engine, service and backend list. Checked:
 - a turn arrives with its complete history, and a turn that was answered completely is never unknown;
 - an answer that a server breaks off, with a length, in chunks or with neither, never looks complete, and is no turn to continue from;
 - unsafe requests run at most once, and requests refused as not executed have not run;
@@ -21,11 +21,19 @@
 - a stream that its caller resumes, at any entry and also after the first entry was killed, holds events of one software version, each
   once, while servers of several versions are released, drain, leave, and return at their addresses with another id and version; most
   are resumed while two servers of their version are ready;
+- a turn names no engine to fetch its prompt from but one of the others in the list, and none unless the document and the settings allow it; what
+  callers name is dropped;
 - an entry that is told to stop, once or several times and also while a ledger VM stops, answers what it has taken on a connection
   that its client keeps using, and ends within its grace period.
 """
 import argparse, asyncio, contextlib, json, math, os, random, resource, shutil, signal, socket, sys, tempfile, time
 
+# Ledger settings that are on or off by the seed.
+PLACEMENT_SETTINGS = ["fetch_prompts", "place_by_service_rate", "share_by_account", "refuse_hopeless_programs"]
+# Prompt tokens of a program's turns; only long prompts are fetched from other engines. Share of the fetches that engines refuse.
+PROMPT_TOKENS, REFUSED_FETCHES = [100, 3000, 3000, 3000], 0.2
+# What callers name as an engine to fetch from.
+FORGED_SOURCE = "127.0.0.1:9"
 # A turn reserves MAX_TURN_TOKENS of its program's BUDGET and uses TOKENS_PER_EVENT for each event of its response.
 TOKENS_PER_EVENT, MAX_TURN_TOKENS, BUDGET = 10, 50, 400
 # An account's rate limit in requests per second (also its burst), the window, and the permitted excess.
@@ -52,11 +60,12 @@
     "limits": {"max-header-bytes": 16384, "max-body-bytes": 100000, "header-timeout-ms": 3000, "idle-timeout-ms": 15000}}
 
 
-def document(version, grown):
-    """A document with the additional routes 0 to grown - 1."""
+def document(version, grown, moves):
+    """A document with the additional routes 0 to grown - 1. Engines can fetch prompts if `moves`."""
     more = [{"name": f"grown-{i}", "host": "h.example", "path-prefix": f"/grown-{i}/", "kind": "unsafe", "timeout-ms": 3000,
              "service": "e", "max-attempts": 1} for i in range(grown)]
-    return json.dumps({**DOCUMENT, "version": version, "routes": DOCUMENT["routes"] + more, "tenants": accounts(version)}).encode()
+    return json.dumps({**DOCUMENT, "version": version, "routes": DOCUMENT["routes"] + more, "tenants": accounts(version),
+                       "services": [{**service, "engine": {**service["engine"], "moves": moves}} for service in DOCUMENT["services"]]}).encode()
 
 
 def accounts(version):
@@ -159,6 +168,8 @@
         # The account of each request, and the arrival times of the rate-limited account's requests.
         self.accounts, self.bound_at, self.leaked = {}, [], 0
         self.started, self.release, self.slots = 0, 1, []
+        # Whether engines may be asked to fetch prompts, how many requests did so, and wrongly so.
+        self.may_fetch, self.fetches, self.wrong_fetches = False, 0, []
 
     async def start(self, listen):
         for _ in range(SERVERS):
@@ -207,6 +218,11 @@
                 if headers.get("expected-instance") != server.id:
                     self.answer(writer, b"", {"Request-Id": request}, "421 Misdirected Request")
                     continue
+                if source := headers.get("kv-fetch"):
+                    self.record_fetch(request, path, source, server)
+                    if self.random.random() < REFUSED_FETCHES:
+                        self.answer(writer, b"", {"Request-Id": request, "Not-Executed": "1"}, "503 Service Unavailable")
+                        continue
                 self.runs[request] = self.runs.get(request, 0) + 1
                 self.bodies[request] = body
                 self.accounts[request] = headers.get("tenant")
@@ -236,6 +252,13 @@
         except (OSError, asyncio.IncompleteReadError, ValueError, KeyError):
             writer.close()
 
+    def record_fetch(self, request, path, source, server):
+        is_turn = path.startswith(("/plans/", "/drafts/"))
+        others = {"%s:%d" % other.address for other in self.slots if other is not server}
+        self.fetches += 1
+        if not self.may_fetch or not is_turn or source not in others:
+            self.wrong_fetches.append(f"{request} at {server.id} names {source} to fetch from")
+
     async def stream(self, writer, headers, framing, events, cut, pause):
         """Writes events, and breaks off inside the event with the index cut. Returns whether the connection stays open."""
         text = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
@@ -302,7 +325,7 @@
 
 
 class Soak:
-    def __init__(self, build, seed, plant, entry_count=2):
+    def __init__(self, build, seed, plant, entry_count=2, draws_settings=False):
         self.plant, self.entry_count = plant, entry_count
         self.executable = os.path.abspath(os.path.join(build, "cardamompost-gateway"))
         self.random, self.seed, self.broken, self.notes = random.Random(seed), seed, [], []
@@ -315,6 +338,11 @@
         # Streams that began, and resumptions that continued or not while two servers of their version were ready.
         self.begun, self.resumed, self.not_resumed = 0, 0, 0
         self.next_port = os.getpid() * 211
+        # Drawn apart, so that the faults of a seed don't depend on the number of settings.
+        options = random.Random(seed + 2)
+        self.placement = {name: draws_settings and options.random() < 0.5 for name in PLACEMENT_SETTINGS}
+        self.moves = draws_settings and options.random() < 0.7
+        self.backend.may_fetch = self.moves and self.placement["fetch_prompts"]
 
     def fail(self, text):
         self.broken.append(text)
@@ -336,7 +364,8 @@
                 "peer": f"127.0.0.1:{self.peer_ports[i]}", "peer_listen": f"127.0.0.1:{ports[i]}",
                 "control": f"127.0.0.1:{ports[3 + i]}", "directory": f"127.0.0.1:{ports[6 + i]}",
                 "backend_list": "%s:%d" % self.backend.address, "list_interval_ms": 300, "limit_window_s": WINDOW,
-                "limit_over_share": OVER_SHARE, "limit_over_requests": OVER_REQUESTS}))
+                "limit_over_share": OVER_SHARE, "limit_over_requests": OVER_REQUESTS,
+                **{name: str(is_on).lower() for name, is_on in self.placement.items()}}))
         self.fronts = [("127.0.0.1", port) for port in ports[9:9 + count]]
         for i in range(count):
             self.entries.append(Process(self, f"entry-{i}", "entry", {
@@ -369,7 +398,7 @@
         until = time.monotonic() + patience
         self.sent = max(self.sent, version)
         self.grown += self.random.randint(0, 150)
-        body = document(version, self.grown)
+        body = document(version, self.grown, self.moves)
         while time.monotonic() < until:
             for control in self.controls:
                 status, _ = await call(control, "PUT", "/cardamompost/configuration", None, body, 1.5)
@@ -411,7 +440,7 @@
         self.serial += 1
         request = f"r{self.seed}x{self.serial}"
         self.keys[request] = key
-        headers = {"X-Api-Key": key, "Tenant": "forged", **headers}
+        headers = {"X-Api-Key": key, "Tenant": "forged", "Kv-Fetch": FORGED_SOURCE, **headers}
         status, answer = await call(self.random.choice(self.fronts), "POST", path,
                                     {"Host": "h.example", "Request-Id": request, "Deadline-Milliseconds": 4000, **headers}, body)
         self.counts[status] = self.counts.get(status, 0) + 1
@@ -427,7 +456,8 @@
         previous, history, received_tokens = None, b"", 0
         key = "stay-officers" if number % 2 else "stay-foremen"
         for turn in range(12):
-            headers = {"Program": f"p{self.seed}-{number}", "Session": "s", "Token-Budget": BUDGET, "Token-Usage": f"100,{MAX_TURN_TOKENS}"}
+            headers = {"Program": f"p{self.seed}-{number}", "Session": "s", "Token-Budget": BUDGET,
+                       "Token-Usage": f"{PROMPT_TOKENS[number % len(PROMPT_TOKENS)]},{MAX_TURN_TOKENS}"}
             if previous:
                 headers["Previous-Turn"] = previous
             text = f"in-{number}-{turn};".encode()
@@ -729,6 +759,7 @@
             if served and not await self.refuses_old_keys(front):
                 self.fail(f"{front} accepts keys of a document before {self.acked}")
         self.check_accounts()
+        self.broken += self.backend.wrong_fetches
         tries = self.resumed + self.not_resumed
         if tries >= MIN_RESUMPTIONS and self.resumed < MIN_RESUMED_SHARE * tries:
             self.fail(f"{self.resumed} of {tries} streams were resumed while two servers of their version were ready")
@@ -758,7 +789,7 @@
     arguments = parser.parse_args()
     failed = 0
     for seed in arguments.seeds:
-        soak = Soak(arguments.build, seed, arguments.plant, arguments.entries)
+        soak = Soak(arguments.build, seed, arguments.plant, arguments.entries, draws_settings=True)
         try:
             await soak.run(arguments.seconds)
         finally:
@@ -766,7 +797,9 @@
         failed += bool(soak.broken)
         answers = ", ".join(f"{status}: {count}" for status, count in sorted(soak.counts.items()))
         print(f"seed {seed}: {'BROKEN' if soak.broken else 'held'}; faults {' | '.join(soak.notes)}; answers {answers}; "
-              f"streams {soak.begun} begun, {soak.resumed} of {soak.resumed + soak.not_resumed} resumed", flush=True)
+              f"streams {soak.begun} begun, {soak.resumed} of {soak.resumed + soak.not_resumed} resumed; "
+              f"{soak.backend.fetches} prompts fetched; on: {', '.join(name for name, is_on in soak.placement.items() if is_on) or 'nothing'}"
+              f"{', moves' if soak.moves else ''}", flush=True)
         for text in soak.broken[:10]:
             print("  " + text)
     print(f"{len(arguments.seeds) - failed} passed, {failed} failed")
