Place turns by expected completion with the engines' measured speeds

Cause: a turn counts as a turn, so a slow engine gets as many as one twice as fast, and programs that live there are late in every turn. Change: with PlacementOptions::usesServiceRates engines are ordered by equivalentLoad(), the load at which an engine of usual speed would complete a turn as soon, with the fixed part of a decode step (18 turns, prompts included) and the wait for a slot. It is the load itself at a slowness of 1. The new leader takes the slowness from the samples it recorded as a follower. The fleet model gets speeds by engine, slowdowns and samples.

--- a/include/cardamompost/policy/cp_engine_load_index.hpp
+++ b/include/cardamompost/policy/cp_engine_load_index.hpp
@@ -16,8 +16,9 @@
 //! Load of an engine as it counts for selection.
 struct EngineLoad {
     std::string failureDomain;
-    unsigned turns = 0;
-    //! Turns, plus a share of a turn for each program with affinity to the engine.
+    //! Turns at the engine, as equivalentLoad().
+    double turns = 0;
+    //! The same for the turns plus a share of a turn for each program with affinity to the engine.
     double load = 0;
     //! Turns of new programs may be placed on the engine.
     bool hasRoom = false;
@@ -44,7 +45,7 @@
         return positions_.empty();
     }
     //! The lowest number of turns of any engine; nothing if there is no engine.
-    [[nodiscard]] std::optional<unsigned> fewestTurns() const;
+    [[nodiscard]] std::optional<double> fewestTurns() const;
     //! The engine with the lowest cost, which is its load, plus crossDomainCost in another failure domain than the
     //! given one.
     //! \param needsRoom  only engines with room for turns of new programs
@@ -83,7 +84,7 @@
     std::map<std::string, Domain> domains_;
     std::unordered_map<std::string, Position> positions_;
     //! Number of engines by number of turns.
-    std::map<unsigned, std::size_t> countByTurns_;
+    std::map<double, std::size_t> countByTurns_;
     std::uint64_t examined_ = 0;
 };
 
--- a/include/cardamompost/policy/cp_turn_placement.hpp
+++ b/include/cardamompost/policy/cp_turn_placement.hpp
@@ -4,6 +4,7 @@
 #include <cardamompost/core/cp_time.hpp>
 #include <cardamompost/policy/cp_engine_load_index.hpp>
 #include <cardamompost/policy/cp_placement_options.hpp>
+#include <cardamompost/policy/cp_service_rates.hpp>
 #include <cardamompost/routing/cp_backend_list.hpp>
 
 #include <functional>
@@ -44,6 +45,14 @@
     std::optional<Milliseconds> programTimeLeft {};
 };
 
+//! A change of an engine's slowness from or to the usual.
+struct EngineRateChange {
+    std::string engine;
+    std::string service;
+    //! 1 for usual.
+    double slowness = 1;
+};
+
 //! Assigns turns to engine slots for all entries.
 //!
 //! Uses least-loaded selection with cache affinity to the engine of the program's last turn and a preference for the
@@ -74,6 +83,10 @@
     void release(const std::string &turn, TimePoint now);
     //! Records on a follower the engine that ran a program's last turn, as replicated in the log.
     void recordLastEngine(const std::string &program, const std::string &engine, TimePoint now);
+    //! Records a completed turn, on every member. Affects placement only with PlacementOptions::usesServiceRates.
+    void recordSample(const ServiceSample &sample, TimePoint now);
+    //! Updates the engines' slowness at intervals. \returns engines that became slow, fast or usual
+    std::vector<EngineRateChange> updateRates(TimePoint now);
     //! Excludes an engine that an entry could not reach from selection until the given time.
     void avoid(const std::string &engine, TimePoint until);
     //! Releases expired slots, and places turns that reached the maximum queue time regardless of load.
@@ -88,6 +101,14 @@
     [[nodiscard]] std::size_t waiting() const;
     //! Turns that hold a slot at the engine.
     [[nodiscard]] unsigned turnsAt(const std::string &engine) const;
+    [[nodiscard]] const ServiceRates &rates() const
+    {
+        return rates_;
+    }
+    //! As known to placement; 1 for an unknown engine.
+    [[nodiscard]] double slownessOf(const std::string &engine) const;
+    //! Open engines that are slower or faster than usual.
+    [[nodiscard]] std::size_t unusualEngines() const;
     //! Engines examined for all placements so far.
     [[nodiscard]] std::uint64_t examinedEngines() const;
 
@@ -104,6 +125,10 @@
         //! As BackendServer::incarnation.
         std::uint64_t incarnation = 0;
         std::string softwareVersion;
+        //! As ServiceRates::slowness(); 1 without PlacementOptions::usesServiceRates.
+        double slowness = 1;
+        //! The last EngineRateChange told that the engine is slow or fast.
+        bool isReportedUnusual = false;
 
         [[nodiscard]] ServerVersion version() const
         {
@@ -156,10 +181,17 @@
     void countPrograms(const std::set<std::string> &opened);
     //! Drops the turns and affinities of an engine that restarted under the same id.
     void resetEngine(const std::string &id);
-    void openEngine(Engine &engine, const BackendServer &server);
+    void openEngine(Engine &engine, const BackendServer &server, TimePoint now);
     void closeEngine(const std::string &id);
     //! Updates the engine's position in the index of its service; call it after each change of its load.
     void reindex(const std::string &id, const Engine &engine);
+    //! The engine has room for turns of new programs.
+    [[nodiscard]] static bool hasRoom(const Engine &engine);
+    //! A program should leave the engine that caches its prompt.
+    //! \param fewestTurns  at any engine of the service, as EngineLoad::turns
+    [[nodiscard]] static bool isWorthLeaving(const Engine &engine, const SlotRequest &request, double fewestTurns);
+    //! \returns false if it is as before, but for small changes
+    bool updateSlowness(const std::string &id, Engine &engine, TimePoint now);
     //! Makes avoided engines usable again whose time has passed.
     void restoreAvoided(TimePoint now);
     void removeFromIndex(Service &indexed, const std::string &id, const Engine &engine);
@@ -174,6 +206,8 @@
     std::uint64_t seed_;
     PlacementOptions options_;
     Engines engines_;
+    ServiceRates rates_;
+    TimePoint nextRateUpdate_ {};
     std::unordered_map<std::string, Service> services_;
     //! Ends of the times for which engines are avoided; an engine may have several.
     std::multimap<TimePoint, std::string> avoidedUntil_;
--- a/src/cardamompost/policy/cp_engine_load_index.cpp
+++ b/src/cardamompost/policy/cp_engine_load_index.cpp
@@ -36,7 +36,7 @@
     positions_.erase(found);
 }
 
-std::optional<unsigned> EngineLoadIndex::fewestTurns() const
+std::optional<double> EngineLoadIndex::fewestTurns() const
 {
     return countByTurns_.empty() ? std::nullopt : std::optional(countByTurns_.begin()->first);
 }
--- a/src/cardamompost/policy/cp_turn_placement.cpp
+++ b/src/cardamompost/policy/cp_turn_placement.cpp
@@ -1,3 +1,4 @@
+#include <cardamompost/policy/cp_expected_completion.hpp>
 #include <cardamompost/policy/cp_turn_placement.hpp>
 
 #include <algorithm>
@@ -10,13 +11,8 @@
 namespace
 {
 
-// A program leaves the engine that caches its prompt only for one with fewer turns, by at least this multiple of the
-// slots: moving means computing the whole prompt again.
-constexpr double maxAffinityImbalance = 2.5;
 // Load that a program with affinity adds to an engine, in turns.
 constexpr double affinityWeight = 0.25;
-// New programs wait while all engines hold at least this multiple of their slots.
-constexpr double newProgramLoadLimit = 1.1;
 // Cost of an engine in another failure domain, in turns.
 constexpr double crossDomainCost = 0.75;
 // Expected lifetime of a program's prompt in the engine's cache.
@@ -73,7 +69,7 @@
         if (!engine.isOpen) {
             opened.insert(server.id);
         }
-        openEngine(engine, server);
+        openEngine(engine, server, now);
     }
     for (const std::string &id : removed) {
         closeEngine(id);
@@ -82,7 +78,7 @@
     placeWaitingTurns(now);
 }
 
-void TurnPlacement::openEngine(Engine &engine, const BackendServer &server)
+void TurnPlacement::openEngine(Engine &engine, const BackendServer &server, TimePoint now)
 {
     if (engine.isOpen && engine.version() != server.version()) {
         engine.isOpen = false;
@@ -94,6 +90,9 @@
     engine.failureDomain = server.failureDomain;
     engine.slots = server.slots;
     engine.isOpen = true;
+    if (options_.usesServiceRates) {
+        engine.slowness = rates_.slowness(engine.service, server.id, engine.incarnation, now);
+    }
     reindex(server.id, engine);
 }
 
@@ -127,8 +126,10 @@
         removeFromIndex(indexed, id, engine);
         return;
     }
-    const EngineLoad load {engine.failureDomain, engine.turns, engine.turns + engine.programs * affinityWeight,
-                           engine.turns < engine.slots * newProgramLoadLimit};
+    const EngineLoad load {
+        engine.failureDomain, equivalentLoad(engine.turns, engine.slots, engine.slowness),
+        equivalentLoad(engine.turns + engine.programs * affinityWeight, engine.slots, engine.slowness),
+        hasRoom(engine)};
     indexed.usable.set(id, load);
     if (!engine.softwareVersion.empty()) {
         indexed.usableByVersion.try_emplace(engine.softwareVersion, seed_).first->second.set(id, load);
@@ -222,11 +223,10 @@
     if (!isUsable) {
         return nullptr;
     }
-    const double loadThreshold = engine->second.turns - maxAffinityImbalance * engine->second.slots;
     const auto indexed = services_.find(request.service);
-    const std::optional<unsigned> fewestTurns
+    const std::optional<double> fewestTurns
         = indexed == services_.end() ? std::nullopt : indexed->second.usable.fewestTurns();
-    return fewestTurns && *fewestTurns <= loadThreshold ? nullptr : &engine->first;
+    return fewestTurns && isWorthLeaving(engine->second, request, *fewestTurns) ? nullptr : &engine->first;
 }
 
 std::optional<std::string> TurnPlacement::choose(const SlotRequest &request, TimePoint now, bool mayOverload)
@@ -246,7 +246,7 @@
         // If every engine is being avoided, any of them may be used.
         const auto usable = std::find_if(indexed.avoided.begin(), indexed.avoided.end(), [&](const std::string &id) {
             const Engine &engine = engines_.at(id);
-            return (!needsRoom || engine.turns < engine.slots * newProgramLoadLimit)
+            return (!needsRoom || hasRoom(engine))
                 && (request.softwareVersion.empty() || engine.softwareVersion == request.softwareVersion);
         });
         return usable == indexed.avoided.end() ? std::nullopt : std::optional(*usable);
--- a/tests/policy/cp_heavy_load.tests.cpp
+++ b/tests/policy/cp_heavy_load.tests.cpp
@@ -63,6 +63,39 @@
     return earned / possibleValue;
 }
 
+//! Programs per second that a small fleet of engines of different speed can serve; it completes 293 turns a second.
+constexpr double smallFleetCapacity = 35;
+
+//! Nine engines, by default each third one 2.4 times as slow as the others.
+FleetLoad smallFleet(double programsPerSecond, std::vector<double> slowness = {0.7, 0.7, 1.7})
+{
+    FleetLoad load = mixedLoad(programsPerSecond);
+    load.engines = 9;
+    load.engine.slots = 16;
+    load.engine.memoryTokens = 123'000;
+    load.slowness = std::move(slowness);
+    ProgramKind &review = load.kinds.front();
+    review.arrivalsPerSecond = programsPerSecond * 0.84;
+    review.turns = 3;
+    review.targetDurationFactor = 1.6;
+    ProgramKind &draft = load.kinds.back();
+    draft.arrivalsPerSecond = programsPerSecond * 0.16;
+    draft.turns = 9;
+    draft.fanOutChance = 0.25;
+    draft.targetDurationFactor = 1.6;
+    for (ProgramKind &kind : load.kinds) {
+        kind.events = 7;
+        kind.pause = 200;
+    }
+    return load;
+}
+
+FleetLoad byRates(FleetLoad load)
+{
+    load.placement.usesServiceRates = true;
+    return load;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(heavy_load)
@@ -93,4 +126,43 @@
     BOOST_TEST(earnedShareOf(load) >= withoutChange - 0.025);
 }
 
+// Guards against giving slow engines as many turns as fast ones.
+BOOST_AUTO_TEST_CASE(with_engines_of_different_speed_rates_bring_more_programs_in_time_than_the_least_turns)
+{
+    const FleetLoad moderate = smallFleet(0.6 * smallFleetCapacity);
+    const FleetLoad heavy = smallFleet(0.9 * smallFleetCapacity);
+    BOOST_TEST(earnedShareOf(byRates(moderate)) >= 0.98);
+    BOOST_TEST(earnedShareOf(byRates(moderate)) >= earnedShareOf(moderate) + 0.08);
+    BOOST_TEST(earnedShareOf(byRates(heavy)) >= earnedShareOf(heavy) + 0.05);
+}
+
+BOOST_AUTO_TEST_CASE(with_engines_of_equal_speed_rates_change_nothing)
+{
+    const FleetLoad load = smallFleet(20, {1});
+    BOOST_TEST(earnedShareOf(byRates(load)) == earnedShareOf(load));
+}
+
+// Guards against programs that stay at an engine that slows down tenfold under their turns.
+BOOST_AUTO_TEST_CASE(an_engine_that_slows_tenfold_during_long_turns_costs_less_with_rates)
+{
+    FleetLoad load = smallFleet(5, {1});
+    load.slowdowns = {{2, 12'000, 10}};
+    for (ProgramKind &kind : load.kinds) {
+        kind.tokensPerEvent = 100;
+    }
+    BOOST_TEST(earnedShareOf(byRates(load)) >= earnedShareOf(load) + 0.03);
+}
+
+// Guards against a new leader that has to learn the rates again.
+BOOST_AUTO_TEST_CASE(a_leader_change_keeps_the_rates)
+{
+    FleetLoad load = byRates(smallFleet(0.7 * smallFleetCapacity));
+    const double withoutChange = earnedShareOf(load);
+    load.leaderLoss = LeaderLoss {12'000};
+    BOOST_TEST(earnedShareOf(load) >= withoutChange - 0.02);
+    EngineFleet fleet(load, 1);
+    fleet.run();
+    BOOST_TEST(fleet.unusualEnginesAtTakeover() >= 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support/cp_engine_fleet.hpp
+++ b/tests/support/cp_engine_fleet.hpp
@@ -55,9 +55,20 @@
     std::string kind;
 };
 
+//! A change of an engine's slowness at a time.
+struct EngineSlowdown {
+    std::size_t engine = 0;
+    Ms at = 0;
+    double slowness = 1;
+};
+
 struct FleetLoad {
     EngineModel engine;
     std::size_t engines = 77;
+    //! Slowness of the engines in turn; empty for two usual engines and one with the model's slowness.
+    std::vector<double> slowness;
+    std::vector<EngineSlowdown> slowdowns;
+    PlacementOptions placement;
     std::vector<ProgramKind> kinds;
     std::vector<LoadBurst> bursts;
     std::optional<LeaderLoss> leaderLoss;
@@ -86,11 +97,14 @@
     EngineFleet(FleetLoad load, std::uint64_t seed)
         : load_(std::move(load))
         , random_(seed)
-        , placement_(std::make_unique<TurnPlacement>(seed))
-        , follower_(std::make_unique<TurnPlacement>(seed + 1))
+        , placement_(std::make_unique<TurnPlacement>(seed, load_.placement))
+        , follower_(std::make_unique<TurnPlacement>(seed + 1, load_.placement))
     {
+        if (load_.slowness.empty()) {
+            load_.slowness = {1, 1, load_.engine.slowness};
+        }
         for (std::size_t i = 0; i < load_.engines; ++i) {
-            engines_.emplace_back(load_.engine, i % 3 == 2 ? load_.engine.slowness : 1.0);
+            engines_.emplace_back(load_.engine, load_.slowness[i % load_.slowness.size()]);
             BackendServer server;
             server.id = std::to_string(i);
             server.service = "engines";
@@ -99,6 +113,7 @@
             servers_.push_back(std::move(server));
         }
         isBusy_.resize(load_.engines);
+        turnsDone_.resize(load_.engines);
         placement_->setServers(servers_, timeAt(0));
     }
 
@@ -108,6 +123,9 @@
             schedule(0, [this, kind] { arrive(kind); });
         }
         schedule(0, [this] { tick(); });
+        for (const EngineSlowdown &slowdown : load_.slowdowns) {
+            schedule(slowdown.at, [this, slowdown] { engines_[slowdown.engine].setSlowness(slowdown.slowness); });
+        }
         if (load_.leaderLoss) {
             schedule(load_.leaderLoss->at, [this] { replaceLeader(); });
         }
@@ -135,6 +153,21 @@
         }
         return results;
     }
+    //! As known to the leader's placement.
+    [[nodiscard]] double slownessOf(std::size_t engine) const
+    {
+        return placement_->slownessOf(std::to_string(engine));
+    }
+    //! Engines of unusual speed as known to the follower that takes over.
+    [[nodiscard]] std::size_t unusualEnginesAtTakeover() const
+    {
+        return unusualEnginesAtTakeover_;
+    }
+    //! Turns that each engine completed.
+    [[nodiscard]] const std::vector<unsigned> &turnsDone() const
+    {
+        return turnsDone_;
+    }
     [[nodiscard]] double prefilledTokens() const
     {
         double sum = 0;
@@ -164,6 +197,7 @@
         double outputTokens = 0;
         std::string id;
         std::string engine;
+        Ms firstTokenAt = 0;
     };
     struct Program {
         std::size_t kind = 0;
@@ -220,6 +254,7 @@
     void tick()
     {
         placement_->tick(timeAt(now_));
+        placement_->updateRates(timeAt(now_));
         follower_->tick(timeAt(now_));
         if (now_ < load_.arrivalPeriod + 20'000) {
             schedule(now_ + tickInterval, [this] { tick(); });
@@ -317,6 +352,8 @@
         slotRequest.isInProgress = program.hasStarted;
         slotRequest.isLate = now_ > program.began + program.targetDuration;
         slotRequest.timeLeft = Milliseconds(3000);
+        slotRequest.promptTokens = static_cast<std::uint32_t>(conversation.prompt);
+        slotRequest.outputTokens = static_cast<std::uint32_t>(turn.outputTokens);
         unplacedTurns_[number] = std::move(slotRequest);
         place(number);
     }
@@ -333,7 +370,11 @@
         hasLeader_ = false;
         formerLeader_ = std::move(placement_);
         placement_ = std::move(follower_);
-        follower_ = std::make_unique<TurnPlacement>(random_());
+        for (const BackendServer &server : servers_) {
+            const double slowness = placement_->rates().slowness(server.service, server.id, 0, timeAt(now_));
+            unusualEnginesAtTakeover_ += slowness == 1 ? 0 : 1;
+        }
+        follower_ = std::make_unique<TurnPlacement>(random_(), load_.placement);
         schedule(now_ + load_.leaderLoss->electionTime, [this] {
             hasLeader_ = true;
             std::vector<std::size_t> waiting;
@@ -377,8 +418,12 @@
     }
     void step(std::size_t engine)
     {
+        std::vector<std::size_t> begun;
         std::vector<std::size_t> done;
-        const Ms time = engines_[engine].step(done);
+        const Ms time = engines_[engine].step(begun, done);
+        for (const std::size_t turn : begun) {
+            turns_[turn].firstTokenAt = now_ + time;
+        }
         schedule(now_ + time, [this, engine, done] {
             for (const std::size_t turn : done) {
                 schedule(now_ + networkDelay, [this, turn] { finishTurn(turn); });
@@ -392,6 +437,7 @@
     void finishTurn(std::size_t turnNumber)
     {
         const Turn turn = turns_[turnNumber];
+        recordSample(turn);
         placement_->release(turn.id, timeAt(now_));
         follower_->recordLastEngine(programNameOf(turn.conversation), turn.engine, timeAt(now_));
         Conversation &conversation = conversations_[turn.conversation];
@@ -428,6 +474,18 @@
             startTurn(addConversation({programNumber, sub, name, prompt, prompt, subAgentTurns, false}));
         }
     }
+    void recordSample(const Turn &turn)
+    {
+        ++turnsDone_[std::stoul(turn.engine)];
+        ServiceSample sample;
+        sample.service = "engines";
+        sample.engine = turn.engine;
+        sample.turns = std::min(placement_->turnsAt(turn.engine), load_.engine.slots);
+        sample.streamTokens = static_cast<std::uint32_t>(turn.outputTokens) - 1;
+        sample.stream = Milliseconds(std::llround(now_ - networkDelay - turn.firstTokenAt));
+        placement_->recordSample(sample, timeAt(now_));
+        follower_->recordSample(sample, timeAt(now_));
+    }
     void endSubAgent(std::size_t programNumber)
     {
         Program &program = programs_[programNumber];
@@ -451,6 +509,8 @@
     std::map<std::size_t, SlotRequest> unplacedTurns_;
     std::vector<ModelEngine> engines_;
     std::vector<bool> isBusy_;
+    std::vector<unsigned> turnsDone_;
+    std::size_t unusualEnginesAtTakeover_ = 0;
     std::priority_queue<Event> events_;
     std::uint64_t sequence_ = 0;
     Ms now_ = 0;
--- a/tests/support/cp_model_engine.hpp
+++ b/tests/support/cp_model_engine.hpp
@@ -59,8 +59,15 @@
     {
         return running_.empty() && queue_.empty();
     }
-    //! Runs one step. \param done  receives the finished turns \returns the duration
-    Ms step(std::vector<std::size_t> &done)
+    void setSlowness(double slowness)
+    {
+        slowness_ = slowness;
+    }
+    //! Runs one step.
+    //! \param begun  receives the turns that generated their first token
+    //! \param done  receives the finished turns
+    //! \returns the duration
+    Ms step(std::vector<std::size_t> &begun, std::vector<std::size_t> &done)
     {
         admit();
         Ms time = (model_.stepTime + model_.stepTimePerTurn * static_cast<double>(running_.size())) * slowness_;
@@ -78,6 +85,9 @@
             } else {
                 run.generatedTokens += 1;
             }
+            if (run.generatedTokens == 1) {
+                begun.push_back(run.turn);
+            }
         }
         for (auto run = running_.begin(); run != running_.end();) {
             if (run->generatedTokens < run->outputTokens) {
