Measure turns at the entry and let every ledger VM learn the engines' speeds from their ends

Cause: nothing fed the rates. Ruled out: the time of reading an event as the time of its arrival (the entry may wait for the ledger's grant or for a slow caller meanwhile); no time whenever several events were read at once (a busy entry would hardly give samples); the number of turns at the engine as each member knows it (only the leader does). Change: StreamTimer takes the time of an event that was waited for, and for one that had arrived the middle of the time since nothing was left to read; above a tenth of the stream's time, and for a stream that another server began, there is none. TurnTiming carries the streamed tokens, the service and the incarnation from the entry; the leader adds the turns that run at the engine. apply() records the sample on every member. Log line engine.rate_changed; metrics for engines measured, engines of unusual speed and the error of predicted streams. While the first part of a stream is held back, its reads are formatted one by one, so that its events are timed; what the caller gets is the same but for the bounds of chunks.

--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -203,6 +203,13 @@
     std::uint32_t firstEventMs = 0;
     //! From the first event to the last one.
     std::uint32_t streamMs = 0;
+    //! Tokens generated in that time.
+    std::uint32_t streamTokens = 0;
+    //! Turns that ran at the engine when this one ended, itself included; filled in by the leader.
+    std::uint32_t turnsAtBackend = 0;
+    //! Service and incarnation of the engine.
+    std::string service {};
+    std::uint64_t incarnation = 0;
 
     friend bool operator==(const TurnTiming &, const TurnTiming &) = default;
 };
--- a/include/cardamompost/policy/cp_service_rates.hpp
+++ b/include/cardamompost/policy/cp_service_rates.hpp
@@ -41,6 +41,8 @@
     //! \param incarnation  samples of an earlier one do not count
     [[nodiscard]] double slowness(const std::string &service, const std::string &engine, std::uint64_t incarnation,
                                   TimePoint now) const;
+    //! Number of samples that count for the engine's slowness.
+    [[nodiscard]] unsigned samples(const std::string &service, const std::string &engine, TimePoint now) const;
     //! Usual time for a generated token with that many turns at the engine; 0 while unknown.
     [[nodiscard]] double millisecondsPerToken(const std::string &service, unsigned turns) const;
     //! Engines with recent samples, of all services.
@@ -66,6 +68,8 @@
         std::size_t samplesToNormalise = 0;
     };
 
+    //! Null if unknown.
+    [[nodiscard]] const Engine *find(const std::string &service, const std::string &engine) const;
     //! Makes the median engine the usual one and drops engines without recent samples.
     static void normalise(Service &service, TimePoint now);
     //! Share of an engine's samples that still counts.
--- a/include/cardamompost/policy/cp_turn_placement.hpp
+++ b/include/cardamompost/policy/cp_turn_placement.hpp
@@ -51,6 +51,8 @@
     std::string service;
     //! 1 for usual.
     double slowness = 1;
+    //! As ServiceRates::samples().
+    unsigned samples = 0;
 };
 
 //! Assigns turns to engine slots for all entries.
@@ -101,6 +103,8 @@
     [[nodiscard]] std::size_t waiting() const;
     //! Turns that hold a slot at the engine.
     [[nodiscard]] unsigned turnsAt(const std::string &engine) const;
+    //! The same, without those that wait in the engine's queue.
+    [[nodiscard]] unsigned turnsRunningAt(const std::string &engine) const;
     [[nodiscard]] const ServiceRates &rates() const
     {
         return rates_;
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -308,6 +308,10 @@
   promptTokens @10 :UInt32;
   firstEventMs @11 :UInt32;
   streamMs @12 :UInt32;
+  streamTokens @13 :UInt32;
+  turnsAtBackend @14 :UInt32;
+  service @15 :Text;
+  born @16 :UInt64;
 }
 
 struct TurnFinishReply {
--- a/src/cardamompost/net/cp_ledger_schema.cpp
+++ b/src/cardamompost/net/cp_ledger_schema.cpp
@@ -197,6 +197,10 @@
     out.setPromptTokens(in.timing.promptTokens);
     out.setFirstEventMs(in.timing.firstEventMs);
     out.setStreamMs(in.timing.streamMs);
+    out.setStreamTokens(in.timing.streamTokens);
+    out.setTurnsAtBackend(in.timing.turnsAtBackend);
+    out.setService(toText(in.timing.service));
+    out.setBorn(in.timing.incarnation);
 }
 
 TurnFinish decodeTurnFinish(schema::TurnFinish::Reader in)
@@ -215,7 +219,8 @@
             fromData(in.getInput()),
             fromData(in.getOutput()),
             fromText(in.getBackend()),
-            {in.getPromptTokens(), in.getFirstEventMs(), in.getStreamMs()}};
+            {in.getPromptTokens(), in.getFirstEventMs(), in.getStreamMs(), in.getStreamTokens(), in.getTurnsAtBackend(),
+             fromText(in.getService()), in.getBorn()}};
 }
 
 void encodeUpdateRequest(const UpdateRequest &in, schema::NewsRequest::Builder out)
--- a/src/cardamompost/policy/cp_service_rates.cpp
+++ b/src/cardamompost/policy/cp_service_rates.cpp
@@ -133,21 +133,35 @@
     }
 }
 
-double ServiceRates::slowness(const std::string &service, const std::string &engine, std::uint64_t incarnation,
-                              TimePoint now) const
+const ServiceRates::Engine *ServiceRates::find(const std::string &service, const std::string &engine) const
 {
     const auto known = services_.find(service);
     if (known == services_.end()) {
-        return 1;
+        return nullptr;
     }
     const auto found = known->second.engines.find(engine);
-    if (found == known->second.engines.end() || found->second.incarnation < incarnation) {
+    return found == known->second.engines.end() ? nullptr : &found->second;
+}
+
+double ServiceRates::slowness(const std::string &service, const std::string &engine, std::uint64_t incarnation,
+                              TimePoint now) const
+{
+    const Engine *known = find(service, engine);
+    if (known == nullptr || known->incarnation < incarnation) {
         return 1;
     }
-    const double logSlowness = withoutSmallDifferences(found->second.logSlowness * freshness(found->second, now));
+    const double logSlowness = withoutSmallDifferences(known->logSlowness * freshness(*known, now));
     return logSlowness == 0 ? 1 : std::exp(logSlowness);
 }
 
+unsigned ServiceRates::samples(const std::string &service, const std::string &engine, TimePoint now) const
+{
+    const Engine *known = find(service, engine);
+    return known == nullptr
+        ? 0
+        : static_cast<unsigned>(std::lround((known->weight - priorWeight) * freshness(*known, now)));
+}
+
 double ServiceRates::millisecondsPerToken(const std::string &service, unsigned turns) const
 {
     const auto known = services_.find(service);
--- a/src/cardamompost/policy/cp_turn_placement_rates.cpp
+++ b/src/cardamompost/policy/cp_turn_placement_rates.cpp
@@ -81,7 +81,7 @@
         const bool isUsual = engine.slowness == 1;
         if (engine.isReportedUnusual ? isUsual : isUnusual) {
             engine.isReportedUnusual = !engine.isReportedUnusual;
-            changes.push_back({id, engine.service, engine.slowness});
+            changes.push_back({id, engine.service, engine.slowness, rates_.samples(engine.service, id, now)});
         }
     }
     if (isAnyChanged) {
@@ -90,6 +90,12 @@
     return changes;
 }
 
+unsigned TurnPlacement::turnsRunningAt(const std::string &engine) const
+{
+    const auto found = engines_.find(engine);
+    return found == engines_.end() ? 0 : std::min(found->second.turns, found->second.slots);
+}
+
 double TurnPlacement::slownessOf(const std::string &engine) const
 {
     const auto found = engines_.find(engine);
--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -116,6 +116,7 @@
 asio::awaitable<ExchangeEnd> BackendExchange::run(std::optional<Milliseconds> responseTimeout)
 {
     startedAt_ = timeNow();
+    request_.streamTimer.start(startedAt_, request_.eventScanner.eventCount());
     if (!request_.begin) {
         proposeVersion();
     }
@@ -136,7 +137,9 @@
     if (error) {
         co_return endForError(error);
     }
-    responseTime_ = std::chrono::duration_cast<Milliseconds>(timeNow() - startedAt_);
+    const TimePoint headAt = timeNow();
+    responseTime_ = std::chrono::duration_cast<Milliseconds>(headAt - startedAt_);
+    request_.streamTimer.onHead(headAt);
     connection_->stream.expires_at(deadline);
     recordStatusAndLoad();
     if (isNotExecuted()) {
@@ -410,13 +413,12 @@
     // While the begin was committed, the complete stream may have arrived.
     const bool mayBeComplete = request_.begin && request_.route->keepsHistory && !request_.hasResponseStarted;
     while (!parser_->is_done()) {
-        std::string bytes;
-        boost::system::error_code error = co_await readSome(bytes);
+        std::string chunk;
+        boost::system::error_code error = co_await readEvents(chunk);
         while (mayBeComplete && !request_.hasResponseStarted && !error && !parser_->is_done() && hasMoreToRead()
-               && bytes.size() < maxBufferedResponseBytes) {
-            error = co_await readSome(bytes);
+               && chunk.size() + request_.partialEvent.size() < maxBufferedResponseBytes) {
+            error = co_await readEvents(chunk);
         }
-        std::string chunk = makeChunk(std::move(bytes));
         if (error || isCutOff()) {
             co_return co_await breakOff(std::move(chunk), error);
         }
@@ -431,6 +433,18 @@
     co_return co_await endStream({});
 }
 
+asio::awaitable<boost::system::error_code> BackendExchange::readEvents(std::string &chunk)
+{
+    std::string bytes;
+    if (request_.begin) {
+        request_.streamTimer.beforeRead(timeNow(), hasEventToRead());
+    }
+    const boost::system::error_code error = co_await readSome(bytes);
+    chunk += makeChunk(std::move(bytes));
+    request_.streamTimer.afterRead(timeNow(), request_.eventScanner.eventCount());
+    co_return error;
+}
+
 bool BackendExchange::isCutOff() const
 {
     if (!parser_->is_done() || !request_.isEventStream) {
@@ -468,6 +482,14 @@
     return connection_->buffer.size() > 0 || (connection_->stream.socket().available(error) > 0 && !error);
 }
 
+bool BackendExchange::hasEventToRead() const
+{
+    // The parser reads the line end of a chunk together with the next chunk.
+    constexpr std::size_t lineEndBytes = 2;
+    boost::system::error_code error;
+    return connection_->buffer.size() > lineEndBytes || (connection_->stream.socket().available(error) > 0 && !error);
+}
+
 void BackendExchange::proposeVersion()
 {
     const Milliseconds retention = request_.streamRetention();
--- a/src/gateway/cp_backend_exchange.hpp
+++ b/src/gateway/cp_backend_exchange.hpp
@@ -50,10 +50,14 @@
     //! \returns how the attempt ended if the stream must not be relayed
     boost::asio::awaitable<std::optional<ExchangeEnd>> waitUntilRelayable();
     boost::asio::awaitable<ExchangeEnd> relayStream();
+    //! Reads once. \param chunk  receives what can be relayed, formatted for the caller
+    boost::asio::awaitable<boost::system::error_code> readEvents(std::string &chunk);
     //! Records the version of a stream that its caller may resume.
     void proposeVersion();
     //! True if bytes have arrived that are not read yet.
     [[nodiscard]] bool hasMoreToRead() const;
+    //! True if bytes have arrived that are not read yet, and that may belong to an event.
+    [[nodiscard]] bool hasEventToRead() const;
     //! True if the response has ended and its event stream lacks the end of an event, or has not begun.
     [[nodiscard]] bool isCutOff() const;
     //! Ends the attempt after a stream that is not complete.
--- a/src/gateway/cp_forwarded_request.cpp
+++ b/src/gateway/cp_forwarded_request.cpp
@@ -1,5 +1,8 @@
 #include "cp_forwarded_request.hpp"
 
+#include <algorithm>
+#include <limits>
+
 namespace cardamompost
 {
 
@@ -21,6 +24,9 @@
     finish.backend = lastBackend;
     finish.retentionMs
         = route->retention.count() > 0 ? static_cast<std::uint32_t>(route->retention.count()) : defaultRetentionMs;
+    if (ending == TurnEnding::Complete && isEventStream && !isResumption()) {
+        finish.timing = makeTiming();
+    }
     finish.isRetained = route->keepsHistory && ending == TurnEnding::Complete;
     if (finish.isRetained) {
         finish.input = message.body();
@@ -29,6 +35,25 @@
     return finish;
 }
 
+TurnTiming ForwardedRequest::makeTiming() const
+{
+    const auto toCount = [](std::int64_t number) {
+        constexpr std::int64_t limit = std::numeric_limits<std::uint32_t>::max();
+        return static_cast<std::uint32_t>(std::clamp<std::int64_t>(number, 0, limit));
+    };
+    TurnTiming timing;
+    timing.promptTokens = toCount(metadata.tokensIn);
+    timing.firstEventMs = streamTimer.firstEventMs();
+    timing.streamMs = streamTimer.streamMs();
+    if (timing.streamMs != 0) {
+        const auto laterEvents = static_cast<std::int64_t>(eventScanner.eventCount()) - 1;
+        timing.streamTokens = toCount(laterEvents * service->engine.tokensPerEvent);
+        timing.service = service->name;
+        timing.incarnation = lastBackendIncarnation;
+    }
+    return timing;
+}
+
 const std::string &ForwardedRequest::stickyKey() const
 {
     if (!service->isEngine) {
--- a/src/gateway/cp_forwarded_request.hpp
+++ b/src/gateway/cp_forwarded_request.hpp
@@ -5,6 +5,7 @@
 #include "cp_event_stream_scanner.hpp"
 #include "cp_ledger_client.hpp"
 #include "cp_request_head.hpp"
+#include "cp_stream_timer.hpp"
 #include "cp_stream_version_record.hpp"
 
 #include <cardamompost/accounts/cp_scoped_id.hpp>
@@ -82,6 +83,8 @@
     //! Set for a turn, which needs admission by the ledger.
     std::shared_ptr<PendingBegin> begin;
     EventStreamScanner eventScanner;
+    //! Of the current attempt.
+    StreamTimer streamTimer;
     //! True if the response is a stream of events, false if it has a body of another type.
     bool isEventStream = true;
     //! Bytes of an incomplete event, which are held back.
@@ -104,6 +107,8 @@
     std::string lastBackend;
     //! Software version of that server.
     std::string lastBackendVersion;
+    //! As BackendServer::incarnation when the request was sent.
+    std::uint64_t lastBackendIncarnation = 0;
     //! Time from arrival until the ledger admitted or refused the request, or the wait for it ended.
     Milliseconds admissionTime {0};
     bool isPlacedByLeader = false;
@@ -170,6 +175,8 @@
     }
     //! The message that reports the turn's end to the ledger.
     [[nodiscard]] TurnFinish makeFinish(TurnEnding ending);
+    //! How long the complete stream took.
+    [[nodiscard]] TurnTiming makeTiming() const;
     //! Key shared by requests that benefit from reaching the same server; empty for none.
     [[nodiscard]] const std::string &stickyKey() const;
 };
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -374,6 +374,7 @@
         }
         request.lastBackend = backendId;
         request.lastBackendVersion = backend->server().softwareVersion;
+        request.lastBackendIncarnation = backend->server().incarnation;
         BackendExchange exchange({parts_.io, parts_.adapter.headers(), parts_.pool, parts_.ledger}, request, backend,
                                  request.connection);
         const std::optional<Milliseconds> responseTimeout = responseTimeoutFor(request);
--- a/src/gateway/cp_ledger_begins.cpp
+++ b/src/gateway/cp_ledger_begins.cpp
@@ -390,6 +390,9 @@
         replier->reply(TurnFinishReply {false, driver_.leader()});
         return;
     }
+    if (finish.timing.streamMs != 0) {
+        finish.timing.turnsAtBackend = placement_.turnsRunningAt(finish.backend);
+    }
     placement_.release(finish.turn, std::chrono::steady_clock::now());
     const std::string turn = finish.turn;
     // A retried finish: an applied turn is already durable on a quorum.
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -35,6 +35,7 @@
     , updates_({parts.io, parts.peers, parts.log, parts.metrics, self_, [this] { return updateSource(); },
                 [this] { return groupView().members; }})
     , placementSeconds_(parts.metrics.histogram("cardamompost_turn_place_seconds"))
+    , predictionErrorSeconds_(parts.metrics.histogram("cardamompost_turn_prediction_error_seconds"))
     , takeovers_(parts.metrics.counter("cardamompost_ledger_takeovers_total"))
     , exhaustedTurns_(parts.metrics.counter("cardamompost_turns_refused_total", {{"reason", "spent"}}))
     , unknownTurns_(parts.metrics.counter("cardamompost_turns_refused_total", {{"reason", "no-such-turn"}}))
@@ -75,6 +76,10 @@
     parts_.metrics.gauge("cardamompost_ledger_whole", {}, [this] {
         return driver_.isStarted() && !driver_.node().isUninitialized() && state_.texts().missing().empty() ? 1.0 : 0.0;
     });
+    parts_.metrics.gauge("cardamompost_engines_measured", {},
+                         [this] { return static_cast<double>(placement_.rates().engineCount()); });
+    parts_.metrics.gauge("cardamompost_engines_unusual", {},
+                         [this] { return static_cast<double>(placement_.unusualEngines()); });
     parts_.metrics.gauge("cardamompost_list_age_seconds", {}, [this] {
         return leads()
             ? std::chrono::duration<double>(std::chrono::steady_clock::now() - updates_.relay().listReadAt()).count()
@@ -149,6 +154,9 @@
         // The leader tracks placements itself, including those of turns in progress.
         placement_.recordLastEngine(finish->program, finish->backend, std::chrono::steady_clock::now());
     }
+    if (finish != nullptr && finish->timing.streamMs != 0) {
+        recordSample(*finish);
+    }
     arePeersPublished_ = arePeersPublished_ && !std::holds_alternative<LedgerVm>(command.value().action);
     const std::uint64_t before = state_.documentVersion();
     lastApplyStatus_ = state_.apply(command.value(), entry.index);
@@ -160,6 +168,32 @@
     }
 }
 
+void LedgerService::recordSample(const TurnFinish &finish)
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    const TurnTiming &timing = finish.timing;
+    const double usual = placement_.rates().millisecondsPerToken(timing.service, timing.turnsAtBackend);
+    if (leads() && usual != 0) {
+        const double slowness = placement_.rates().slowness(timing.service, finish.backend, timing.incarnation, now);
+        const double error = std::abs(usual * slowness * timing.streamTokens - timing.streamMs);
+        predictionErrorSeconds_.observe(error / 1000);
+    }
+    placement_.recordSample({timing.service, finish.backend, timing.incarnation, timing.turnsAtBackend,
+                             timing.streamTokens, Milliseconds(timing.streamMs)},
+                            now);
+}
+
+void LedgerService::updateRates()
+{
+    for (const EngineRateChange &change : placement_.updateRates(std::chrono::steady_clock::now())) {
+        parts_.log.info("engine.rate_changed",
+                        {{"engine", change.engine},
+                         {"service", change.service},
+                         {"slowness", change.slowness},
+                         {"samples", change.samples}});
+    }
+}
+
 Result<void> LedgerService::restore(const RaftSnapshot &snapshot)
 {
     BOOST_OUTCOME_TRY(LedgerState fresh, LedgerState::decode(snapshot.state));
@@ -211,6 +245,7 @@
     } else {
         placement_.tick(std::chrono::steady_clock::now());
     }
+    updateRates();
     reportUsage();
     if (isLeader != wasLeader_ || driver_.leader() != loggedLeader_) {
         wasLeader_ = isLeader;
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -207,6 +207,10 @@
         return 2 * parts_.settings.toleratedLosses + 1;
     }
     void logRole();
+    //! Records how long a turn took; on every member.
+    void recordSample(const TurnFinish &finish);
+    //! Updates the engines' rates and logs those that became slow, fast or usual; on the leader only.
+    void updateRates();
     [[nodiscard]] std::vector<VmName> knownPeers() const;
     //! Announces to all ledger VMs, at intervals, that this one is reachable.
     void announcePeriodically();
@@ -244,6 +248,7 @@
     RequestLimiter limiter_;
     UpdateService updates_;
     Histogram &placementSeconds_;
+    Histogram &predictionErrorSeconds_;
     Counter &takeovers_;
     Counter &exhaustedTurns_;
     Counter &unknownTurns_;
--- a/tests/net/cp_frame.tests.cpp
+++ b/tests/net/cp_frame.tests.cpp
@@ -47,6 +47,8 @@
     TurnFinish finish;
     finish.backend = "i-7";
     BOOST_TEST(roundTrip(finish).backend == "i-7");
+    finish.timing = {900, 30, 260, 100, 4, "engines", 1700};
+    BOOST_TEST((roundTrip(finish).timing == finish.timing));
     const ServerVersion version {"engines", "v1"};
     const StreamVersionRequest record = roundTrip(StreamVersionRequest {{"s", version, 2, 4000}, true});
     BOOST_TEST((record.record.version == version));
--- a/tests/platform/cp_platform_faults.tests.cpp
+++ b/tests/platform/cp_platform_faults.tests.cpp
@@ -289,6 +289,27 @@
     BOOST_TEST(location.find("/cardamompost/configuration") != std::string::npos);
 }
 
+// Guards against turns whose times are not measured, or known to the leader alone, so that a new one knows no speeds.
+BOOST_AUTO_TEST_CASE(all_ledger_vms_learn_how_long_turns_take_and_the_leader_predicts_them)
+{
+    GatewayCluster cluster;
+    const std::size_t leader = cluster.putDocument(3);
+    const Address entry = cluster.addEntry(cluster.seeds());
+    // A turn is not measured if the machine is too busy to tell when its events arrived.
+    constexpr int maxTurns = 20;
+    bool isLearned = false;
+    for (int i = 0; i < maxTurns && !isLearned; ++i) {
+        BOOST_REQUIRE(cluster.turn(entry, "p" + std::to_string(i), {}, 1000, "/plans/slow").status == 200U);
+        isLearned = cluster.metricValue(cluster.ledgerSettings[leader].directory,
+                                        "cardamompost_turn_prediction_error_seconds_count")
+            >= 1;
+        for (const GatewaySettings &ledger : cluster.ledgerSettings) {
+            isLearned = cluster.metricValue(ledger.directory, "cardamompost_engines_measured") >= 1 && isLearned;
+        }
+    }
+    BOOST_TEST(isLearned);
+}
+
 // Guards the metrics that explain an outage: leader changes and refused turns.
 BOOST_AUTO_TEST_CASE(changes_of_leaders_and_refused_turns_are_counted)
 {
--- a/tests/support/cp_engine_fleet.hpp
+++ b/tests/support/cp_engine_fleet.hpp
@@ -480,7 +480,7 @@
         ServiceSample sample;
         sample.service = "engines";
         sample.engine = turn.engine;
-        sample.turns = std::min(placement_->turnsAt(turn.engine), load_.engine.slots);
+        sample.turns = placement_->turnsRunningAt(turn.engine);
         sample.streamTokens = static_cast<std::uint32_t>(turn.outputTokens) - 1;
         sample.stream = Milliseconds(std::llround(now_ - networkDelay - turn.firstTokenAt));
         placement_->recordSample(sample, timeAt(now_));
