Extract the queue of turn placement into TurnQueue

Cause: shares of accounts and admission need to know the waiting turns by account; the queue is a map within TurnPlacement. Change: TurnQueue holds the order of waiting turns; the functions of TurnPlacement that deal with them stand in cp_placement_queue.cpp. The header of TurnQueue has only what is used so far.

--- a/include/cardamompost/policy/cp_turn_placement.hpp
+++ b/include/cardamompost/policy/cp_turn_placement.hpp
@@ -4,6 +4,7 @@
 #include <cardamompost/core/cp_time.hpp>
 #include <cardamompost/policy/cp_engine_load_index.hpp>
 #include <cardamompost/policy/cp_placement_options.hpp>
+#include <cardamompost/policy/cp_turn_queue.hpp>
 #include <cardamompost/routing/cp_backend_list.hpp>
 
 #include <functional>
@@ -11,7 +12,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <tuple>
 #include <unordered_map>
 
 namespace cardamompost
@@ -123,17 +123,6 @@
         std::string engine;
         TimePoint expiresAt;
     };
-    //! Lower goes first.
-    struct QueueKey {
-        unsigned group = 0;
-        unsigned rank = 0;
-        std::uint64_t sequence = 0;
-
-        friend bool operator<(const QueueKey &left, const QueueKey &right)
-        {
-            return std::tie(left.group, left.rank, left.sequence) < std::tie(right.group, right.rank, right.sequence);
-        }
-    };
     struct WaitingTurn {
         SlotRequest request;
         TimePoint queuedAt;
@@ -143,7 +132,6 @@
         std::string engine;
         TimePoint lastUsed;
     };
-    using Queue = std::map<QueueKey, WaitingTurn>;
     //! Turns by a time, earliest first.
     using TurnTimes = std::set<std::pair<TimePoint, std::string>>;
 
@@ -166,7 +154,8 @@
     [[nodiscard]] bool hasService(const std::string &service) const;
     [[nodiscard]] Service &service(const std::string &name);
     void reserveSlot(const SlotRequest &request, const std::string &engine, TimePoint now);
-    void removeFromQueue(const std::string &turn);
+    //! The turn must wait.
+    WaitingTurn removeFromQueue(const std::string &turn);
     void placeWaitingTurns(TimePoint now);
     void expireReservations(TimePoint now);
     void expireAffinities(TimePoint now);
@@ -179,11 +168,10 @@
     std::multimap<TimePoint, std::string> avoidedUntil_;
     std::unordered_map<std::string, SlotReservation> reservations_;
     TurnTimes reservationExpiries_;
-    std::map<std::string, Queue> queues_;
+    TurnQueue queue_;
+    std::unordered_map<std::string, WaitingTurn> waiting_;
     TurnTimes queueTimes_;
-    std::unordered_map<std::string, std::pair<std::string, QueueKey>> queueKeys_;
     std::unordered_map<std::string, Affinity> affinities_;
-    std::uint64_t nextSequence_ = 0;
     TimePoint nextAffinityExpiry_ {};
 };
 
--- a/include/cardamompost/policy/cp_turn_queue.hpp
+++ b/include/cardamompost/policy/cp_turn_queue.hpp
@@ -4,8 +4,12 @@
 #include <cardamompost/core/cp_time.hpp>
 
 #include <cstddef>
-#include <optional>
+#include <cstdint>
+#include <map>
 #include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
 
 namespace cardamompost
 {
@@ -28,37 +32,51 @@
     TimePoint queuedAt {};
 };
 
-//! The turns that wait for slots, in the order in which they are placed.
-//!
-//! Without shares: by group, rank and arrival. With shares, an account that holds fewer slots than its fair share goes
-//! before one that holds more; within an account the order is as without. The fair share is the service's slots divided
-//! by the accounts that hold or want some (max-min fairness). No turn is passed over for longer than the maximum queue
-//! time of the placement, which takes turns out at that age. Thread-safety: none.
+//! The turns that wait for slots, in the order in which they are placed: by group, rank and arrival.
+//! Thread-safety: none.
 class TurnQueue
 {
 public:
-    explicit TurnQueue(bool sharesByAccount)
-        : sharesByAccount_(sharesByAccount)
-    {
-    }
-
+    //! The turn must not wait yet.
     void push(QueuedTurn turn);
     //! \returns false if the turn does not wait
     bool remove(const std::string &turn);
-    //! The turn to place next; nothing if none of the service waits.
-    [[nodiscard]] std::optional<QueuedTurn> first(const std::string &service) const;
+    void clear();
+    //! The turn to place next; null if none of the service waits. Valid until the next change.
+    [[nodiscard]] const QueuedTurn *first(const std::string &service) const;
+    [[nodiscard]] bool contains(const std::string &turn) const
+    {
+        return positions_.contains(turn);
+    }
+    [[nodiscard]] std::size_t waiting() const
+    {
+        return positions_.size();
+    }
     [[nodiscard]] std::size_t waiting(const std::string &service) const;
-    //! Slots of a service that its accounts share, when engines come or go.
-    void setSlots(const std::string &service, unsigned slots);
-    //! The account got or returned a slot.
-    void onReserved(const std::string &service, const std::string &account);
-    void onReleased(const std::string &service, const std::string &account);
-    //! The account holds more slots than its fair share; its turns wait while all engines are full, also those of
-    //! programs in progress.
-    [[nodiscard]] bool isOverShare(const std::string &service, const std::string &account) const;
+    //! The services with waiting turns, by name.
+    [[nodiscard]] std::vector<std::string> services() const;
 
 private:
-    bool sharesByAccount_;
+    //! Lower goes first.
+    struct Key {
+        TurnGroup group = TurnGroup::New;
+        unsigned rank = 0;
+        std::uint64_t sequence = 0;
+
+        friend bool operator<(const Key &left, const Key &right)
+        {
+            return std::tie(left.group, left.rank, left.sequence) < std::tie(right.group, right.rank, right.sequence);
+        }
+    };
+    using Turns = std::map<Key, QueuedTurn>;
+    struct Position {
+        std::string service;
+        Key key;
+    };
+
+    std::map<std::string, Turns> services_;
+    std::unordered_map<std::string, Position> positions_;
+    std::uint64_t nextSequence_ = 0;
 };
 
 } // namespace cardamompost
--- /dev/null
+++ b/src/cardamompost/policy/cp_placement_queue.cpp
@@ -0,0 +1,136 @@
+#include <cardamompost/policy/cp_turn_placement.hpp>
+
+#include <utility>
+#include <vector>
+
+// The part of TurnPlacement that deals with waiting turns.
+namespace cardamompost
+{
+
+namespace
+{
+
+// A turn that has waited this long is placed regardless of load, to reach an engine's own queue before its client gives
+// up.
+constexpr Milliseconds maxQueueTime {1200};
+
+TurnGroup groupOf(const SlotRequest &request)
+{
+    if (request.isLate) {
+        return TurnGroup::Late;
+    }
+    return request.isInProgress ? TurnGroup::InProgress : TurnGroup::New;
+}
+
+} // namespace
+
+void TurnPlacement::request(SlotRequest request, TimePoint now, PlacementCallback callback)
+{
+    if (const auto reservation = reservations_.find(request.turn); reservation != reservations_.end()) {
+        const std::string engine = reservation->second.engine;
+        callback(engine);
+        return;
+    }
+    if (const auto queued = waiting_.find(request.turn); queued != waiting_.end()) {
+        // A retried request keeps its position in the queue.
+        queued->second.callback = std::move(callback);
+        return;
+    }
+    if (!hasService(request.service)) {
+        // A new leader may not have the engine list yet, but knows the affinities from the log. The entry falls back to
+        // its own choice if that engine is gone.
+        const auto affinity = affinities_.find(request.program);
+        const bool isUsable = affinity != affinities_.end() && request.softwareVersion.empty();
+        const std::string engine = isUsable ? affinity->second.engine : std::string();
+        if (!engine.empty()) {
+            reserveSlot(request, engine, now);
+        }
+        callback(engine);
+        return;
+    }
+    // Every turn is queued first, so that it cannot overtake waiting turns that rank before it.
+    queue_.push({request.turn, request.service, request.account, groupOf(request), request.rank, now});
+    queueTimes_.emplace(now, request.turn);
+    const std::string turn = request.turn;
+    waiting_.emplace(turn, WaitingTurn {std::move(request), now, std::move(callback)});
+    placeWaitingTurns(now);
+}
+
+void TurnPlacement::placeWaitingTurns(TimePoint now)
+{
+    // Callbacks may request or release slots, so nothing is kept across a call.
+    bool madeProgress = true;
+    while (madeProgress) {
+        madeProgress = false;
+        for (const std::string &service : queue_.services()) {
+            const std::string turn = queue_.first(service)->turn;
+            const std::optional<std::string> engine = choose(waiting_.at(turn).request, now, false);
+            if (!engine) {
+                continue;
+            }
+            const WaitingTurn next = removeFromQueue(turn);
+            reserveSlot(next.request, *engine, now);
+            next.callback(*engine);
+            madeProgress = true;
+            break;
+        }
+    }
+}
+
+TurnPlacement::WaitingTurn TurnPlacement::removeFromQueue(const std::string &turn)
+{
+    queue_.remove(turn);
+    WaitingTurn removed = std::move(waiting_.extract(turn).mapped());
+    queueTimes_.erase({removed.queuedAt, removed.request.turn});
+    return removed;
+}
+
+void TurnPlacement::tick(TimePoint now)
+{
+    expireReservations(now);
+    expireAffinities(now);
+    std::vector<WaitingTurn> expired;
+    while (!queueTimes_.empty() && now - queueTimes_.begin()->first >= maxQueueTime) {
+        const std::string turn = queueTimes_.begin()->second;
+        expired.push_back(removeFromQueue(turn));
+    }
+    for (const WaitingTurn &waiting : expired) {
+        const std::optional<std::string> engine = choose(waiting.request, now, true);
+        if (engine) {
+            reserveSlot(waiting.request, *engine, now);
+        }
+        waiting.callback(engine.value_or(std::string()));
+    }
+    placeWaitingTurns(now);
+}
+
+void TurnPlacement::clear()
+{
+    // Affinities survive a change of leader; losing them would make all programs recompute their prompts at once.
+    reservations_.clear();
+    reservationExpiries_.clear();
+    queueTimes_.clear();
+    engines_.clear();
+    services_.clear();
+    avoidedUntil_.clear();
+    std::vector<PlacementCallback> callbacks;
+    for (const std::string &service : queue_.services()) {
+        while (const QueuedTurn *next = queue_.first(service)) {
+            const std::string turn = next->turn;
+            queue_.remove(turn);
+            callbacks.push_back(std::move(waiting_.at(turn).callback));
+        }
+    }
+    queue_.clear();
+    waiting_.clear();
+    for (const PlacementCallback &callback : callbacks) {
+        callback({});
+    }
+}
+
+std::size_t TurnPlacement::waiting() const
+{
+    return queue_.waiting();
+}
+
+} // namespace cardamompost
--- a/src/cardamompost/policy/cp_turn_placement.cpp
+++ b/src/cardamompost/policy/cp_turn_placement.cpp
@@ -22,16 +22,9 @@
 // Expected lifetime of a program's prompt in the engine's cache.
 constexpr Milliseconds affinityLifetime {8000};
 constexpr Milliseconds affinityExpiryInterval {500};
-// A turn that has waited this long is placed regardless of load, to reach an engine's own queue before its client gives
-// up.
-constexpr Milliseconds maxQueueTime {1200};
 // Added to a turn's time limit before the slot of a failed entry is reclaimed.
 constexpr Milliseconds reservationMargin {500};
 
-constexpr unsigned groupInProgress = 0;
-constexpr unsigned groupNew = 1;
-constexpr unsigned groupLate = 2;
-
 } // namespace
 
 TurnPlacement::TurnPlacement(std::uint64_t seed, PlacementOptions options)
@@ -309,80 +302,9 @@
     }
 }
 
-void TurnPlacement::request(SlotRequest request, TimePoint now, PlacementCallback callback)
-{
-    if (const auto reservation = reservations_.find(request.turn); reservation != reservations_.end()) {
-        const std::string engine = reservation->second.engine;
-        callback(engine);
-        return;
-    }
-    if (const auto queued = queueKeys_.find(request.turn); queued != queueKeys_.end()) {
-        // A retried request keeps its position in the queue.
-        queues_[queued->second.first].at(queued->second.second).callback = std::move(callback);
-        return;
-    }
-    if (!hasService(request.service)) {
-        // A new leader may not have the engine list yet, but knows the affinities from the log. The entry falls back to
-        // its own choice if that engine is gone.
-        const auto affinity = affinities_.find(request.program);
-        const bool isUsable = affinity != affinities_.end() && request.softwareVersion.empty();
-        const std::string engine = isUsable ? affinity->second.engine : std::string();
-        if (!engine.empty()) {
-            reserveSlot(request, engine, now);
-        }
-        callback(engine);
-        return;
-    }
-    // Every turn is queued first, so that it cannot overtake waiting turns that rank before it.
-    const unsigned group = request.isLate ? groupLate : request.isInProgress ? groupInProgress : groupNew;
-    const QueueKey key {group, request.rank, nextSequence_++};
-    queueKeys_.emplace(request.turn, std::pair(request.service, key));
-    Queue &queue = queues_[request.service];
-    queueTimes_.emplace(now, request.turn);
-    queue.emplace(key, WaitingTurn {std::move(request), now, std::move(callback)});
-    placeWaitingTurns(now);
-}
-
-void TurnPlacement::placeWaitingTurns(TimePoint now)
-{
-    // Callbacks may request or release slots, so no iterator is kept across a call.
-    bool madeProgress = true;
-    while (madeProgress) {
-        madeProgress = false;
-        for (auto &[service, queue] : queues_) {
-            if (queue.empty()) {
-                continue;
-            }
-            const auto first = queue.begin();
-            const std::optional<std::string> engine = choose(first->second.request, now, false);
-            if (!engine) {
-                continue;
-            }
-            const WaitingTurn next = std::move(first->second);
-            queueTimes_.erase({next.queuedAt, next.request.turn});
-            queue.erase(first);
-            queueKeys_.erase(next.request.turn);
-            reserveSlot(next.request, *engine, now);
-            next.callback(*engine);
-            madeProgress = true;
-            break;
-        }
-    }
-}
-
-void TurnPlacement::removeFromQueue(const std::string &turn)
-{
-    const auto queued = queueKeys_.find(turn);
-    Queue &queue = queues_[queued->second.first];
-    const auto waiting = queue.find(queued->second.second);
-    queueTimes_.erase({waiting->second.queuedAt, turn});
-    queue.erase(waiting);
-    queueKeys_.erase(queued);
-}
-
 void TurnPlacement::release(const std::string &turn, TimePoint now)
 {
-    if (queueKeys_.contains(turn)) {
+    if (queue_.contains(turn)) {
         removeFromQueue(turn);
         return;
     }
@@ -437,49 +359,6 @@
     }
 }
 
-void TurnPlacement::tick(TimePoint now)
-{
-    expireReservations(now);
-    expireAffinities(now);
-    std::vector<WaitingTurn> expired;
-    while (!queueTimes_.empty() && now - queueTimes_.begin()->first >= maxQueueTime) {
-        const std::string turn = queueTimes_.begin()->second;
-        const auto &[service, key] = queueKeys_.at(turn);
-        expired.push_back(std::move(queues_[service].at(key)));
-        removeFromQueue(turn);
-    }
-    for (const WaitingTurn &waiting : expired) {
-        const std::optional<std::string> engine = choose(waiting.request, now, true);
-        if (engine) {
-            reserveSlot(waiting.request, *engine, now);
-        }
-        waiting.callback(engine.value_or(std::string()));
-    }
-    placeWaitingTurns(now);
-}
-
-void TurnPlacement::clear()
-{
-    // Affinities survive a change of leader; losing them would make all programs recompute their prompts at once.
-    reservations_.clear();
-    reservationExpiries_.clear();
-    queueKeys_.clear();
-    queueTimes_.clear();
-    engines_.clear();
-    services_.clear();
-    avoidedUntil_.clear();
-    for (auto &[service, queue] : std::exchange(queues_, {})) {
-        for (auto &[key, waiting] : queue) {
-            waiting.callback({});
-        }
-    }
-}
-
-std::size_t TurnPlacement::waiting() const
-{
-    return queueKeys_.size();
-}
-
 std::uint64_t TurnPlacement::examinedEngines() const
 {
     std::uint64_t examined = 0;
