Turns that wait are ordered by their accounts' use of slots

Cause: the queue knows no account: one that sends many programs fills it, and those of others wait behind; its programs in progress exceed the engines' slots without bound. Ruled out: rank before standing (an account could take all slots by sending urgent turns only); slots held before rank among accounts within their share (an urgent turn would wait for a less urgent one of another account); a share of the bare slots (engines take a tenth more before they count as full, so that accounts with equal use would all be over it). Change: accounts within their fair share go before those over it, then group, rank, fewest slots held; over it the fewest slots go first, and programs in progress wait too while all engines are full. Work grows with the logarithm of waiting turns and accounts. The model fleet knows accounts.

--- a/include/cardamompost/policy/cp_turn_placement.hpp
+++ b/include/cardamompost/policy/cp_turn_placement.hpp
@@ -49,10 +49,10 @@
 //! Uses least-loaded selection with cache affinity to the engine of the program's last turn and a preference for the
 //! entry's failure domain. Turns are placed in the order of a priority queue: programs in progress first, then new
 //! ones, then late ones, each by rank. The first turn of a new program waits while all engines are at their load limit;
-//! turns of programs in progress may exceed it. Under overload a program that is not late thus waits once, at its
-//! start. Followers track where programs ran, so that a new leader keeps the affinities. The work for a turn does not
-//! grow with the number of engines.
-//! Thread-safety: none. Time is an argument; no input or output.
+//! turns of programs in progress may exceed it, unless their account holds more than its fair share of the slots. Under
+//! overload a program that is not late thus waits once, at its start. Followers track where programs ran, so that a new
+//! leader keeps the affinities. The work for a turn does not grow with the number of engines. Thread-safety: none. Time
+//! is an argument; no input or output.
 class TurnPlacement
 {
 public:
@@ -86,6 +86,11 @@
     //! Version of an open engine; unknown if there is none with this id.
     [[nodiscard]] ServerVersion versionOf(const std::string &engine) const;
     [[nodiscard]] std::size_t waiting() const;
+    //! Slots that the account's turns hold; those of all accounts without shares.
+    [[nodiscard]] unsigned heldSlots(const std::string &service, const std::string &account) const
+    {
+        return queue_.held(service, account);
+    }
     //! Turns that hold a slot at the engine.
     [[nodiscard]] unsigned turnsAt(const std::string &engine) const;
     //! Engines examined for all placements so far.
@@ -118,10 +123,14 @@
         std::map<std::string, EngineLoadIndex> usableByVersion;
         //! Excluded from selection for a time.
         std::set<std::string> avoided;
+        //! Turns that the open engines take before they count as full.
+        int room = 0;
     };
     struct SlotReservation {
         std::string engine;
         TimePoint expiresAt;
+        std::string service;
+        std::string account;
     };
     struct WaitingTurn {
         SlotRequest request;
@@ -146,6 +155,12 @@
     void resetEngine(const std::string &id);
     void openEngine(Engine &engine, const BackendServer &server);
     void closeEngine(const std::string &id);
+    //! Adds an open engine to the slots that accounts share, or takes it from them.
+    void countSlots(const Engine &engine, int sign);
+    //! An engine of the service has room for a turn of a new program.
+    [[nodiscard]] bool hasRoom(const std::string &name, TimePoint now);
+    //! The engine for the turn that is next in its service; nothing while it has to wait.
+    [[nodiscard]] std::optional<std::string> chooseForFirst(const SlotRequest &request, TimePoint now);
     //! Updates the engine's position in the index of its service; call it after each change of its load.
     void reindex(const std::string &id, const Engine &engine);
     //! Makes avoided engines usable again whose time has passed.
--- a/include/cardamompost/policy/cp_turn_queue.hpp
+++ b/include/cardamompost/policy/cp_turn_queue.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace cardamompost
@@ -32,15 +33,30 @@
     TimePoint queuedAt {};
 };
 
-//! The turns that wait for slots, in the order in which they are placed: by group, rank and arrival.
-//! Thread-safety: none.
+//! The turns that wait for slots, in the order in which they are placed.
+//!
+//! Without shares: by group, rank and arrival. With shares (max-min fairness), accounts that hold at most their fair
+//! share of the slots go before those that hold more. Among accounts within their share, the one whose first turn has
+//! the lower group and rank goes first, then the one that holds fewer slots: an urgent turn doesn't wait for a less
+//! urgent one of another account. Among accounts over their share, the one that holds the fewest slots goes first.
+//! Within an account the order is as without shares. The fair share is the service's slots divided by the accounts
+//! that hold or want some; a single account is never over it.
+//!
+//! The work for a change grows with the logarithm of the turns and accounts that wait, plus the waiting accounts that
+//! the change moves across the fair share. Thread-safety: none.
 class TurnQueue
 {
 public:
+    explicit TurnQueue(bool sharesByAccount)
+        : sharesByAccount_(sharesByAccount)
+    {
+    }
+
     //! The turn must not wait yet.
     void push(QueuedTurn turn);
     //! \returns false if the turn does not wait
     bool remove(const std::string &turn);
+    //! Forgets all turns, slots and accounts.
     void clear();
     //! The turn to place next; null if none of the service waits. Valid until the next change.
     [[nodiscard]] const QueuedTurn *first(const std::string &service) const;
@@ -56,25 +72,72 @@
     //! The services with waiting turns, by name.
     [[nodiscard]] std::vector<std::string> services() const;
 
+    //! Slots of a service that its accounts share, when engines come or go.
+    void setSlots(const std::string &service, unsigned slots);
+    //! The account got or returned a slot.
+    void onReserved(const std::string &service, const std::string &account);
+    void onReleased(const std::string &service, const std::string &account);
+    //! The account holds more slots than its fair share; its turns wait while all engines are full, also those of
+    //! programs in progress.
+    [[nodiscard]] bool isOverShare(const std::string &service, const std::string &account) const;
+    [[nodiscard]] unsigned held(const std::string &service, const std::string &account) const;
+    //! Slots of each account that holds or wants some.
+    [[nodiscard]] double fairShare(const std::string &service) const;
+
 private:
     //! Lower goes first.
-    struct Key {
+    struct TurnKey {
         TurnGroup group = TurnGroup::New;
         unsigned rank = 0;
         std::uint64_t sequence = 0;
 
-        friend bool operator<(const Key &left, const Key &right)
+        friend bool operator<(const TurnKey &left, const TurnKey &right)
         {
             return std::tie(left.group, left.rank, left.sequence) < std::tie(right.group, right.rank, right.sequence);
         }
     };
-    using Turns = std::map<Key, QueuedTurn>;
+    struct Account {
+        std::map<TurnKey, QueuedTurn> turns;
+        unsigned held = 0;
+        //! Listed among the accounts over their share; valid while turns wait.
+        bool isOver = false;
+    };
+    using WithinKey = std::tuple<TurnGroup, unsigned, unsigned, std::uint64_t>;
+    //! Slots held, and the first turn.
+    using OverKey = std::pair<unsigned, TurnKey>;
+    //! Waiting accounts are listed in `within` and `withinByHeld`, or in `over`.
+    struct Service {
+        unsigned slots = 0;
+        std::size_t waiting = 0;
+        //! The accounts that hold or want slots.
+        std::unordered_map<std::string, Account> accounts;
+        std::map<WithinKey, Account *> within;
+        std::map<OverKey, Account *> withinByHeld;
+        std::map<OverKey, Account *> over;
+
+        [[nodiscard]] bool isOverShare(unsigned held) const
+        {
+            return accounts.size() > 1 && std::uint64_t(held) * accounts.size() > slots;
+        }
+    };
     struct Position {
         std::string service;
-        Key key;
+        std::string account;
+        TurnKey key;
     };
 
-    std::map<std::string, Turns> services_;
+    //! The account as it counts here: one for all without shares.
+    [[nodiscard]] const std::string &shareHolder(const std::string &account) const;
+    [[nodiscard]] const Account *find(const std::string &service, const std::string &account) const;
+    static void enlist(Service &service, Account &account);
+    static void unlist(Service &service, Account &account);
+    //! Lists the account again after a change, or removes it if it neither holds nor wants slots.
+    static void update(Service &service, const std::string &name, Account &account);
+    //! Moves waiting accounts across the fair share after it has changed.
+    static void rebalance(Service &service);
+
+    bool sharesByAccount_;
+    std::map<std::string, Service> services_;
     std::unordered_map<std::string, Position> positions_;
     std::uint64_t nextSequence_ = 0;
 };
--- a/src/cardamompost/policy/cp_placement_queue.cpp
+++ b/src/cardamompost/policy/cp_placement_queue.cpp
@@ -64,7 +64,7 @@
         madeProgress = false;
         for (const std::string &service : queue_.services()) {
             const std::string turn = queue_.first(service)->turn;
-            const std::optional<std::string> engine = choose(waiting_.at(turn).request, now, false);
+            const std::optional<std::string> engine = chooseForFirst(waiting_.at(turn).request, now);
             if (!engine) {
                 continue;
             }
@@ -77,6 +77,14 @@
     }
 }
 
+std::optional<std::string> TurnPlacement::chooseForFirst(const SlotRequest &request, TimePoint now)
+{
+    if (queue_.isOverShare(request.service, request.account) && !hasRoom(request.service, now)) {
+        return std::nullopt;
+    }
+    return choose(request, now, false);
+}
+
 TurnPlacement::WaitingTurn TurnPlacement::removeFromQueue(const std::string &turn)
 {
     queue_.remove(turn);
--- a/src/cardamompost/policy/cp_turn_placement.cpp
+++ b/src/cardamompost/policy/cp_turn_placement.cpp
@@ -1,6 +1,7 @@
 #include <cardamompost/policy/cp_turn_placement.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -30,6 +31,7 @@
 TurnPlacement::TurnPlacement(std::uint64_t seed, PlacementOptions options)
     : seed_(seed)
     , options_(options)
+    , queue_(options.sharesByAccount)
 {
 }
 
@@ -77,6 +79,10 @@
 
 void TurnPlacement::openEngine(Engine &engine, const BackendServer &server)
 {
+    const bool isCounted = engine.isOpen && engine.service == server.service && engine.slots == server.slots;
+    if (!isCounted) {
+        countSlots(engine, -1);
+    }
     if (engine.isOpen && engine.version() != server.version()) {
         engine.isOpen = false;
         reindex(server.id, engine);
@@ -87,15 +93,31 @@
     engine.failureDomain = server.failureDomain;
     engine.slots = server.slots;
     engine.isOpen = true;
+    if (!isCounted) {
+        countSlots(engine, 1);
+    }
     reindex(server.id, engine);
 }
 
+void TurnPlacement::countSlots(const Engine &engine, int sign)
+{
+    if (!engine.isOpen) {
+        return;
+    }
+    // All the turns that the engine takes before it counts as full are shared.
+    const auto room = static_cast<int>(std::ceil(engine.slots * newProgramLoadLimit));
+    Service &counted = service(engine.service);
+    counted.room += sign * room;
+    queue_.setSlots(engine.service, static_cast<unsigned>(counted.room));
+}
+
 void TurnPlacement::closeEngine(const std::string &id)
 {
     const auto found = engines_.find(id);
     if (found == engines_.end()) {
         return;
     }
+    countSlots(found->second, -1);
     found->second.isOpen = false;
     reindex(id, found->second);
     if (found->second.turns == 0) {
@@ -166,11 +188,13 @@
         const bool isAtEngine = item.second.engine == id;
         if (isAtEngine) {
             reservationExpiries_.erase({item.second.expiresAt, item.first});
+            queue_.onReleased(item.second.service, item.second.account);
         }
         return isAtEngine;
     });
     std::erase_if(affinities_, [&](const auto &item) { return item.second.engine == id; });
     Engine &engine = engines_[id];
+    countSlots(engine, -1);
     engine.isOpen = false;
     reindex(id, engine);
     engine = {};
@@ -185,8 +209,9 @@
 TurnPlacement::Service &TurnPlacement::service(const std::string &name)
 {
     const auto found = services_.find(name);
-    return found != services_.end() ? found->second
-                                    : services_.emplace(name, Service {EngineLoadIndex(seed_), {}, {}}).first->second;
+    return found != services_.end()
+        ? found->second
+        : services_.emplace(name, Service {EngineLoadIndex(seed_), {}, {}, 0}).first->second;
 }
 
 void TurnPlacement::restoreAvoided(TimePoint now)
@@ -247,6 +272,19 @@
     return candidates->leastLoaded(request.failureDomain, crossDomainCost, needsRoom);
 }
 
+bool TurnPlacement::hasRoom(const std::string &name, TimePoint now)
+{
+    restoreAvoided(now);
+    Service &indexed = service(name);
+    if (!indexed.usable.isEmpty()) {
+        return indexed.usable.leastLoaded({}, 0, true).has_value();
+    }
+    return std::any_of(indexed.avoided.begin(), indexed.avoided.end(), [&](const std::string &id) {
+        const Engine &engine = engines_.at(id);
+        return engine.turns < engine.slots * newProgramLoadLimit;
+    });
+}
+
 bool TurnPlacement::mayHaveVersion(const std::string &service, const std::string &softwareVersion) const
 {
     const auto indexed = services_.find(service);
@@ -269,7 +307,8 @@
     ++reserved.turns;
     reindex(engine, reserved);
     const TimePoint expiresAt = now + request.timeLeft + reservationMargin;
-    reservations_[request.turn] = {engine, expiresAt};
+    reservations_[request.turn] = {engine, expiresAt, request.service, request.account};
+    queue_.onReserved(request.service, request.account);
     reservationExpiries_.emplace(expiresAt, request.turn);
     setAffinity(request.program, engine, now);
 }
@@ -319,6 +358,7 @@
             engines_.erase(engine);
         }
     }
+    queue_.onReleased(reservation->second.service, reservation->second.account);
     reservationExpiries_.erase({reservation->second.expiresAt, turn});
     reservations_.erase(reservation);
     placeWaitingTurns(now);
--- a/src/cardamompost/policy/cp_turn_queue.cpp
+++ b/src/cardamompost/policy/cp_turn_queue.cpp
@@ -1,15 +1,28 @@
 #include <cardamompost/policy/cp_turn_queue.hpp>
 
-#include <utility>
+#include <algorithm>
 
 namespace cardamompost
 {
 
+namespace
+{
+
+const std::string everyAccount;
+
+} // namespace
+
 void TurnQueue::push(QueuedTurn turn)
 {
-    const Key key {turn.group, turn.rank, nextSequence_++};
-    positions_.emplace(turn.turn, Position {turn.service, key});
-    services_[turn.service].emplace(key, std::move(turn));
+    const std::string name = shareHolder(turn.account);
+    Service &service = services_[turn.service];
+    Account &account = service.accounts[name];
+    const TurnKey key {turn.group, turn.rank, nextSequence_++};
+    positions_.emplace(turn.turn, Position {turn.service, name, key});
+    ++service.waiting;
+    unlist(service, account);
+    account.turns.emplace(key, std::move(turn));
+    update(service, name, account);
 }
 
 bool TurnQueue::remove(const std::string &turn)
@@ -18,7 +31,12 @@
     if (position == positions_.end()) {
         return false;
     }
-    services_.at(position->second.service).erase(position->second.key);
+    Service &service = services_.at(position->second.service);
+    Account &account = service.accounts.at(position->second.account);
+    --service.waiting;
+    unlist(service, account);
+    account.turns.erase(position->second.key);
+    update(service, position->second.account, account);
     positions_.erase(position);
     return true;
 }
@@ -32,24 +50,146 @@
 const QueuedTurn *TurnQueue::first(const std::string &service) const
 {
     const auto found = services_.find(service);
-    return found == services_.end() || found->second.empty() ? nullptr : &found->second.begin()->second;
+    if (found == services_.end() || found->second.waiting == 0) {
+        return nullptr;
+    }
+    const Service &waiting = found->second;
+    const Account &account = waiting.within.empty() ? *waiting.over.begin()->second : *waiting.within.begin()->second;
+    return &account.turns.begin()->second;
 }
 
 std::size_t TurnQueue::waiting(const std::string &service) const
 {
     const auto found = services_.find(service);
-    return found == services_.end() ? 0 : found->second.size();
+    return found == services_.end() ? 0 : found->second.waiting;
 }
 
 std::vector<std::string> TurnQueue::services() const
 {
     std::vector<std::string> names;
-    for (const auto &[name, turns] : services_) {
-        if (!turns.empty()) {
+    for (const auto &[name, service] : services_) {
+        if (service.waiting != 0) {
             names.push_back(name);
         }
     }
     return names;
 }
 
+void TurnQueue::setSlots(const std::string &service, unsigned slots)
+{
+    Service &shared = services_[service];
+    shared.slots = slots;
+    rebalance(shared);
+}
+
+void TurnQueue::onReserved(const std::string &service, const std::string &account)
+{
+    const std::string &name = shareHolder(account);
+    Service &shared = services_[service];
+    Account &holder = shared.accounts[name];
+    unlist(shared, holder);
+    ++holder.held;
+    update(shared, name, holder);
+}
+
+void TurnQueue::onReleased(const std::string &service, const std::string &account)
+{
+    const std::string &name = shareHolder(account);
+    Service &shared = services_[service];
+    const auto found = shared.accounts.find(name);
+    if (found == shared.accounts.end() || found->second.held == 0) {
+        return;
+    }
+    unlist(shared, found->second);
+    --found->second.held;
+    update(shared, name, found->second);
+}
+
+bool TurnQueue::isOverShare(const std::string &service, const std::string &account) const
+{
+    const Account *holder = find(service, account);
+    return holder != nullptr && services_.at(service).isOverShare(holder->held);
+}
+
+unsigned TurnQueue::held(const std::string &service, const std::string &account) const
+{
+    const Account *holder = find(service, account);
+    return holder == nullptr ? 0 : holder->held;
+}
+
+double TurnQueue::fairShare(const std::string &service) const
+{
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return 0;
+    }
+    return static_cast<double>(found->second.slots)
+        / static_cast<double>(std::max<std::size_t>(found->second.accounts.size(), 1));
+}
+
+const std::string &TurnQueue::shareHolder(const std::string &account) const
+{
+    return sharesByAccount_ ? account : everyAccount;
+}
+
+const TurnQueue::Account *TurnQueue::find(const std::string &service, const std::string &account) const
+{
+    const auto shared = services_.find(service);
+    if (shared == services_.end()) {
+        return nullptr;
+    }
+    const auto holder = shared->second.accounts.find(shareHolder(account));
+    return holder == shared->second.accounts.end() ? nullptr : &holder->second;
+}
+
+void TurnQueue::enlist(Service &service, Account &account)
+{
+    const TurnKey &first = account.turns.begin()->first;
+    account.isOver = service.isOverShare(account.held);
+    if (account.isOver) {
+        service.over.emplace(OverKey(account.held, first), &account);
+        return;
+    }
+    service.within.emplace(WithinKey(first.group, first.rank, account.held, first.sequence), &account);
+    service.withinByHeld.emplace(OverKey(account.held, first), &account);
+}
+
+void TurnQueue::unlist(Service &service, Account &account)
+{
+    if (account.turns.empty()) {
+        return;
+    }
+    const TurnKey &first = account.turns.begin()->first;
+    if (account.isOver) {
+        service.over.erase(OverKey(account.held, first));
+        return;
+    }
+    service.within.erase(WithinKey(first.group, first.rank, account.held, first.sequence));
+    service.withinByHeld.erase(OverKey(account.held, first));
+}
+
+void TurnQueue::update(Service &service, const std::string &name, Account &account)
+{
+    if (!account.turns.empty()) {
+        enlist(service, account);
+    } else if (account.held == 0) {
+        service.accounts.erase(name);
+    }
+    rebalance(service);
+}
+
+void TurnQueue::rebalance(Service &service)
+{
+    const auto move = [&service](Account &account) {
+        unlist(service, account);
+        enlist(service, account);
+    };
+    while (!service.withinByHeld.empty() && service.isOverShare(service.withinByHeld.rbegin()->first.first)) {
+        move(*service.withinByHeld.rbegin()->second);
+    }
+    while (!service.over.empty() && !service.isOverShare(service.over.begin()->first.first)) {
+        move(*service.over.begin()->second);
+    }
+}
+
 } // namespace cardamompost
--- a/tests/support/cp_engine_fleet.hpp
+++ b/tests/support/cp_engine_fleet.hpp
@@ -17,6 +17,8 @@
 //! Parameters of a kind of agent program.
 struct ProgramKind {
     std::string name;
+    //! Client accounts that begin programs of this kind in turn; none for one without a name.
+    std::vector<std::string> accounts {};
     unsigned rank = 0;
     double arrivalsPerSecond = 0;
     double value = 1;
@@ -61,6 +63,7 @@
     std::vector<ProgramKind> kinds;
     std::vector<LoadBurst> bursts;
     std::optional<LeaderLoss> leaderLoss;
+    PlacementOptions placement {};
     //! Programs arrive until this time.
     Ms arrivalPeriod = 34'000;
 };
@@ -72,7 +75,17 @@
     unsigned programs = 0;
     unsigned inTime = 0;
     unsigned late = 0;
+    //! Refused before their first turn.
+    unsigned refused = 0;
+    //! Begun and not done.
+    unsigned dropped = 0;
+    //! Sum of the waits of all first turns for a slot.
+    Ms firstWaits = 0;
 
+    [[nodiscard]] double inTimeShare() const
+    {
+        return programs == 0 ? 1 : static_cast<double>(inTime) / programs;
+    }
     [[nodiscard]] double earnedShare() const
     {
         return possibleValue == 0 ? 1 : earnedValue / possibleValue;
@@ -86,8 +99,8 @@
     EngineFleet(FleetLoad load, std::uint64_t seed)
         : load_(std::move(load))
         , random_(seed)
-        , placement_(std::make_unique<TurnPlacement>(seed))
-        , follower_(std::make_unique<TurnPlacement>(seed + 1))
+        , placement_(std::make_unique<TurnPlacement>(seed, load_.placement))
+        , follower_(std::make_unique<TurnPlacement>(seed + 1, load_.placement))
     {
         for (std::size_t i = 0; i < load_.engines; ++i) {
             engines_.emplace_back(load_.engine, i % 3 == 2 ? load_.engine.slowness : 1.0);
@@ -127,6 +140,9 @@
             ++result.programs;
             result.inTime += isInTime ? 1 : 0;
             result.late += isLate ? 1 : 0;
+            result.refused += program.isRefused ? 1 : 0;
+            result.dropped += !program.isRefused && !program.isDone ? 1 : 0;
+            result.firstWaits += program.firstWait;
             result.possibleValue += kind.value * program.valueFactor;
             result.earnedValue += program.valueFactor
                 * (isInTime     ? kind.value
@@ -173,6 +189,10 @@
         double valueFactor = 1;
         bool isDone = false;
         bool hasStarted = false;
+        bool isRefused = false;
+        std::string account;
+        //! Until the first turn had a slot.
+        Ms firstWait = 0;
         unsigned subAgents = 0;
         std::size_t mainConversation = 0;
         //! For each turn, drawn at the start of the program.
@@ -247,6 +267,9 @@
         Program program;
         program.kind = kindNumber;
         program.began = now_;
+        if (!kind.accounts.empty()) {
+            program.account = kind.accounts[programs_.size() % kind.accounts.size()];
+        }
         const auto turns
             = static_cast<unsigned>(std::clamp(std::round(drawLogNormal(kind.turns, 0.4)), 1.0, kind.turns * 2));
         Ms idleDuration = 0;
@@ -317,6 +340,8 @@
         slotRequest.isInProgress = program.hasStarted;
         slotRequest.isLate = now_ > program.began + program.targetDuration;
         slotRequest.timeLeft = Milliseconds(3000);
+        slotRequest.account = program.account;
+        slotRequest.programTimeLeft = Milliseconds(std::llround(program.began + program.targetDuration - now_));
         unplacedTurns_[number] = std::move(slotRequest);
         place(number);
     }
@@ -333,7 +358,7 @@
         hasLeader_ = false;
         formerLeader_ = std::move(placement_);
         placement_ = std::move(follower_);
-        follower_ = std::make_unique<TurnPlacement>(random_());
+        follower_ = std::make_unique<TurnPlacement>(random_(), load_.placement);
         schedule(now_ + load_.leaderLoss->electionTime, [this] {
             hasLeader_ = true;
             std::vector<std::size_t> waiting;
@@ -359,7 +384,9 @@
         const std::size_t number
             = engine.empty() ? stableHash(programNameOf(conversation)) % engines_.size() : std::stoul(engine);
         turns_[turnNumber].engine = std::to_string(number);
-        programs_[conversations_[conversation].program].hasStarted = true;
+        Program &program = programs_[conversations_[conversation].program];
+        program.firstWait = program.hasStarted ? program.firstWait : now_ - program.began;
+        program.hasStarted = true;
         schedule(now_ + networkDelay + load_.engine.requestSetupTime,
                  [this, turnNumber, number] { arriveAtEngine(turnNumber, number); });
     }
