Programs that can't be served in time are refused before their first turn

Cause: new programs wait up to the maximum queue time and are then placed on engines that are full already, so that everybody is late. Ruled out, each by a trial with EngineFleet: the bare rate of releases (turns in progress take most of them); fullness by single engines for accounts over their share (loads differ, so that one engine always has room while all together hold a third too many); any slot above the fair share counted as over it (with 20 equal accounts at the limit of capacity, 8 of 100 programs were refused that could be served); twice the share as the tolerance (with two accounts, one may then hold all slots); lower limits for accounts over their share (their programs in progress then wait until the maximum queue time). Change: AdmissionControl predicts a first turn's wait from the turns ahead in its account's order, and from releases less the slots that classes before it take; beyond a quarter of the time to the target, or the maximum queue time, it is refused with the time until the queue has drained and as much spread. An account is over its share from 1.5 times the fair share on, and then waits while all engines together hold as many turns as they take. Tests: each new one fails with the part that it guards put out (rates of other classes, spread, room, minimum time, turns in progress, turns that wait, a new leader's rates, bound by the share).

--- a/include/cardamompost/policy/cp_turn_placement.hpp
+++ b/include/cardamompost/policy/cp_turn_placement.hpp
@@ -2,6 +2,7 @@
 #define CARDAMOMPOST_CP_TURN_PLACEMENT_HPP_INCLUDED
 
 #include <cardamompost/core/cp_time.hpp>
+#include <cardamompost/policy/cp_admission_control.hpp>
 #include <cardamompost/policy/cp_engine_load_index.hpp>
 #include <cardamompost/policy/cp_placement_options.hpp>
 #include <cardamompost/policy/cp_turn_queue.hpp>
@@ -70,6 +71,10 @@
     //! Requests a slot. The callback runs immediately, or during a later call to request(), release(), setServers(),
     //! updateServers(), tick() or clear(). A repeated request replaces the callback of a turn that waits.
     void request(SlotRequest request, TimePoint now, PlacementCallback callback);
+    //! Asks, before request(), whether the first turn of a program can be served in time; nothing if it can, or if
+    //! PlacementOptions::refusesHopelessPrograms is off. Turns of programs in progress, and turns that were requested
+    //! before, are not refused.
+    [[nodiscard]] std::optional<AdmissionRefusal> refuse(const SlotRequest &request, TimePoint now);
     //! Releases the turn's slot or removes it from the queue.
     void release(const std::string &turn, TimePoint now);
     //! Records on a follower the engine that ran a program's last turn, as replicated in the log.
@@ -123,7 +128,8 @@
         std::map<std::string, EngineLoadIndex> usableByVersion;
         //! Excluded from selection for a time.
         std::set<std::string> avoided;
-        //! Turns that the open engines take before they count as full.
+        //! Slots of the open engines, and turns that they take before they count as full.
+        int slots = 0;
         int room = 0;
     };
     struct SlotReservation {
@@ -172,6 +178,8 @@
     //! The turn must wait.
     WaitingTurn removeFromQueue(const std::string &turn);
     void placeWaitingTurns(TimePoint now);
+    //! Reserves a slot for a turn that has left the queue, and answers it.
+    void place(const WaitingTurn &waiting, const std::string &engine, TimePoint now);
     void expireReservations(TimePoint now);
     void expireAffinities(TimePoint now);
 
@@ -184,6 +192,7 @@
     std::unordered_map<std::string, SlotReservation> reservations_;
     TurnTimes reservationExpiries_;
     TurnQueue queue_;
+    AdmissionControl admission_;
     std::unordered_map<std::string, WaitingTurn> waiting_;
     TurnTimes queueTimes_;
     std::unordered_map<std::string, Affinity> affinities_;
--- a/src/cardamompost/policy/cp_placement_queue.cpp
+++ b/src/cardamompost/policy/cp_placement_queue.cpp
@@ -10,10 +10,6 @@
 namespace
 {
 
-// A turn that has waited this long is placed regardless of load, to reach an engine's own queue before its client gives
-// up.
-constexpr Milliseconds maxQueueTime {1200};
-
 TurnGroup groupOf(const SlotRequest &request)
 {
     if (request.isLate) {
@@ -69,20 +65,47 @@
                 continue;
             }
             const WaitingTurn next = removeFromQueue(turn);
-            reserveSlot(next.request, *engine, now);
-            next.callback(*engine);
+            place(next, *engine, now);
             madeProgress = true;
             break;
         }
     }
 }
 
-std::optional<std::string> TurnPlacement::chooseForFirst(const SlotRequest &request, TimePoint now)
+void TurnPlacement::place(const WaitingTurn &waiting, const std::string &engine, TimePoint now)
+{
+    const SlotRequest &request = waiting.request;
+    const bool isOverShare = queue_.isOverShare(request.service, request.account);
+    admission_.onPlaced(request.service, {isOverShare, groupOf(request), request.rank}, now);
+    reserveSlot(request, engine, now);
+    waiting.callback(engine);
+}
+
+std::optional<AdmissionRefusal> TurnPlacement::refuse(const SlotRequest &request, TimePoint now)
 {
-    if (queue_.isOverShare(request.service, request.account) && !hasRoom(request.service, now)) {
+    const bool isKnown = reservations_.contains(request.turn) || queue_.contains(request.turn);
+    if (!options_.refusesHopelessPrograms || request.isInProgress || isKnown || !hasService(request.service)) {
         return std::nullopt;
     }
-    return choose(request, now, false);
+    const TurnQueue::Outlook outlook
+        = queue_.outlook({request.turn, request.service, request.account, groupOf(request), request.rank, now});
+    const bool mustWait = outlook.turnClass.isOverShare && queue_.isFull(request.service);
+    std::optional<AdmissionRefusal> refusal
+        = admission_.refuse({request.service, outlook.turnClass, outlook.turnsAhead,
+                             !mustWait && hasRoom(request.service, now), request.programTimeLeft},
+                            now);
+    if (refusal) {
+        refusal->heldSlots = queue_.held(request.service, request.account);
+        refusal->fairShare = queue_.fairShare(request.service);
+    }
+    return refusal;
+}
+
+std::optional<std::string> TurnPlacement::chooseForFirst(const SlotRequest &request, TimePoint now)
+{
+    // Loads of engines differ, so that some have room while all together hold too many turns.
+    const bool mustWait = queue_.isOverShare(request.service, request.account) && queue_.isFull(request.service);
+    return mustWait ? std::nullopt : choose(request, now, false);
 }
 
 TurnPlacement::WaitingTurn TurnPlacement::removeFromQueue(const std::string &turn)
@@ -105,9 +128,10 @@
     for (const WaitingTurn &waiting : expired) {
         const std::optional<std::string> engine = choose(waiting.request, now, true);
         if (engine) {
-            reserveSlot(waiting.request, *engine, now);
+            place(waiting, *engine, now);
+        } else {
+            waiting.callback({});
         }
-        waiting.callback(engine.value_or(std::string()));
     }
     placeWaitingTurns(now);
 }
@@ -131,6 +155,7 @@
     }
     queue_.clear();
     waiting_.clear();
+    admission_.clear();
     for (const PlacementCallback &callback : callbacks) {
         callback({});
     }
--- a/src/cardamompost/policy/cp_turn_placement.cpp
+++ b/src/cardamompost/policy/cp_turn_placement.cpp
@@ -32,6 +32,7 @@
     : seed_(seed)
     , options_(options)
     , queue_(options.sharesByAccount)
+    , admission_(seed)
 {
 }
 
@@ -104,11 +105,10 @@
     if (!engine.isOpen) {
         return;
     }
-    // All the turns that the engine takes before it counts as full are shared.
-    const auto room = static_cast<int>(std::ceil(engine.slots * newProgramLoadLimit));
     Service &counted = service(engine.service);
-    counted.room += sign * room;
-    queue_.setSlots(engine.service, static_cast<unsigned>(counted.room));
+    counted.slots += sign * static_cast<int>(engine.slots);
+    counted.room += sign * static_cast<int>(std::ceil(engine.slots * newProgramLoadLimit));
+    queue_.setSlots(engine.service, static_cast<unsigned>(counted.slots), static_cast<unsigned>(counted.room));
 }
 
 void TurnPlacement::closeEngine(const std::string &id)
@@ -211,7 +211,7 @@
     const auto found = services_.find(name);
     return found != services_.end()
         ? found->second
-        : services_.emplace(name, Service {EngineLoadIndex(seed_), {}, {}, 0}).first->second;
+        : services_.emplace(name, Service {EngineLoadIndex(seed_), {}, {}, 0, 0}).first->second;
 }
 
 void TurnPlacement::restoreAvoided(TimePoint now)
@@ -359,6 +359,7 @@
         }
     }
     queue_.onReleased(reservation->second.service, reservation->second.account);
+    admission_.onReleased(reservation->second.service, now);
     reservationExpiries_.erase({reservation->second.expiresAt, turn});
     reservations_.erase(reservation);
     placeWaitingTurns(now);
--- a/src/cardamompost/policy/cp_turn_queue.cpp
+++ b/src/cardamompost/policy/cp_turn_queue.cpp
@@ -21,6 +21,7 @@
     positions_.emplace(turn.turn, Position {turn.service, name, key});
     ++service.waiting;
     unlist(service, account);
+    ++account.counts[{turn.group, turn.rank}];
     account.turns.emplace(key, std::move(turn));
     update(service, name, account);
 }
@@ -35,7 +36,12 @@
     Account &account = service.accounts.at(position->second.account);
     --service.waiting;
     unlist(service, account);
-    account.turns.erase(position->second.key);
+    const TurnKey &key = position->second.key;
+    account.turns.erase(key);
+    const auto count = account.counts.find({key.group, key.rank});
+    if (--count->second == 0) {
+        account.counts.erase(count);
+    }
     update(service, position->second.account, account);
     positions_.erase(position);
     return true;
@@ -75,10 +81,11 @@
     return names;
 }
 
-void TurnQueue::setSlots(const std::string &service, unsigned slots)
+void TurnQueue::setSlots(const std::string &service, unsigned slots, unsigned room)
 {
     Service &shared = services_[service];
     shared.slots = slots;
+    shared.room = room;
     rebalance(shared);
 }
 
@@ -89,6 +96,7 @@
     Account &holder = shared.accounts[name];
     unlist(shared, holder);
     ++holder.held;
+    ++shared.heldByAll;
     update(shared, name, holder);
 }
 
@@ -102,6 +110,7 @@
     }
     unlist(shared, found->second);
     --found->second.held;
+    --shared.heldByAll;
     update(shared, name, found->second);
 }
 
@@ -111,6 +120,12 @@
     return holder != nullptr && services_.at(service).isOverShare(holder->held);
 }
 
+bool TurnQueue::isFull(const std::string &service) const
+{
+    const auto found = services_.find(service);
+    return found != services_.end() && found->second.heldByAll >= found->second.room;
+}
+
 unsigned TurnQueue::held(const std::string &service, const std::string &account) const
 {
     const Account *holder = find(service, account);
@@ -127,6 +142,58 @@
         / static_cast<double>(std::max<std::size_t>(found->second.accounts.size(), 1));
 }
 
+TurnQueue::Outlook TurnQueue::outlook(const QueuedTurn &turn) const
+{
+    Outlook outlook {{false, turn.group, turn.rank}, 0};
+    const auto found = services_.find(turn.service);
+    if (found == services_.end()) {
+        return outlook;
+    }
+    const Service &service = found->second;
+    const Account *own = find(turn.service, turn.account);
+    const std::size_t accounts = service.accounts.size() + (own == nullptr ? 1 : 0);
+    const std::size_t ownAhead
+        = own == nullptr ? 0 : own->turnsBefore(turn.group, turn.rank) + own->turnsOf(turn.group, turn.rank);
+    // Slots that the account will hold when its earlier turns have got theirs.
+    const std::size_t level = ownAhead + (own == nullptr ? 0 : own->held);
+    const auto share = static_cast<std::size_t>(service.slots * shareTolerance / static_cast<double>(accounts));
+    outlook.turnClass.isOverShare = accounts > 1 && level > share;
+    // Turns that are queued at the engines themselves.
+    outlook.turnsAhead = ownAhead + (service.heldByAll > service.slots ? service.heldByAll - service.slots : 0);
+    // Slots that another account may get until it holds more.
+    const auto upTo = [](std::size_t slots, const Account &other) {
+        return slots + 1 - std::min<std::size_t>(slots + 1, other.held);
+    };
+    for (const auto &[key, other] : service.within) {
+        if (other != own && outlook.turnClass.isOverShare) {
+            outlook.turnsAhead += std::min(other->turns.size(), upTo(level, *other));
+        } else if (other != own) {
+            const std::size_t equal = std::min(other->turnsOf(turn.group, turn.rank), upTo(level, *other));
+            const std::size_t before = other->turnsBefore(turn.group, turn.rank) + equal;
+            outlook.turnsAhead += std::min(before, upTo(share, *other));
+        }
+    }
+    for (const auto &[key, other] : service.over) {
+        outlook.turnsAhead += other == own ? 0 : std::min(other->turns.size(), upTo(level, *other));
+    }
+    return outlook;
+}
+
+std::size_t TurnQueue::Account::turnsBefore(TurnGroup group, unsigned rank) const
+{
+    std::size_t before = 0;
+    for (auto count = counts.begin(); count != counts.end() && count->first < std::pair(group, rank); ++count) {
+        before += count->second;
+    }
+    return before;
+}
+
+std::size_t TurnQueue::Account::turnsOf(TurnGroup group, unsigned rank) const
+{
+    const auto count = counts.find({group, rank});
+    return count == counts.end() ? 0 : count->second;
+}
+
 const std::string &TurnQueue::shareHolder(const std::string &account) const
 {
     return sharesByAccount_ ? account : everyAccount;
