Hopeless programs get 503 with a time to come back, and nothing is reserved for them

Cause: the leader proposes a first turn's reservation whether or not it can be served; and a turn whose caller leaves while it waits for a slot stays among the leader's begins, since it waits for a placement that never comes. Ruled out: asking after the reservation is proposed (a refused turn would hold tokens until it is released). Change: startBegin() asks the placement before anything is proposed or a slot requested; programs with a turn under way are not asked. Begins that are finished before they were placed are forgotten, and not proposed if that was still to come. Event program.refused, counters of refusals by reason, gauges of waiting and beginning turns; explain says why a program was refused.

--- a/src/cardamompost/observe/cp_log_explainer.cpp
+++ b/src/cardamompost/observe/cp_log_explainer.cpp
@@ -134,6 +134,19 @@
                        reached, limit, number(limited, "retry_after_ms"));
 }
 
+std::string causeOfNoAdmission(const json::object &admission)
+{
+    const std::string held = text(admission, "account").empty()
+        ? std::string()
+        : fmt::format(", while the account '{}' held {} slots of a fair share of {}", text(admission, "account"),
+                      number(admission, "held_slots"), number(admission, "fair_share"));
+    return fmt::format(
+        "the first turn of the program '{}' had {} turns before it and would have waited about {} ms for "
+        "a place, of at most {} ms{}; it has not run, and was told to come back after {} ms",
+        text(admission, "program"), number(admission, "turns_ahead"), number(admission, "expected_wait_ms"),
+        number(admission, "slack_ms"), held, number(admission, "retry_after_ms"));
+}
+
 std::string causeOfUnknownKey(const json::object &end)
 {
     return fmt::format("no account holds the key that it came with, or it came with none, as document {} of {} ms ago "
@@ -146,11 +159,13 @@
     const json::object &end;
     const json::object &refusal;
     const json::object &limited;
+    const json::object &admission;
 };
 
 constexpr std::int64_t unauthorizedStatus = 401;
 constexpr std::int64_t budgetExhaustedStatus = 402;
 constexpr std::int64_t rateLimitedStatus = 429;
+constexpr std::int64_t unavailableStatus = 503;
 
 std::string causeOf(const RequestEvents &lines)
 {
@@ -161,6 +176,9 @@
     if (status == rateLimitedStatus && !lines.limited.empty()) {
         return causeOfLimit(lines.limited);
     }
+    if (status == unavailableStatus && !lines.admission.empty()) {
+        return causeOfNoAdmission(lines.admission);
+    }
     return status == unauthorizedStatus ? causeOfUnknownKey(lines.end) : causeOfEnd(lines.end);
 }
 
@@ -221,6 +239,7 @@
     json::object end;
     json::object refusal;
     json::object limited;
+    json::object admission;
     for (const ExplainedLine &line : lines_) {
         // Avoids parsing lines of other requests.
         if (line.text.find(requestId) == std::string::npos) {
@@ -237,6 +256,8 @@
             refusal = std::move(parsed);
         } else if (line.event == "request.limited") {
             limited = std::move(parsed);
+        } else if (line.event == "program.refused") {
+            admission = std::move(parsed);
         }
     }
     const auto byTime
@@ -255,8 +276,8 @@
         }
     }
     std::stable_sort(result.contextLines.begin(), result.contextLines.end(), byTime);
-    result.missing = missingLogs({end, refusal, limited});
-    result.cause = causeOf({end, refusal, limited});
+    result.missing = missingLogs({end, refusal, limited, admission});
+    result.cause = causeOf({end, refusal, limited, admission});
     result.cause += stallSuffix(text(end, "vm"), result.contextLines);
     return result;
 }
--- a/src/gateway/cp_ledger_begins.cpp
+++ b/src/gateway/cp_ledger_begins.cpp
@@ -90,7 +90,10 @@
 
 void LedgerService::completeBegin(ActiveBegin &active, TurnBeginReply reply)
 {
-    activeBegins_.erase(active.begin.turn);
+    if (const auto found = activeBegins_.find(active.begin.turn);
+        found != activeBegins_.end() && found->second.get() == &active) {
+        activeBegins_.erase(found);
+    }
     active.replier->reply(std::move(reply));
 }
 
@@ -257,21 +260,29 @@
 
 void LedgerService::startBegin(const std::shared_ptr<ActiveBegin> &active)
 {
-    requestPlacement(active);
+    if (active->isAbandoned) {
+        return;
+    }
+    const TurnBegin &begin = active->begin;
+    SlotRequest request = slotRequestFor(begin);
+    // Another turn of the program may have been granted whose reservation isn't applied yet.
+    const bool mayHaveBegun = pendingTokens_.contains(begin.program);
+    const std::optional<AdmissionRefusal> refusal
+        = mayHaveBegun ? std::nullopt : placement_.refuse(request, std::chrono::steady_clock::now());
+    if (refusal) {
+        refuseProgram(*active, *refusal);
+        return;
+    }
+    requestPlacement(active, std::move(request));
     if (!active->isPlaced) {
         active->replier->reply(TurnBeginReply {TurnBeginStatus::Queued, self_, {}, {}}, false);
     }
     commitBegin(active);
 }
 
-void LedgerService::requestPlacement(const std::shared_ptr<ActiveBegin> &active)
+SlotRequest LedgerService::slotRequestFor(const TurnBegin &begin) const
 {
-    const TurnBegin &begin = active->begin;
     const PlacementRequest &placement = begin.placement;
-    const TimePoint now = std::chrono::steady_clock::now();
-    for (const std::string &server : placement.unreachable) {
-        placement_.avoid(server, now + unreachableEjectionTime);
-    }
     SlotRequest request {begin.turn,
                          begin.program,
                          placement.service,
@@ -291,6 +302,15 @@
     if (placement.programTimeLeftMs != 0) {
         request.programTimeLeft = Milliseconds(placement.programTimeLeftMs);
     }
+    return request;
+}
+
+void LedgerService::requestPlacement(const std::shared_ptr<ActiveBegin> &active, SlotRequest request)
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    for (const std::string &server : active->begin.placement.unreachable) {
+        placement_.avoid(server, now + unreachableEjectionTime);
+    }
     placement_.request(std::move(request), now,
                        [this, active](const std::string &backend) { onPlaced(*active, backend); });
 }
@@ -309,6 +329,9 @@
 void LedgerService::onDecided(ActiveBegin &active, TurnBeginStatus status)
 {
     active.decided = status;
+    if (active.isAbandoned) {
+        return;
+    }
     // A granted begin waits for its placement; a rejected one is answered at once.
     if (active.isPlaced || status != TurnBeginStatus::Granted) {
         const ServerVersion *version = state_.streamVersion(active.begin.turn);
@@ -398,6 +421,7 @@
     // is written for it, since it may have been rejected because of overload.
     const bool hasNothingToRelease = finish.ending == TurnEnding::NotRun && !state_.isReserved(finish.program, turn)
         && !activeBegins_.contains(turn);
+    abandonBegin(turn);
     if (isRecorded || hasNothingToRelease) {
         replier->reply(TurnFinishReply {true, self_});
         return;
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -41,6 +41,9 @@
     , missingVersions_(parts.metrics.counter("cardamompost_turns_refused_total", {{"reason", "no-such-version"}}))
     , limitedRequests_(parts.metrics.counter("cardamompost_requests_limited_total"))
     , overloadedTurns_(parts.metrics.counter("cardamompost_turns_refused_total", {{"reason", "overloaded"}}))
+    , lateProgramsRefused_(parts.metrics.counter("cardamompost_programs_refused_total", {{"reason", "too-late"}}))
+    , queuedProgramsRefused_(
+          parts.metrics.counter("cardamompost_programs_refused_total", {{"reason", "queue-too-long"}}))
 {
 }
 
@@ -68,6 +71,10 @@
     parts_.disk.start();
     parts_.metrics.gauge("cardamompost_ledger_streams", {},
                          [this] { return static_cast<double>(state_.streamCount()); });
+    parts_.metrics.gauge("cardamompost_turns_waiting", {},
+                         [this] { return static_cast<double>(placement_.waiting()); });
+    parts_.metrics.gauge("cardamompost_turns_beginning", {},
+                         [this] { return static_cast<double>(activeBegins_.size()); });
     // The term is a fencing token: members reject messages of leaders with a lower term.
     parts_.metrics.gauge("cardamompost_ledger_term", {},
                          [this] { return driver_.isStarted() ? static_cast<double>(driver_.node().term()) : 0.0; });
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -140,6 +140,8 @@
         bool isPlaced = false;
         //! The quorum's decision; empty while it is pending.
         std::optional<TurnBeginStatus> decided;
+        //! The turn was finished before it was placed.
+        bool isAbandoned = false;
     };
 
     Result<void> startMember(RaftStoredState stored);
@@ -183,7 +185,12 @@
     //! The turn continues another one, or its program has spent or reserved tokens.
     [[nodiscard]] bool isProgramInProgress(const TurnBegin &begin) const;
     void startBegin(const std::shared_ptr<ActiveBegin> &active);
-    void requestPlacement(const std::shared_ptr<ActiveBegin> &active);
+    [[nodiscard]] SlotRequest slotRequestFor(const TurnBegin &begin) const;
+    //! Logs and counts the refusal of a program's first turn, for which nothing was reserved, and replies.
+    void refuseProgram(ActiveBegin &active, const AdmissionRefusal &refusal);
+    //! Forgets a begin whose turn was finished while it waited for a slot.
+    void abandonBegin(const std::string &turn);
+    void requestPlacement(const std::shared_ptr<ActiveBegin> &active, SlotRequest request);
     void onPlaced(ActiveBegin &active, const std::string &backend);
     void commitBegin(const std::shared_ptr<ActiveBegin> &active);
     void onDecided(ActiveBegin &active, TurnBeginStatus status);
@@ -250,6 +257,8 @@
     Counter &missingVersions_;
     Counter &limitedRequests_;
     Counter &overloadedTurns_;
+    Counter &lateProgramsRefused_;
+    Counter &queuedProgramsRefused_;
     //! Outcome of the last applied command.
     TurnBeginStatus lastApplyStatus_ = TurnBeginStatus::Granted;
     //! What a ledger VM, member or not, reported with its last join request.
--- a/tests/observe/cp_log_explainer.tests.cpp
+++ b/tests/observe/cp_log_explainer.tests.cpp
@@ -21,4 +21,20 @@
     BOOST_TEST(explainer.explain("b1").cause.find("stood still") == std::string::npos);
 }
 
+// Guards against a refused program whose caller is told only that it can't be served.
+BOOST_AUTO_TEST_CASE(a_refused_program_is_explained_by_the_queue_before_it)
+{
+    LogExplainer explainer;
+    explainer.add(R"({"time":"2026-08-22T07:52:21.002Z","vm":"ledger-1","event":"program.refused","id":"a1",)"
+                  R"("program":"p1","account":"officers","reason":"too-late","turns_ahead":31,"expected_wait_ms":900,)"
+                  R"("slack_ms":500,"retry_after_ms":700,"held_slots":40,"fair_share":12})");
+    explainer.add(R"({"time":"2026-08-22T07:52:21.009Z","vm":"entry-1","event":"request.end","id":"a1","status":503,)"
+                  R"("cause":"the program can't be served in time","ms":6})");
+    const Explanation explanation = explainer.explain("a1");
+    BOOST_TEST(explanation.cause
+               == "the first turn of the program 'p1' had 31 turns before it and would have waited about 900 ms for a "
+                  "place, of at most 500 ms, while the account 'officers' held 40 slots of a fair share of 12; it has "
+                  "not run, and was told to come back after 700 ms");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
