--- a/tests/support/cp_engine_fleet.hpp
+++ b/tests/support/cp_engine_fleet.hpp
@@ -151,6 +151,11 @@
         }
         return results;
     }
+    //! Turns with their engines, in the order of placement; the engine is empty if the entry chose.
+    [[nodiscard]] const std::vector<std::pair<std::string, std::string>> &decisions() const
+    {
+        return decisions_;
+    }
     [[nodiscard]] double prefilledTokens() const
     {
         double sum = 0;
@@ -388,6 +393,7 @@
     void send(std::size_t turnNumber, const std::string &engine)
     {
         unplacedTurns_.erase(turnNumber);
+        decisions_.emplace_back(turns_[turnNumber].id, engine);
         // Without an assigned engine, the entry hashes the program's name.
         const std::size_t conversation = turns_[turnNumber].conversation;
         const std::size_t number
@@ -485,6 +491,7 @@
     bool hasLeader_ = true;
     //! Turns that wait for a leader or a slot.
     std::map<std::size_t, SlotRequest> unplacedTurns_;
+    std::vector<std::pair<std::string, std::string>> decisions_;
     std::vector<ModelEngine> engines_;
     std::vector<bool> isBusy_;
     std::priority_queue<Event> events_;
