--- a/include/cardamompost/policy/cp_turn_queue.hpp
+++ b/include/cardamompost/policy/cp_turn_queue.hpp
@@ -3,7 +3,6 @@
 
 #include <cardamompost/core/cp_time.hpp>
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -37,7 +36,10 @@
     TurnGroup group = TurnGroup::New;
     unsigned rank = 0;
 
-    friend auto operator<=>(const TurnClass &, const TurnClass &) = default;
+    friend bool operator<(const TurnClass &left, const TurnClass &right)
+    {
+        return std::tie(left.isOverShare, left.group, left.rank) < std::tie(right.isOverShare, right.group, right.rank);
+    }
 };
 
 //! A turn that waits for a slot.
