--- a/include/cardamompost/policy/cp_turn_placement.hpp
+++ b/include/cardamompost/policy/cp_turn_placement.hpp
@@ -2,9 +2,11 @@
 #define CARDAMOMPOST_CP_TURN_PLACEMENT_HPP_INCLUDED
 
 #include <cardamompost/core/cp_time.hpp>
+#include <cardamompost/policy/cp_admission_control.hpp>
 #include <cardamompost/policy/cp_engine_load_index.hpp>
 #include <cardamompost/policy/cp_placement_options.hpp>
 #include <cardamompost/policy/cp_service_rates.hpp>
+#include <cardamompost/policy/cp_turn_queue.hpp>
 #include <cardamompost/routing/cp_backend_list.hpp>
 
 #include <functional>
@@ -12,7 +14,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <tuple>
 #include <unordered_map>
 
 namespace cardamompost
@@ -60,10 +61,10 @@
 //! Uses least-loaded selection with cache affinity to the engine of the program's last turn and a preference for the
 //! entry's failure domain. Turns are placed in the order of a priority queue: programs in progress first, then new
 //! ones, then late ones, each by rank. The first turn of a new program waits while all engines are at their load limit;
-//! turns of programs in progress may exceed it. Under overload a program that is not late thus waits once, at its
-//! start. Followers track where programs ran, so that a new leader keeps the affinities. The work for a turn does not
-//! grow with the number of engines.
-//! Thread-safety: none. Time is an argument; no input or output.
+//! turns of programs in progress may exceed it, unless their account holds more than its fair share of the slots. Under
+//! overload a program that is not late thus waits once, at its start. Followers track where programs ran, so that a new
+//! leader keeps the affinities. The work for a turn does not grow with the number of engines. Thread-safety: none. Time
+//! is an argument; no input or output.
 class TurnPlacement
 {
 public:
@@ -81,6 +82,10 @@
     //! Requests a slot. The callback runs immediately, or during a later call to request(), release(), setServers(),
     //! updateServers(), tick() or clear(). A repeated request replaces the callback of a turn that waits.
     void request(SlotRequest request, TimePoint now, PlacementCallback callback);
+    //! Asks, before request(), whether the first turn of a program can be served in time; nothing if it can, or if
+    //! PlacementOptions::refusesHopelessPrograms is off. Turns of programs in progress, and turns that were requested
+    //! before, are not refused.
+    [[nodiscard]] std::optional<AdmissionRefusal> refuse(const SlotRequest &request, TimePoint now);
     //! Releases the turn's slot or removes it from the queue.
     void release(const std::string &turn, TimePoint now);
     //! Records on a follower the engine that ran a program's last turn, as replicated in the log.
@@ -104,6 +109,11 @@
     //! Id of another engine that is expected to have the prompt of a turn with a slot in its cache; empty if there is
     //! none. Only with PlacementOptions::namesPromptSources.
     [[nodiscard]] std::string promptSourceOf(const std::string &turn) const;
+    //! Slots that the account's turns hold; those of all accounts without shares.
+    [[nodiscard]] unsigned heldSlots(const std::string &service, const std::string &account) const
+    {
+        return queue_.held(service, account);
+    }
     //! Turns that hold a slot at the engine.
     [[nodiscard]] unsigned turnsAt(const std::string &engine) const;
     //! The same, without those that wait in the engine's queue.
@@ -156,22 +166,16 @@
         std::map<std::string, EngineLoadIndex> usableByVersion;
         //! Excluded from selection for a time.
         std::set<std::string> avoided;
+        //! Slots of the open engines, and turns that they take before they count as full.
+        int slots = 0;
+        int room = 0;
     };
     struct SlotReservation {
         std::string engine;
         TimePoint expiresAt;
         std::string promptSource;
-    };
-    //! Lower goes first.
-    struct QueueKey {
-        unsigned group = 0;
-        unsigned rank = 0;
-        std::uint64_t sequence = 0;
-
-        friend bool operator<(const QueueKey &left, const QueueKey &right)
-        {
-            return std::tie(left.group, left.rank, left.sequence) < std::tie(right.group, right.rank, right.sequence);
-        }
+        std::string service;
+        std::string account;
     };
     struct WaitingTurn {
         SlotRequest request;
@@ -184,7 +188,6 @@
         //! Incarnation of the engine that ran the turn; 0 if unknown.
         std::uint64_t incarnation = 0;
     };
-    using Queue = std::map<QueueKey, WaitingTurn>;
     //! Turns by a time, earliest first.
     using TurnTimes = std::set<std::pair<TimePoint, std::string>>;
 
@@ -199,10 +202,18 @@
     void resetEngine(const std::string &id);
     void openEngine(Engine &engine, const BackendServer &server, TimePoint now);
     void closeEngine(const std::string &id);
+    //! Adds an open engine to the slots that accounts share, or takes it from them.
+    void countSlots(const Engine &engine, int sign);
+    //! An engine of the service has room for a turn of a new program.
+    [[nodiscard]] bool serviceHasRoom(const std::string &name, TimePoint now);
+    //! The engine for the turn that is next in its service; nothing while it has to wait.
+    [[nodiscard]] std::optional<std::string> chooseForFirst(const SlotRequest &request, TimePoint now);
     //! Updates the engine's position in the index of its service; call it after each change of its load.
     void reindex(const std::string &id, const Engine &engine);
     //! The engine has room for turns of new programs.
     [[nodiscard]] static bool hasRoom(const Engine &engine);
+    //! Turns with which an engine of usual speed counts as full.
+    [[nodiscard]] static unsigned roomOf(const Engine &engine);
     //! A program should leave the engine that caches its prompt.
     //! \param fewestTurns  at any engine of the service, as EngineLoad::turns
     [[nodiscard]] static bool isWorthLeaving(const Engine &engine, const SlotRequest &request, double fewestTurns);
@@ -214,7 +225,8 @@
     [[nodiscard]] bool hasService(const std::string &service) const;
     [[nodiscard]] Service &service(const std::string &name);
     void reserveSlot(const SlotRequest &request, const std::string &engine, TimePoint now);
-    void removeFromQueue(const std::string &turn);
+    //! The turn must wait.
+    WaitingTurn removeFromQueue(const std::string &turn);
     void placeWaitingTurns(TimePoint now);
     //! The engine whose cache has the prompt of a turn that is placed on another one; empty if there is none.
     [[nodiscard]] std::string findPromptSource(const SlotRequest &request, const std::string &engine,
@@ -224,6 +236,8 @@
     [[nodiscard]] bool keepsPrompts(const Affinity &affinity, const ServerVersion &target, TimePoint now) const;
     [[nodiscard]] std::uint64_t incarnationOf(const std::string &engine) const;
     void addLeaving(const BackendServer &server);
+    //! Reserves a slot for a turn that has left the queue, and answers it.
+    void place(const WaitingTurn &waiting, const std::string &engine, TimePoint now);
     void expireReservations(TimePoint now);
     void expireAffinities(TimePoint now);
 
@@ -239,11 +253,11 @@
     std::multimap<TimePoint, std::string> avoidedUntil_;
     std::unordered_map<std::string, SlotReservation> reservations_;
     TurnTimes reservationExpiries_;
-    std::map<std::string, Queue> queues_;
+    TurnQueue queue_;
+    AdmissionControl admission_;
+    std::unordered_map<std::string, WaitingTurn> waiting_;
     TurnTimes queueTimes_;
-    std::unordered_map<std::string, std::pair<std::string, QueueKey>> queueKeys_;
     std::unordered_map<std::string, Affinity> affinities_;
-    std::uint64_t nextSequence_ = 0;
     TimePoint nextAffinityExpiry_ {};
 };
 
--- a/src/cardamompost/policy/cp_turn_placement_rates.cpp
+++ b/src/cardamompost/policy/cp_turn_placement_rates.cpp
@@ -34,6 +34,11 @@
     return engine.turns < engine.slots * newProgramLoadLimit / std::max(engine.slowness / fullSlotsSlowness, 1.0);
 }
 
+unsigned TurnPlacement::roomOf(const Engine &engine)
+{
+    return static_cast<unsigned>(std::ceil(engine.slots * newProgramLoadLimit));
+}
+
 bool TurnPlacement::isWorthLeaving(const Engine &engine, const SlotRequest &request, double fewestTurns)
 {
     const double turns = equivalentLoad(engine.turns, engine.slots, engine.slowness);
--- a/src/gateway/cp_ledger_begins.cpp
+++ b/src/gateway/cp_ledger_begins.cpp
@@ -13,9 +13,6 @@
 constexpr Milliseconds maxCommitDelayInProgress {1200};
 constexpr Milliseconds minRetryAfter {300};
 constexpr Milliseconds retryAfterJitter {600};
-constexpr Milliseconds leasePollInterval {10};
-// Shorter than an entry's request timeout.
-constexpr Milliseconds leaseTimeout {300};
 
 } // namespace
 
@@ -90,7 +87,10 @@
 
 void LedgerService::completeBegin(ActiveBegin &active, TurnBeginReply reply)
 {
-    activeBegins_.erase(active.begin.turn);
+    if (const auto found = activeBegins_.find(active.begin.turn);
+        found != activeBegins_.end() && found->second.get() == &active) {
+        activeBegins_.erase(found);
+    }
     active.replier->reply(std::move(reply));
 }
 
@@ -121,118 +121,6 @@
     return timeLeft.count() != 0 && commits * expected >= timeLeft;
 }
 
-void LedgerService::applyAccountLimit(const std::shared_ptr<ActiveBegin> &active)
-{
-    const TurnBegin &begin = active->begin;
-    if (begin.account.empty() || state_.isAdmitted(begin)) {
-        readHistory(active);
-        return;
-    }
-    awaitAdmissionLease(begin.account, active->since + leaseTimeout, [this, active](bool hasLease) {
-        if (!hasLease) {
-            completeBegin(*active, TurnBeginReply {TurnBeginStatus::NotLeader, driver_.leader(), {}, {}});
-            return;
-        }
-        const TurnBegin &turn = active->begin;
-        const RequestLimiter::Decision decision = limiter_.admit(
-            {turn.account, turn.admission, !isProgramInProgress(turn)}, std::chrono::steady_clock::now());
-        if (decision.isAdmitted) {
-            reportUsage();
-            runAfter(decision.delay, [this, active] { readHistory(active); });
-            return;
-        }
-        recordLimited(turn.account, turn.turn, decision);
-        const auto retryAfter = static_cast<std::uint32_t>(decision.retryAfter.count());
-        completeBegin(*active, TurnBeginReply {TurnBeginStatus::Limited, self_, {}, {}, retryAfter});
-    });
-}
-
-void LedgerService::admitRepeatedTurn(TurnBegin begin, const Replier &replier)
-{
-    const std::string account = begin.account;
-    awaitAdmissionLease(
-        account, std::chrono::steady_clock::now() + leaseTimeout,
-        [this, begin = std::move(begin), replier](bool hasLease) {
-            if (!hasLease) {
-                replier->reply(TurnBeginReply {TurnBeginStatus::NotLeader, driver_.leader(), {}, {}});
-                return;
-            }
-            const RequestLimiter::Decision decision
-                = limiter_.admit({begin.account, begin.admission, false}, std::chrono::steady_clock::now());
-            if (!decision.isAdmitted) {
-                recordLimited(begin.account, begin.turn, decision);
-                replier->reply(TurnBeginReply {
-                    TurnBeginStatus::Limited, self_, {}, {}, static_cast<std::uint32_t>(decision.retryAfter.count())});
-                return;
-            }
-            reportUsage();
-            if (const auto active = activeBegins_.find(begin.turn); active != activeBegins_.end()) {
-                onRepeatedBegin(*active->second, replier);
-            } else {
-                onBegin(begin, replier);
-            }
-        });
-}
-
-void LedgerService::onAdmit(const AdmitRequest &request, const Replier &replier)
-{
-    publishDocument();
-    awaitAdmissionLease(
-        request.account, std::chrono::steady_clock::now() + leaseTimeout, [this, request, replier](bool hasLease) {
-            if (!hasLease) {
-                replier->reply(AdmitReply {AdmitStatus::NotLeader, 0});
-                return;
-            }
-            const RequestLimiter::Decision decision
-                = limiter_.admit({request.account, request.admission, false}, std::chrono::steady_clock::now());
-            if (decision.isAdmitted) {
-                reportUsage();
-                runAfter(decision.delay, [replier] { replier->reply(AdmitReply {AdmitStatus::Admitted, 0}); });
-                return;
-            }
-            recordLimited(request.account, request.request, decision);
-            replier->reply(AdmitReply {AdmitStatus::Limited, static_cast<std::uint32_t>(decision.retryAfter.count())});
-        });
-}
-
-void LedgerService::recordLimited(const std::string &account, const std::string &id,
-                                  const RequestLimiter::Decision &decision)
-{
-    limitedRequests_.add();
-    parts_.log.info("request.limited",
-                    {{"id", unscopedId(id)},
-                     {"account", account},
-                     {"reached", nameOf(limitReachedNames, decision.reached)},
-                     {"retry_after_ms", decision.retryAfter.count()},
-                     {"per_second", limiter_.limitOf(account).perSecond},
-                     {"burst", limiter_.limitOf(account).burst},
-                     {"document", lastReadVersion_}});
-}
-
-void LedgerService::awaitAdmissionLease(const std::string &account, TimePoint deadline, std::function<void(bool)> done)
-{
-    // The lease keeps a partitioned leader from admitting requests while its successor does too. The usage report keeps
-    // admitted requests counted after a failover.
-    const bool hasLease = driver_.hasLease() && !limiter_.mustWaitForReport(account);
-    if (hasLease || !leads() || std::chrono::steady_clock::now() >= deadline) {
-        done(hasLease);
-        return;
-    }
-    runAfter(leasePollInterval, [this, account, deadline, done = std::move(done)]() mutable {
-        awaitAdmissionLease(account, deadline, std::move(done));
-    });
-}
-
-void LedgerService::runAfter(Milliseconds delay, std::function<void()> work)
-{
-    if (delay.count() <= 0) {
-        work();
-        return;
-    }
-    auto timer = std::make_shared<boost::asio::steady_timer>(parts_.io, delay);
-    timer->async_wait([timer, work = std::move(work)](const boost::system::error_code &) { work(); });
-}
-
 void LedgerService::readHistory(const std::shared_ptr<ActiveBegin> &active)
 {
     if (active->begin.previous.empty()) {
@@ -257,21 +145,29 @@
 
 void LedgerService::startBegin(const std::shared_ptr<ActiveBegin> &active)
 {
-    requestPlacement(active);
+    if (active->isAbandoned) {
+        return;
+    }
+    const TurnBegin &begin = active->begin;
+    SlotRequest request = slotRequestFor(begin);
+    // Another turn of the program may have been granted whose reservation isn't applied yet.
+    const bool mayHaveBegun = pendingTokens_.contains(begin.program);
+    const std::optional<AdmissionRefusal> refusal
+        = mayHaveBegun ? std::nullopt : placement_.refuse(request, std::chrono::steady_clock::now());
+    if (refusal) {
+        refuseProgram(*active, *refusal);
+        return;
+    }
+    requestPlacement(active, std::move(request));
     if (!active->isPlaced) {
         active->replier->reply(TurnBeginReply {TurnBeginStatus::Queued, self_, {}, {}}, false);
     }
     commitBegin(active);
 }
 
-void LedgerService::requestPlacement(const std::shared_ptr<ActiveBegin> &active)
+SlotRequest LedgerService::slotRequestFor(const TurnBegin &begin) const
 {
-    const TurnBegin &begin = active->begin;
     const PlacementRequest &placement = begin.placement;
-    const TimePoint now = std::chrono::steady_clock::now();
-    for (const std::string &server : placement.unreachable) {
-        placement_.avoid(server, now + unreachableEjectionTime);
-    }
     SlotRequest request {begin.turn,
                          begin.program,
                          placement.service,
@@ -291,6 +187,15 @@
     if (placement.programTimeLeftMs != 0) {
         request.programTimeLeft = Milliseconds(placement.programTimeLeftMs);
     }
+    return request;
+}
+
+void LedgerService::requestPlacement(const std::shared_ptr<ActiveBegin> &active, SlotRequest request)
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    for (const std::string &server : active->begin.placement.unreachable) {
+        placement_.avoid(server, now + unreachableEjectionTime);
+    }
     placement_.request(std::move(request), now,
                        [this, active](const std::string &backend) { onPlaced(*active, backend); });
 }
@@ -317,6 +222,9 @@
 void LedgerService::onDecided(ActiveBegin &active, TurnBeginStatus status)
 {
     active.decided = status;
+    if (active.isAbandoned) {
+        return;
+    }
     // A granted begin waits for its placement; a rejected one is answered at once.
     if (active.isPlaced || status != TurnBeginStatus::Granted) {
         const ServerVersion *version = state_.streamVersion(active.begin.turn);
@@ -409,6 +317,7 @@
     // is written for it, since it may have been rejected because of overload.
     const bool hasNothingToRelease = finish.ending == TurnEnding::NotRun && !state_.isReserved(finish.program, turn)
         && !activeBegins_.contains(turn);
+    abandonBegin(turn);
     if (isRecorded || hasNothingToRelease) {
         replier->reply(TurnFinishReply {true, self_});
         return;
--- a/tests/support/cp_engine_fleet.hpp
+++ b/tests/support/cp_engine_fleet.hpp
@@ -18,6 +18,8 @@
 //! Parameters of a kind of agent program.
 struct ProgramKind {
     std::string name;
+    //! Client accounts that begin programs of this kind in turn; none for one without a name.
+    std::vector<std::string> accounts {};
     unsigned rank = 0;
     double arrivalsPerSecond = 0;
     double value = 1;
@@ -93,7 +95,17 @@
     unsigned programs = 0;
     unsigned inTime = 0;
     unsigned late = 0;
+    //! Refused before their first turn.
+    unsigned refused = 0;
+    //! Begun and not done.
+    unsigned dropped = 0;
+    //! Sum of the waits of all first turns for a slot.
+    Ms firstWaits = 0;
 
+    [[nodiscard]] double inTimeShare() const
+    {
+        return programs == 0 ? 1 : static_cast<double>(inTime) / programs;
+    }
     [[nodiscard]] double earnedShare() const
     {
         return possibleValue == 0 ? 1 : earnedValue / possibleValue;
@@ -151,6 +163,9 @@
             ++result.programs;
             result.inTime += isInTime ? 1 : 0;
             result.late += isLate ? 1 : 0;
+            result.refused += program.isRefused ? 1 : 0;
+            result.dropped += !program.isRefused && !program.isDone ? 1 : 0;
+            result.firstWaits += program.firstWait;
             result.possibleValue += kind.value * program.valueFactor;
             result.earnedValue += program.valueFactor
                 * (isInTime     ? kind.value
@@ -174,6 +189,11 @@
     {
         return turnsDone_;
     }
+    //! Turns with their engines, in the order of placement; the engine is empty if the entry chose.
+    [[nodiscard]] const std::vector<std::pair<std::string, std::string>> &decisions() const
+    {
+        return decisions_;
+    }
     [[nodiscard]] double prefilledTokens() const
     {
         double sum = 0;
@@ -227,6 +247,10 @@
         bool isDone = false;
         bool hasStarted = false;
         std::optional<std::size_t> lastEngine;
+        bool isRefused = false;
+        std::string account;
+        //! Until the first turn had a slot.
+        Ms firstWait = 0;
         unsigned subAgents = 0;
         std::size_t mainConversation = 0;
         //! For each turn, drawn at the start of the program.
@@ -324,6 +348,9 @@
         Program program;
         program.kind = kindNumber;
         program.began = now_;
+        if (!kind.accounts.empty()) {
+            program.account = kind.accounts[programs_.size() % kind.accounts.size()];
+        }
         const auto turns
             = static_cast<unsigned>(std::clamp(std::round(drawLogNormal(kind.turns, 0.4)), 1.0, kind.turns * 2));
         Ms idleDuration = 0;
@@ -396,16 +423,27 @@
         slotRequest.timeLeft = Milliseconds(3000);
         slotRequest.promptTokens = static_cast<std::uint32_t>(conversation.prompt);
         slotRequest.outputTokens = static_cast<std::uint32_t>(turn.outputTokens);
+        slotRequest.account = program.account;
+        slotRequest.programTimeLeft = Milliseconds(std::llround(program.began + program.targetDuration - now_));
         unplacedTurns_[number] = std::move(slotRequest);
         place(number);
     }
     void place(std::size_t number)
     {
-        if (hasLeader_) {
+        if (hasLeader_ && isRefused(number)) {
+            Program &program = programs_[conversations_[turns_[number].conversation].program];
+            program.isRefused = true;
+            program.ended = now_;
+            unplacedTurns_.erase(number);
+        } else if (hasLeader_) {
             placement_->request(unplacedTurns_.at(number), timeAt(now_),
                                 [this, number](const std::string &engine) { send(number, engine); });
         }
     }
+    bool isRefused(std::size_t number)
+    {
+        return placement_->refuse(unplacedTurns_.at(number), timeAt(now_)).has_value();
+    }
     void replaceLeader()
     {
         // Entries repeat unanswered requests at the new leader.
@@ -437,6 +475,7 @@
     void send(std::size_t turnNumber, const std::string &engine)
     {
         unplacedTurns_.erase(turnNumber);
+        decisions_.emplace_back(turns_[turnNumber].id, engine);
         // Without an assigned engine, the entry hashes the program's name.
         const std::size_t conversation = turns_[turnNumber].conversation;
         const std::size_t number
@@ -445,6 +484,7 @@
         turns_[turnNumber].promptSource = placement_->promptSourceOf(turns_[turnNumber].id);
         Program &program = programs_[conversations_[conversation].program];
         turns_[turnNumber].formerEngine = std::exchange(program.lastEngine, number);
+        program.firstWait = program.hasStarted ? program.firstWait : now_ - program.began;
         program.hasStarted = true;
         schedule(now_ + networkDelay + load_.engine.requestSetupTime,
                  [this, turnNumber, number] { arriveAtEngine(turnNumber, number); });
@@ -576,6 +616,7 @@
     bool hasLeader_ = true;
     //! Turns that wait for a leader or a slot.
     std::map<std::size_t, SlotRequest> unplacedTurns_;
+    std::vector<std::pair<std::string, std::string>> decisions_;
     std::vector<ModelEngine> engines_;
     std::vector<bool> isBusy_;
     //! End of the last transfer of a prompt to each engine.
