Leave a failure domain later, the more engines it has

Cause: a first turn left its entry's failure domain at a fixed difference of 0.75 turns, although the loads of a domain with a dozen engines even out within it; where the demand of two domains crosses, turns were exchanged between them.

Ruled out: one higher cost for all domains, which keeps turns in a domain of two or three engines while others idle.

Change: crossDomainCost() gives 0.75 to 2 turns, by the usable engines of the entry's domain; EngineLoadIndex counts them. Switched by PlacementOptions::prefersNearEngines, off by default. Turns of new programs still leave a domain without room at once.

--- a/include/cardamompost/policy/cp_engine_load_index.hpp
+++ b/include/cardamompost/policy/cp_engine_load_index.hpp
@@ -45,6 +45,7 @@
     }
     //! The lowest number of turns of any engine; nothing if there is no engine.
     [[nodiscard]] std::optional<unsigned> fewestTurns() const;
+    [[nodiscard]] std::size_t enginesIn(const std::string &failureDomain) const;
     //! The engine with the lowest cost, which is its load, plus crossDomainCost in another failure domain than the
     //! given one.
     //! \param needsRoom  only engines with room for turns of new programs
--- a/include/cardamompost/policy/cp_placement_options.hpp
+++ b/include/cardamompost/policy/cp_placement_options.hpp
@@ -14,6 +14,8 @@
     bool refusesHopelessPrograms = false;
     //! A turn that leaves its program's engine is told where its prompt is cached.
     bool namesPromptSources = false;
+    //! The more engines a failure domain has, the higher the load difference at which a first turn leaves it.
+    bool prefersNearEngines = false;
 };
 
 } // namespace cardamompost
--- a/src/cardamompost/policy/cp_engine_load_index.cpp
+++ b/src/cardamompost/policy/cp_engine_load_index.cpp
@@ -41,6 +41,12 @@
     return countByTurns_.empty() ? std::nullopt : std::optional(countByTurns_.begin()->first);
 }
 
+std::size_t EngineLoadIndex::enginesIn(const std::string &failureDomain) const
+{
+    const auto domain = domains_.find(failureDomain);
+    return domain == domains_.end() ? 0 : domain->second.withRoom.size() + domain->second.full.size();
+}
+
 std::optional<std::string> EngineLoadIndex::leastLoaded(const std::string &failureDomain, double crossDomainCost,
                                                         bool needsRoom)
 {
--- a/src/cardamompost/policy/cp_turn_placement.cpp
+++ b/src/cardamompost/policy/cp_turn_placement.cpp
@@ -1,3 +1,4 @@
+#include <cardamompost/policy/cp_cross_domain_cost.hpp>
 #include <cardamompost/policy/cp_turn_placement.hpp>
 
 #include <algorithm>
@@ -17,8 +18,6 @@
 constexpr double affinityWeight = 0.25;
 // New programs wait while all engines hold at least this multiple of their slots.
 constexpr double newProgramLoadLimit = 1.1;
-// Cost of an engine in another failure domain, in turns.
-constexpr double crossDomainCost = 0.75;
 // Expected lifetime of a program's prompt in the engine's cache.
 constexpr Milliseconds affinityLifetime {8000};
 constexpr Milliseconds affinityExpiryInterval {500};
@@ -251,7 +250,10 @@
         });
         return usable == indexed.avoided.end() ? std::nullopt : std::optional(*usable);
     }
-    return candidates->leastLoaded(request.failureDomain, crossDomainCost, needsRoom);
+    const double domainCost = options_.prefersNearEngines
+        ? crossDomainCost(candidates->enginesIn(request.failureDomain))
+        : minCrossDomainCost;
+    return candidates->leastLoaded(request.failureDomain, domainCost, needsRoom);
 }
 
 bool TurnPlacement::mayHaveVersion(const std::string &service, const std::string &softwareVersion) const
