Entries report their load; directories answer by failure domain and load

Cause: a directory knew nothing of the entries' load, so it could not tell callers of near entries only without the risk of filling them.

Ruled out: processor time alone as the load; an entry that falls ever further behind would report the same as one that just copes.

The directory server uses EntrySelection (near_entries_min, 0 by default: all entries, as before), logs directory.changed and counts answers with and without remote entries. Settings processor_share, near_entries_min and prefer_near_engines.

Conclusion: off by default. To be measured with near_entries_min = 8.

--- a/src/gateway/cp_directory_server.cpp
+++ b/src/gateway/cp_directory_server.cpp
@@ -16,6 +16,9 @@
 
 DirectoryServer::DirectoryServer(Parts parts)
     : parts_(parts)
+    , selection_(parts.settings.nearEntriesMin, maxAddresses, stableHash(parts.settings.vm))
+    , nearAnswers_(parts.metrics.counter("cardamompost_directory_answers_total", {{"entries", "near"}}))
+    , remoteAnswers_(parts.metrics.counter("cardamompost_directory_answers_total", {{"entries", "remote"}}))
     , server_(
           parts.io.get_executor(), HttpLimits {},
           [this](HttpRequest &request, IHttpResponder &responder) { return onRequest(request, responder); },
@@ -33,17 +36,29 @@
     server_.stopAccepting();
 }
 
-HttpResponse DirectoryServer::directoryResponse(const HttpRequest &request) const
+HttpResponse DirectoryServer::directoryResponse(const HttpRequest &request)
 {
     const TimePoint now = std::chrono::steady_clock::now();
     const auto zone = request.query.find("zone");
     const std::string failureDomain = zone == request.query.end() ? std::string() : zone->second;
-    const std::vector<std::string> addresses
-        = addressesFor(failureDomain, parts_.presence.ready(now), maxAddresses, stableHash(parts_.settings.vm));
-    if (addresses.empty()) {
+    const EntryChoice choice = selection_.select(failureDomain, parts_.presence.ready(now), now);
+    report(failureDomain, choice);
+    if (choice.addresses.empty()) {
         return unavailableResponse("no entry is ready");
     }
-    return jsonResponse(statusOk, parts_.adapter.writeDirectory(addresses, lifetimeFor(failureDomain, now)));
+    return jsonResponse(statusOk, parts_.adapter.writeDirectory(choice.addresses, lifetimeFor(failureDomain, now)));
+}
+
+void DirectoryServer::report(const std::string &failureDomain, const EntryChoice &choice)
+{
+    (choice.remote == 0 ? nearAnswers_ : remoteAnswers_).add();
+    if (choice.hasChanged) {
+        parts_.log.info("directory.changed",
+                        {{"failure_domain", failureDomain},
+                         {"near", choice.addresses.size() - choice.remote},
+                         {"remote", choice.remote},
+                         {"load", choice.load}});
+    }
 }
 
 Milliseconds DirectoryServer::lifetimeFor(const std::string &failureDomain, TimePoint now) const
--- a/src/gateway/cp_directory_server.hpp
+++ b/src/gateway/cp_directory_server.hpp
@@ -6,6 +6,7 @@
 
 #include <cardamompost/edge/cp_iplatform_adapter.hpp>
 #include <cardamompost/net/cp_http_server.hpp>
+#include <cardamompost/observe/cp_event_log.hpp>
 #include <cardamompost/observe/cp_metrics.hpp>
 
 namespace cardamompost
@@ -20,6 +21,7 @@
         const GatewaySettings &settings;
         const IPlatformAdapter &adapter;
         const PresenceTable &presence;
+        EventLog &log;
         MetricRegistry &metrics;
     };
     explicit DirectoryServer(Parts parts);
@@ -30,11 +32,15 @@
 
 private:
     boost::asio::awaitable<void> onRequest(HttpRequest &request, IHttpResponder &responder);
-    [[nodiscard]] HttpResponse directoryResponse(const HttpRequest &request) const;
+    [[nodiscard]] HttpResponse directoryResponse(const HttpRequest &request);
+    void report(const std::string &failureDomain, const EntryChoice &choice);
     //! How long callers in a failure domain may cache a response.
     [[nodiscard]] Milliseconds lifetimeFor(const std::string &failureDomain, TimePoint now) const;
 
     Parts parts_;
+    EntrySelection selection_;
+    Counter &nearAnswers_;
+    Counter &remoteAnswers_;
     HttpServer server_;
 };
 
--- a/src/gateway/cp_entry_server.cpp
+++ b/src/gateway/cp_entry_server.cpp
@@ -10,6 +10,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <ctime>
+
 namespace cardamompost
 {
 
@@ -34,6 +36,14 @@
 constexpr unsigned statusHeadersTooLarge = 431;
 constexpr unsigned statusUnavailable = 503;
 
+//! Processor time of all threads of the process.
+std::chrono::nanoseconds usedProcessorTime()
+{
+    timespec time {};
+    ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
 //! The response to a request that could not be read; nothing if the caller disconnected.
 std::optional<LocalResponse> responseForReadError(const boost::system::error_code &error)
 {
@@ -72,7 +82,9 @@
           })
     , acceptor_(parts.io)
     , timer_(parts.io)
+    , load_(parts.settings.processorShare)
 {
+    parts_.metrics.gauge("cardamompost_entry_load", {}, [this] { return load_.load(); });
 }
 
 Result<void> EntryServer::start()
@@ -98,13 +110,21 @@
     if (isReady() != wasReady_) {
         wasReady_ = isReady();
         parts_.log.info("entry.readiness", {{"ready", wasReady_}});
-        ledger_.announcePresence(wasReady_);
+        ledger_.announcePresence(wasReady_, load_.permille());
     }
 }
 
+void EntryServer::measureLoad()
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    const bool hasTimer = timer_.expiry() != TimePoint {};
+    load_.record(now, usedProcessorTime(), hasTimer ? now - timer_.expiry() : TimePoint::duration::zero());
+}
+
 void EntryServer::sendHeartbeats()
 {
-    ledger_.announcePresence(isReady());
+    measureLoad();
+    ledger_.announcePresence(isReady(), load_.permille());
     pool_.closeIdle(std::chrono::steady_clock::now());
     const Milliseconds interval = heartbeatIntervalPerVm * static_cast<int>(ledger_.heartbeatTargetCount());
     timer_.expires_after(std::clamp(interval, minHeartbeatInterval, maxHeartbeatInterval));
--- a/src/gateway/cp_entry_server.hpp
+++ b/src/gateway/cp_entry_server.hpp
@@ -3,6 +3,7 @@
 
 #include "cp_entry_replica.hpp"
 #include "cp_gateway_settings.hpp"
+#include "cp_load_meter.hpp"
 
 #include <cardamompost/net/cp_http_server.hpp>
 
@@ -46,6 +47,7 @@
 
 private:
     [[nodiscard]] bool isReady() const;
+    void measureLoad();
     //! Sends a heartbeat to the ledger VMs, closes expired idle connections, and schedules the next run.
     void sendHeartbeats();
     //! Sends a heartbeat at once if the readiness has changed.
@@ -62,6 +64,7 @@
     HttpServer readinessServer_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer timer_;
+    LoadMeter load_;
     //! Connections waiting for their next request.
     std::set<std::shared_ptr<CallerConnection>> idle_;
     bool isDraining_ = false;
--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -130,7 +130,7 @@
     BOOST_OUTCOME_TRYV(peerServer_->listen(settings_.peerListen));
     BOOST_OUTCOME_TRYV(api_->listen());
     directory_ = std::make_unique<DirectoryServer>(
-        DirectoryServer::Parts {io_, settings_, *adapter_, ledger_->presence(), metrics_});
+        DirectoryServer::Parts {io_, settings_, *adapter_, ledger_->presence(), log_, metrics_});
     BOOST_OUTCOME_TRYV(directory_->listen());
     BOOST_OUTCOME_TRYV(ledger_->start());
     listReader_->start();
--- a/src/gateway/cp_gateway_settings.cpp
+++ b/src/gateway/cp_gateway_settings.cpp
@@ -21,6 +21,9 @@
 constexpr std::int64_t minMemoryMb = 32;
 constexpr std::int64_t maxMemoryMb = 1'000'000;
 constexpr std::int64_t maxPort = 65'535;
+constexpr double minProcessorShare = 0.001;
+constexpr double maxProcessorShare = 1024;
+constexpr std::int64_t maxNearEntries = 64;
 
 void readRoleSettings(SectionReader &reader, GatewaySettings &settings)
 {
@@ -58,9 +61,11 @@
     settings.toleratedLosses = static_cast<unsigned>(reader.integer("losses_to_bear", 1, 0, maxToleratedLosses));
     settings.memoryBytes
         = static_cast<std::size_t>(reader.integer("memory_mb", defaultMemoryMb, minMemoryMb, maxMemoryMb)) << 20U;
+    settings.processorShare = reader.number("processor_share", 1, minProcessorShare, maxProcessorShare);
     settings.grace = duration("grace_ms", defaultGraceMs);
     settings.directoryLifetime = duration("directory_lifetime_ms", defaultDirectoryLifetimeMs);
     settings.directoryLifetimeUnreachable = duration("directory_lifetime_dark_ms", defaultLifetimeUnreachableMs);
+    settings.nearEntriesMin = static_cast<std::size_t>(reader.integer("near_entries_min", 0, 0, maxNearEntries));
     settings.listInterval = duration("list_interval_ms", defaultListIntervalMs);
     settings.revocationTime = duration("revocation_ms", defaultRevocationMs);
     settings.failsClosed = reader.boolean("fail_closed", false);
@@ -72,6 +77,7 @@
     settings.placement.sharesByAccount = reader.boolean("share_by_account", false);
     settings.placement.refusesHopelessPrograms = reader.boolean("refuse_hopeless_programs", false);
     settings.placement.namesPromptSources = reader.boolean("fetch_prompts", false);
+    settings.placement.prefersNearEngines = reader.boolean("prefer_near_engines", false);
     settings.logFile = reader.text("log_file", "-");
     settings.logLevel = reader.text("log_level", "info");
     // Keys of the other role are accepted, so that one template serves both.
--- a/src/gateway/cp_gateway_settings.hpp
+++ b/src/gateway/cp_gateway_settings.hpp
@@ -45,12 +45,17 @@
     std::string dataFolder;
     //! Memory limit of the process.
     std::size_t memoryBytes = 0;
+    //! Share of a processor that the process may use; above 1 for several.
+    double processorShare = 1;
     //! True only for the first start of the whole system, which creates the ledger.
     bool isFirstStart = false;
     //! Number of simultaneous losses of ledger VMs to tolerate.
     unsigned toleratedLosses = 1;
     //! Time from SIGTERM until the process is killed.
     Milliseconds grace {0};
+    //! Minimum number of entries that callers are told of; beyond it they are told of those in their failure domain,
+    //! and of others by load. 0 to tell all.
+    std::size_t nearEntriesMin = 0;
     //! How long callers may cache a directory response.
     Milliseconds directoryLifetime {0};
     //! The same if all directories of the caller's failure domain are unreachable.
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -351,11 +351,12 @@
     setPeers(ledgerVms_.list());
 }
 
-void LedgerClient::announcePresence(bool isReady)
+void LedgerClient::announcePresence(bool isReady, std::uint16_t loadPermille)
 {
     watchStandby();
-    const Presence presence {parts_.settings.vm, parts_.settings.front.toString(), parts_.settings.failureDomain,
-                             isReady};
+    const Presence presence {
+        parts_.settings.vm, parts_.settings.front.toString(), parts_.settings.failureDomain, isReady, false,
+        loadPermille};
     for (const VmName &peer : heartbeatTargets_) {
         if (const auto client = parts_.peers.client(peer)) {
             client->notify(presence);
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -151,7 +151,7 @@
     //! The reply names the recorded version, if there is one; nothing when no leader has answered before the deadline.
     boost::asio::awaitable<std::optional<StreamVersionReply>> findStreamVersion(std::string stream, TimePoint deadline);
     //! Announces to some ledger VMs whether this entry accepts requests.
-    void announcePresence(bool isReady);
+    void announcePresence(bool isReady, std::uint16_t loadPermille);
 
     //! Sets the content that the next update request describes.
     void setHeldContent(const ContentReplica &content);
--- a/tests/gateway/cp_presence_table.tests.cpp
+++ b/tests/gateway/cp_presence_table.tests.cpp
@@ -85,6 +85,18 @@
     BOOST_TEST((addressesFor("apapa", table.ready(time), maxCount, seed) == std::vector<std::string> {"a:80", "b:80"}));
 }
 
+// Guards against a hot entry that its directory takes for an idle or an unknown one.
+BOOST_AUTO_TEST_CASE(the_latest_reported_load_of_an_entry_is_listed)
+{
+    PresenceTable table;
+    Presence entry = presence("a", "apapa");
+    table.record(entry, now);
+    BOOST_TEST(table.ready(now).front().load == 0);
+    entry.loadPermille = 750;
+    BOOST_TEST(!table.record(entry, now));
+    BOOST_TEST(table.ready(now).front().load == 0.75);
+}
+
 BOOST_AUTO_TEST_CASE(the_share_of_unreachable_directories_is_counted_per_failure_domain)
 {
     const auto directory = [](const std::string &vm, const std::string &domain) {
@@ -122,6 +134,25 @@
     BOOST_TEST((ledger.settings.seedPeers() == std::vector<VmName> {"10.0.0.9:7000"}));
 }
 
+BOOST_AUTO_TEST_CASE(settings_for_uneven_demand_are_parsed_and_off_by_default)
+{
+    const std::string text = "[gateway]\nvm = e\nfailure_domain = apapa\nrole = entry\npeer = 10.0.0.1:7000\n"
+                             "front = 10.0.0.1:80\nready = 10.0.0.1:81\n";
+    const std::string seeds = "[seed 0]\naddress = 10.0.0.9:90\n";
+    const auto defaults = parseGatewaySettings(text + seeds);
+    BOOST_TEST(defaults.errors.empty());
+    BOOST_TEST(defaults.settings.processorShare == 1);
+    BOOST_TEST(defaults.settings.nearEntriesMin == 0U);
+    BOOST_TEST(!defaults.settings.placement.prefersNearEngines);
+    const auto set = parseGatewaySettings(
+        text + "processor_share = 0.25\nnear_entries_min = 8\nprefer_near_engines = true\n" + seeds);
+    BOOST_TEST(set.errors.empty());
+    BOOST_TEST(set.settings.processorShare == 0.25);
+    BOOST_TEST(set.settings.nearEntriesMin == 8U);
+    BOOST_TEST(set.settings.placement.prefersNearEngines);
+    BOOST_TEST(parseGatewaySettings(text + "processor_share = 0\n" + seeds).errors.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(all_errors_are_reported_at_once)
 {
     const auto result = parseGatewaySettings("[gateway]\nvm = e\nrole = cook\npeer = nowhere\nfront = x\nbogus = 1\n");
