Keep hot domains from filling the same cold one together

Change: the weights of domains differ less (2.5 to 0.5), a level changes by one in 3 s, and while the remote entries that are told are loaded above 0.7 and above the target, more are told.

Nothing was measured on a deployment.

--- a/include/cardamompost/policy/cp_entry_selection.hpp
+++ b/include/cardamompost/policy/cp_entry_selection.hpp
@@ -49,6 +49,8 @@
     //! Minimum time after a change of a domain's remote entries, until it shows in the reported load.
     static constexpr Milliseconds widenInterval {1000};
     static constexpr Milliseconds narrowInterval {3000};
+    //! Minimum time between changes of how much a domain's entries are preferred by others.
+    static constexpr Milliseconds rateInterval {3000};
 
     //! Time constant with which reported loads have to be smoothed.
     static constexpr Milliseconds loadSmoothingTime {1000};
@@ -72,6 +74,7 @@
         TimePoint recordedAt {};
         //! How much its entries are preferred for callers of other domains; 0 while it is above the target.
         unsigned spareLevel = 0;
+        TimePoint ratedAt {};
         //! The domain had a spare level before.
         bool isRated = false;
     };
@@ -103,7 +106,7 @@
     };
 
     [[nodiscard]] static Loads loadsOf(const std::vector<EntryEndpoint> &ready);
-    void rate(const Loads &loads);
+    void rate(const Loads &loads, TimePoint now);
     //! Sorts the preferred ones first. \returns how many are in domains below the target
     std::size_t sortRemote(std::vector<const EntryEndpoint *> &remote, std::uint64_t seed) const;
     //! \returns true if the number of remote entries has changed
--- a/src/cardamompost/policy/cp_entry_selection.cpp
+++ b/src/cardamompost/policy/cp_entry_selection.cpp
@@ -15,18 +15,19 @@
 constexpr unsigned maxSpareLevel = 4;
 // Level of a domain whose entries report no load.
 constexpr unsigned unknownSpareLevel = 2;
-// Weight of entries in domains without spare capacity, where those of level 1 have 1. Not 0, so that a domain that
-// fills with the callers of others doesn't lose all of them at once.
-constexpr double fullWeight = 0.1;
+// Weight of entries in domains without spare capacity, and what each spare level adds. The weights differ little, so
+// that a domain that fills with the callers of others loses some of them and not all at once.
+constexpr double minWeight = 0.5;
+constexpr double weightPerLevel = 0.5;
 // By how much a load has to pass the bound of a spare level, as a share of the target. Wide, because a domain's load
 // includes the callers that its level draws.
 constexpr double spareHysteresis = 0.2;
 // Entries over which callers are spread grow by at most this factor in one change.
 constexpr double maxGrowth = 2;
-// Remote entries may be loaded up to this multiple of the target by callers of the domain and others.
-constexpr double remoteTolerance = 1.4;
+// Load that the callers of several domains may together cause at remote entries, unless the target is higher.
+constexpr double maxRemoteLoad = 0.7;
 // After narrowing, the load is expected to be this multiple of the target.
-constexpr double narrowTo = 0.9;
+constexpr double narrowTo = 0.8;
 // Divides the remote entries in excess that one change removes.
 constexpr std::size_t narrowDivisor = 4;
 
@@ -83,7 +84,7 @@
     return loads;
 }
 
-void EntrySelection::rate(const Loads &loads)
+void EntrySelection::rate(const Loads &loads, TimePoint now)
 {
     for (const auto &[name, sum] : loads.byDomain) {
         auto known = domains_.find(name);
@@ -97,9 +98,18 @@
             continue;
         }
         const double load = sum.mean() / loads.target;
-        domain.spareLevel = domain.isRated
-            ? std::clamp(domain.spareLevel, spareLevelOf(load + spareHysteresis), spareLevelOf(load - spareHysteresis))
-            : spareLevelOf(load);
+        if (!domain.isRated) {
+            domain.spareLevel = spareLevelOf(load);
+        } else if (now - domain.ratedAt >= rateInterval) {
+            // One level at a time, since other domains' callers follow each change.
+            const unsigned goal = std::clamp(domain.spareLevel, spareLevelOf(load + spareHysteresis),
+                                             spareLevelOf(load - spareHysteresis));
+            const unsigned level = goal > domain.spareLevel ? domain.spareLevel + 1
+                : goal < domain.spareLevel                  ? domain.spareLevel - 1
+                                                            : goal;
+            domain.ratedAt = level == domain.spareLevel ? domain.ratedAt : now;
+            domain.spareLevel = level;
+        }
         domain.isRated = true;
     }
 }
@@ -114,7 +124,7 @@
     std::size_t spare = 0;
     for (const EntryEndpoint *entry : remote) {
         const unsigned level = domains_.find(entry->failureDomain)->second.spareLevel;
-        candidates.push_back({entry, drawPosition(entry->address, seed, level == 0 ? fullWeight : level)});
+        candidates.push_back({entry, drawPosition(entry->address, seed, minWeight + weightPerLevel * level)});
         spare += level == 0 ? 0 : 1;
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
@@ -197,7 +207,7 @@
         return choice;
     }
     const Loads loads = loadsOf(ready);
-    rate(loads);
+    rate(loads, now);
     // The same at all directories, different between callers' domains. Directories that can't tell all entries to a
     // domain without its own list different ones.
     const bool isCut = near == 0 && remote.size() > maxCount_;
@@ -217,7 +227,7 @@
             const double remoteLoad = loadOfPreferred(remote, toldRemote());
             choice.hasChanged = adapt(domain,
                                       {near, remote.size(), toldRemote(), spare, choice.load / loads.target,
-                                       remoteLoad / (loads.target * remoteTolerance)},
+                                       remoteLoad / std::max(loads.target, maxRemoteLoad)},
                                       now);
             remoteCount = toldRemote();
         }
--- a/tests/policy/cp_entry_selection.tests.cpp
+++ b/tests/policy/cp_entry_selection.tests.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <random>
 #include <set>
 
 using namespace cardamompost;
@@ -65,8 +66,9 @@
         double meanLoad = 0;
     };
 
-    explicit Demand(std::vector<Domain> domains)
+    explicit Demand(std::vector<Domain> domains, std::size_t nearEntriesMin = minCount)
         : domains_(std::move(domains))
+        , selection_(nearEntriesMin, maxCount, seed)
     {
         for (const Domain &domain : domains_) {
             add(entries_, domain.name, domain.entries);
@@ -86,9 +88,12 @@
                 domain.changes += differences(domain.told, told);
                 domain.told = told;
                 domain.widened = choice.remote;
+                const double demand = domain.demand(seconds_);
                 for (const std::string &address : told) {
-                    flows[address] += domain.demand(seconds_) / static_cast<double>(told.size());
+                    flows[address] += demand / static_cast<double>(told.size());
                 }
+                offered_ += demand;
+                near_ += demand * (1 - static_cast<double>(choice.remote) / static_cast<double>(told.size()));
             }
             record(flows, recordFrom);
         }
@@ -99,6 +104,16 @@
         std::erase_if(entries_,
                       [&](const EntryEndpoint &entry) { return entry.failureDomain == domain && seen++ >= left; });
     }
+    //! Share of the demand that exceeded the capacity of its entry.
+    [[nodiscard]] double excessShare() const
+    {
+        return excess_ / offered_;
+    }
+    //! Share of the demand that went to entries of its own domain.
+    [[nodiscard]] double nearShare() const
+    {
+        return near_ / offered_;
+    }
     Domain &domain(const std::string &name)
     {
         return *std::find_if(domains_.begin(), domains_.end(), [&](const Domain &item) { return item.name == name; });
@@ -119,6 +134,7 @@
         for (EntryEndpoint &entry : entries_) {
             Domain &ownDomain = domain(entry.failureDomain);
             const double current = flows[entry.address] / ownDomain.capacity;
+            excess_ += std::max(0.0, flows[entry.address] - ownDomain.capacity);
             entry.load += (std::min(current, maxLoad) - entry.load) * stepSeconds / smoothingSeconds;
             sums[ownDomain.name].first += entry.load;
             ++sums[ownDomain.name].second;
@@ -133,8 +149,11 @@
 
     std::vector<Domain> domains_;
     std::vector<EntryEndpoint> entries_;
-    EntrySelection selection_ {minCount, maxCount, seed};
+    EntrySelection selection_;
     double seconds_ = 0;
+    double offered_ = 0;
+    double near_ = 0;
+    double excess_ = 0;
 };
 
 std::function<double(double)> constant(double demand)
@@ -409,6 +428,48 @@
     }
 }
 
+// Guards against hot domains that all send their callers to the same cold one and then leave it together, which changes
+// most answers every few seconds and fills entries that would not be full if all callers were told of all.
+BOOST_AUTO_TEST_CASE(demand_that_moves_between_many_domains_changes_few_entries_and_fills_few)
+{
+    constexpr double seconds = 120;
+    constexpr std::size_t domainCount = 6;
+    double nearShares = 0;
+    double nearSharesOfAll = 0;
+    for (std::uint64_t scenario = 1; scenario <= 10; ++scenario) {
+        std::mt19937_64 random(scenario);
+        const auto draw
+            = [&](double low, double high) { return std::uniform_real_distribution<double>(low, high)(random); };
+        std::vector<Demand::Domain> domains;
+        for (std::size_t i = 0; i < domainCount; ++i) {
+            const auto entries = static_cast<std::size_t>(draw(3, 11));
+            const double capacity = draw(0.09, 0.3);
+            const double mean = static_cast<double>(entries) * capacity * draw(0.15, scenario % 2 == 0 ? 0.45 : 0.9);
+            const auto swing = wave(mean, draw(15, 60), draw(0, 1));
+            const double burstFrom = draw(0, seconds);
+            const double burstUntil = burstFrom + draw(5, 20);
+            domains.push_back({"d" + std::to_string(i), entries, capacity, [=](double time) {
+                                   return swing(time) * (time > burstFrom && time < burstUntil ? 2 : 1);
+                               }});
+        }
+        Demand all(domains, 0);
+        all.run(seconds, 0);
+        Demand selected(domains);
+        selected.run(seconds, 0);
+        BOOST_TEST_MESSAGE("scenario " << scenario << ": excess " << all.excessShare() << " -> "
+                                       << selected.excessShare() << ", near " << all.nearShare() << " -> "
+                                       << selected.nearShare());
+        BOOST_TEST(selected.excessShare() <= all.excessShare() + 0.01);
+        BOOST_TEST(selected.nearShare() > all.nearShare());
+        nearShares += selected.nearShare();
+        nearSharesOfAll += all.nearShare();
+        for (const Demand::Domain &domain : domains) {
+            BOOST_TEST(selected.domain(domain.name).changes <= 150U);
+        }
+    }
+    BOOST_TEST(nearShares >= 2 * nearSharesOfAll);
+}
+
 BOOST_AUTO_TEST_CASE(near_and_remote_entries_keep_their_ratio_if_there_are_too_many_to_tell)
 {
     std::vector<EntryEndpoint> entries;
