--- a/src/cardamompost/policy/cp_turn_placement.cpp
+++ b/src/cardamompost/policy/cp_turn_placement.cpp
@@ -1,3 +1,4 @@
+#include <cardamompost/policy/cp_cross_domain_cost.hpp>
 #include <cardamompost/policy/cp_expected_completion.hpp>
 #include <cardamompost/policy/cp_turn_placement.hpp>
 
@@ -14,8 +15,6 @@
 
 // Load that a program with affinity adds to an engine, in turns.
 constexpr double affinityWeight = 0.25;
-// Cost of an engine in another failure domain, in turns.
-constexpr double crossDomainCost = 0.75;
 // Expected lifetime of a program's prompt in the engine's cache.
 constexpr Milliseconds affinityLifetime {8000};
 constexpr Milliseconds affinityExpiryInterval {500};
@@ -273,7 +272,10 @@
         });
         return usable == indexed.avoided.end() ? std::nullopt : std::optional(*usable);
     }
-    return candidates->leastLoaded(request.failureDomain, crossDomainCost, needsRoom);
+    const double domainCost = options_.prefersNearEngines
+        ? crossDomainCost(candidates->enginesIn(request.failureDomain))
+        : minCrossDomainCost;
+    return candidates->leastLoaded(request.failureDomain, domainCost, needsRoom);
 }
 
 bool TurnPlacement::serviceHasRoom(const std::string &name, TimePoint now)
@@ -283,9 +285,8 @@
     if (!indexed.usable.isEmpty()) {
         return indexed.usable.leastLoaded({}, 0, true).has_value();
     }
-    return std::any_of(indexed.avoided.begin(), indexed.avoided.end(), [&](const std::string &id) {
-        return hasRoom(engines_.at(id));
-    });
+    return std::any_of(indexed.avoided.begin(), indexed.avoided.end(),
+                       [&](const std::string &id) { return hasRoom(engines_.at(id)); });
 }
 
 bool TurnPlacement::mayHaveVersion(const std::string &service, const std::string &softwareVersion) const
