Count pending begins, since turns without token counts add nothing to their sum

What callers saw: nothing yet; the ledger's leader ends when two turns of one program without token counts are committed one after the other. Cause: the sum of proposed tokens decides whether a program's item is dropped, and a turn without a token-usage header adds 0. The first commit drops the item, the second reads behind the end of the map. Ruled out: only skipping the missing item (whether a program has pending turns would still be told wrong to admission). Change: the item keeps the number of begins as well; turns without a program are no reason to admit another one unasked.

--- a/src/gateway/cp_ledger_begins.cpp
+++ b/src/gateway/cp_ledger_begins.cpp
@@ -44,7 +44,7 @@
     }
     publishDocument();
     const auto pending = pendingTokens_.find(begin.program);
-    const std::int64_t uncommittedTokens = pending == pendingTokens_.end() ? 0 : pending->second;
+    const std::int64_t uncommittedTokens = pending == pendingTokens_.end() ? 0 : pending->second.tokens;
     const TurnBeginStatus status = state_.check(begin, uncommittedTokens);
     if (status == TurnBeginStatus::NoSuchTurn) {
         confirmNoSuchTurn(begin, replier);
@@ -151,7 +151,7 @@
     const TurnBegin &begin = active->begin;
     SlotRequest request = slotRequestFor(begin);
     // Another turn of the program may have been granted whose reservation isn't applied yet.
-    const bool mayHaveBegun = pendingTokens_.contains(begin.program);
+    const bool mayHaveBegun = !begin.program.empty() && pendingTokens_.contains(begin.program);
     const std::optional<AdmissionRefusal> refusal
         = mayHaveBegun ? std::nullopt : placement_.refuse(request, std::chrono::steady_clock::now());
     if (refusal) {
@@ -279,7 +279,9 @@
         onDecided(*active, TurnBeginStatus::Granted);
         return;
     }
-    pendingTokens_[active->begin.program] += active->begin.maxTokens;
+    PendingTokens &proposed = pendingTokens_[active->begin.program];
+    proposed.tokens += active->begin.maxTokens;
+    ++proposed.turns;
     TurnBegin record = active->begin;
     record.placement = {};
     record.account.clear();
@@ -292,8 +294,9 @@
     propose(std::move(record), [this, active, proposedAt](bool isCommitted) {
         lastCommitTime_ = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - proposedAt);
         const auto pending = pendingTokens_.find(active->begin.program);
-        pending->second -= active->begin.maxTokens;
-        if (pending->second == 0) {
+        pending->second.tokens -= active->begin.maxTokens;
+        // A turn may have no maximum, so the sum does not tell whether others are pending.
+        if (--pending->second.turns == 0) {
             pendingTokens_.erase(pending);
         }
         onDecided(*active, isCommitted ? lastApplyStatus_ : TurnBeginStatus::NotLeader);
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -243,8 +243,13 @@
     //! Empty while a leader is known.
     std::optional<TimePoint> searchingSince_;
     TimePoint lastSearchLogAt_ {};
-    //! Sum of the reservations that are proposed but not applied yet, by program.
-    std::unordered_map<std::string, std::int64_t> pendingTokens_;
+    //! Sum of the reservations that are proposed but not applied yet, and their number.
+    struct PendingTokens {
+        std::int64_t tokens = 0;
+        unsigned turns = 0;
+    };
+    //! By program.
+    std::unordered_map<std::string, PendingTokens> pendingTokens_;
     //! Begins without a final reply, by turn.
     std::unordered_map<std::string, std::shared_ptr<ActiveBegin>> activeBegins_;
     //! Proposed begins with the time of their proposal, oldest first; decided ones are removed by commitDelay().
--- a/tests/platform/cp_platform_overload.tests.cpp
+++ b/tests/platform/cp_platform_overload.tests.cpp
@@ -176,6 +176,22 @@
     test.checkAllAnswered();
 }
 
+// Guards against a leader that ends when turns without a maximum of tokens are committed one after the other.
+BOOST_AUTO_TEST_CASE(turns_without_token_counts_that_begin_at_once_leave_the_leader_running)
+{
+    TurnsOnSlowDisks test;
+    test.setSyncTime({0, 1, 2}, slowSyncMs);
+    constexpr int turns = 4;
+    for (int i = 0; i < turns; ++i) {
+        HttpHeaders headers = GatewayCluster::headers("uncounted" + std::to_string(i));
+        headers["Program"] = "uncounted";
+        test.answers.push_back(
+            test.cluster.platform.begin(test.entry, "POST", "/plans/1", headers, "in", Milliseconds(patientCallerMs)));
+    }
+    test.checkAllAnswered();
+    BOOST_TEST(test.cluster.logCount("ledger.leadership_ended") == 0U);
+}
+
 // Guards against callers that get no answer, since their turn was relayed before its end could be stored.
 BOOST_AUTO_TEST_CASE(every_turn_gets_a_final_status_before_its_deadline_while_disks_are_too_slow)
 {
