Learn an engine's speed only from turns that the leader has placed there

What callers saw: nothing measured; after a change of leader, or where the entry chose another engine, turns count as having run alone, so that load is taken for slowness. Cause: the leader fills in the number of turns at the engine without knowing whether it counts that turn; a finish that is sent again counts twice. Evidence: by reading (review); the size of the effect was not measured. Change: without a slot of the turn at that engine, its timing is dropped before the finish is proposed. Ruled out: 0 as "unknown" in ServiceRates (a bucket of its own mixes full and idle engines). No test of its own.

--- a/include/cardamompost/policy/cp_turn_placement.hpp
+++ b/include/cardamompost/policy/cp_turn_placement.hpp
@@ -114,6 +114,12 @@
     {
         return queue_.held(service, account);
     }
+    //! The turn holds a slot at the engine.
+    [[nodiscard]] bool holdsSlot(const std::string &turn, const std::string &engine) const
+    {
+        const auto found = reservations_.find(turn);
+        return found != reservations_.end() && found->second.engine == engine;
+    }
     //! Turns that hold a slot at the engine.
     [[nodiscard]] unsigned turnsAt(const std::string &engine) const;
     //! The same, without those that wait in the engine's queue.
--- a/src/gateway/cp_ledger_begins.cpp
+++ b/src/gateway/cp_ledger_begins.cpp
@@ -309,8 +309,11 @@
         replier->reply(TurnFinishReply {false, driver_.leader()});
         return;
     }
-    if (finish.timing.streamMs != 0) {
+    if (placement_.holdsSlot(finish.turn, finish.backend)) {
         finish.timing.turnsAtBackend = placement_.turnsRunningAt(finish.backend);
+    } else {
+        // The number of turns at the engine is not known, as after a change of leader, or the turn was measured before.
+        finish.timing.streamMs = 0;
     }
     placement_.release(finish.turn, std::chrono::steady_clock::now());
     const std::string turn = finish.turn;
