Don't begin a turn again once its end has been reported

What callers saw: nothing; a turn whose caller left during the pause before a retry could be begun after its end, and its reservation stayed. Cause: the retry's timer sends the begin without asking whether it has ended meanwhile. Evidence: by reading, by the author of the queue and by a reviewer; not brought about. Change: the timer sends nothing for a begin that is final. Ruled out: cancelling the timer (it is owned by its handler). Conclusion: suspected and closed by change; no test of its own.

--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -191,7 +191,12 @@
     }
     const Milliseconds pause = std::max(minPause, retryPause(now - attempt->answeredAt));
     auto timer = std::make_shared<asio::steady_timer>(parts_.io, pause);
-    timer->async_wait([this, attempt, timer](const boost::system::error_code &) { sendBegin(attempt); });
+    timer->async_wait([this, attempt, timer](const boost::system::error_code &) {
+        // The caller may have left, and the end of the turn may have been reported.
+        if (!attempt->pending->isFinal()) {
+            sendBegin(attempt);
+        }
+    });
 }
 
 template<typename Reply>
