Three findings of the review: prompt sources without a program, a lone near entry, an unknown status

Cause: turns without a program share one affinity, so a stranger's engine was named as their prompt's source; of more than 64 entries, a lone near one was rounded away; a status of a newer release is decoded as a missing version, and the refusal then read an empty optional. Evidence: by reading (review); none was brought about. Change: no source without a program; at least one near entry is told if there is one; the refusal names no version if none is required. Ruled out: - Conclusion: suspected and closed by change; no tests of their own.

--- a/src/cardamompost/policy/cp_entry_selection.cpp
+++ b/src/cardamompost/policy/cp_entry_selection.cpp
@@ -234,7 +234,8 @@
     }
     if (near + remoteCount > maxCount_) {
         // Keeps the ratio of near to remote entries.
-        sample(choice.addresses, maxCount_ * near / (near + remoteCount), seed_);
+        const std::size_t leastNear = near == 0 ? 0 : 1;
+        sample(choice.addresses, std::max(leastNear, maxCount_ * near / (near + remoteCount)), seed_);
         remoteCount = std::min(remoteCount, maxCount_ - choice.addresses.size());
     }
     for (std::size_t i = 0; i < remoteCount; ++i) {
--- a/src/cardamompost/policy/cp_turn_placement_sources.cpp
+++ b/src/cardamompost/policy/cp_turn_placement_sources.cpp
@@ -39,7 +39,7 @@
 
 std::string TurnPlacement::findPromptSource(const SlotRequest &request, const std::string &engine, TimePoint now) const
 {
-    if (!options_.namesPromptSources || !isWorthFetching(request)) {
+    if (!options_.namesPromptSources || request.program.empty() || !isWorthFetching(request)) {
         return {};
     }
     const auto affinity = affinities_.find(request.program);
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -230,7 +230,8 @@
 LocalResponse Forwarder::missingVersionResponse(ForwardedRequest &request)
 {
     missingVersions_.add();
-    request.detail = "software version " + request.requiredVersion->softwareVersion;
+    // A status that this release does not know is decoded as that of a missing version.
+    request.detail = "software version " + request.requiredVersion.value_or(ServerVersion {}).softwareVersion;
     return {statusUnavailable, "no backend server has the software version that began the stream", retryAfterShort};
 }
 
