--- a/tests/platform/gateway_soak.py
+++ b/tests/platform/gateway_soak.py
@@ -29,7 +29,8 @@
 import argparse, asyncio, contextlib, json, math, os, random, resource, shutil, signal, socket, sys, tempfile, time
 
 # Ledger settings that are on or off by the seed.
-PLACEMENT_SETTINGS = ["fetch_prompts", "place_by_service_rate", "share_by_account", "refuse_hopeless_programs"]
+PLACEMENT_SETTINGS = ["fetch_prompts", "place_by_service_rate", "share_by_account", "refuse_hopeless_programs",
+                      "prefer_near_engines"]
 # Prompt tokens of a program's turns; only long prompts are fetched from other engines. Share of the fetches that engines refuse.
 PROMPT_TOKENS, REFUSED_FETCHES = [100, 3000, 3000, 3000], 0.2
 # What callers name as an engine to fetch from.
