--- a/include/cardamompost/policy/cp_entry_selection.hpp
+++ b/include/cardamompost/policy/cp_entry_selection.hpp
@@ -20,7 +20,7 @@
     double load = 0;
 };
 
-//! The entries that a caller is told of.
+//! The entries in a directory response.
 struct EntryChoice {
     //! Those in the caller's failure domain first.
     std::vector<std::string> addresses;
@@ -32,7 +32,7 @@
     double load = 0;
 };
 
-//! Selects the entries that the callers of a failure domain are told of.
+//! Selects the entries that directory responses to callers of a failure domain list.
 //!
 //! All of their own failure domain; others up to a minimum in total, or while the domain is loaded above both the
 //! target load and the mean of all entries. Callers choose at random among those they are told of, so remote entries
@@ -66,10 +66,10 @@
 
 private:
     struct Domain {
-        //! Remote entries that its callers are told of because of its load.
+        //! Remote entries listed because of its load.
         std::size_t widened = 0;
         TimePoint changedAt {};
-        //! Share of the domain's requests that each told entry gets, smoothed.
+        //! Share of the domain's requests that each listed entry gets, smoothed.
         double share = 0;
         TimePoint recordedAt {};
         //! How much its entries are preferred for callers of other domains; 0 while it is above the target.
@@ -92,11 +92,11 @@
     struct Situation {
         std::size_t near = 0;
         std::size_t remote = 0;
-        //! Remote entries that its callers are told of.
+        //! Remote entries listed.
         std::size_t toldRemote = 0;
         //! Remote entries in domains below the target.
         std::size_t spare = 0;
-        //! Mean loads of the near and of the told remote entries, as multiples of what is accepted.
+        //! Mean loads of the near and of the listed remote entries, as multiples of what is accepted.
         double nearLoad = 0;
         double remoteLoad = 0;
     };
--- a/include/cardamompost/policy/cp_placement_options.hpp
+++ b/include/cardamompost/policy/cp_placement_options.hpp
@@ -12,7 +12,7 @@
     bool sharesByAccount = false;
     //! The first turn of a program that can't be served in time is refused at once.
     bool refusesHopelessPrograms = false;
-    //! A turn that leaves its program's engine is told where its prompt is cached.
+    //! The reply to a turn that leaves its program's engine names the engine that caches its prompt.
     bool namesPromptSources = false;
     //! The more engines a failure domain has, the higher the load difference at which a first turn leaves it.
     bool prefersNearEngines = false;
--- a/include/cardamompost/policy/cp_service_rates.hpp
+++ b/include/cardamompost/policy/cp_service_rates.hpp
@@ -30,7 +30,7 @@
 //! The slowness of an engine is the time that a token takes there as a multiple of what it takes at the service's
 //! median engine with as many turns. Single samples have a bounded effect, samples lose their weight with age, and few
 //! samples move the slowness little: unknown engines count as usual ones. Differences below a threshold count as none,
-//! so that engines of equal speed are told apart by their load alone. Every member of the ledger applies the samples in
+//! so that engines of equal speed differ by their load alone. Every member of the ledger applies the samples in
 //! the order of the log, so that a new leader knows the rates. Thread-safety: none.
 class ServiceRates
 {
--- a/include/cardamompost/policy/cp_turn_placement.hpp
+++ b/include/cardamompost/policy/cp_turn_placement.hpp
@@ -150,7 +150,7 @@
         std::string softwareVersion;
         //! As ServiceRates::slowness(); 1 without PlacementOptions::usesServiceRates.
         double slowness = 1;
-        //! The last EngineRateChange told that the engine is slow or fast.
+        //! The last EngineRateChange reported the engine as slow or fast.
         bool isReportedUnusual = false;
 
         [[nodiscard]] ServerVersion version() const
--- a/src/cardamompost/policy/cp_entry_selection.cpp
+++ b/src/cardamompost/policy/cp_entry_selection.cpp
@@ -148,7 +148,7 @@
         const double remote = std::ceil(told * relativeLoad - static_cast<double>(situation.near));
         return static_cast<std::size_t>(std::max(0.0, remote));
     };
-    // Callers choose evenly among the entries they are told of, so the load is in proportion to their share.
+    // Callers choose evenly among the listed entries, so the load is in proportion to their share.
     const double nearLoad = situation.nearLoad / (domain.share * told);
     const double relativeLoad = std::max(nearLoad, situation.remoteLoad);
     const auto sinceChange = now - domain.changedAt;
