--- a/src/gateway/cp_forwarded_request.cpp
+++ b/src/gateway/cp_forwarded_request.cpp
@@ -54,6 +54,13 @@
     return timing;
 }
 
+RequestFingerprint ForwardedRequest::fingerprint() const
+{
+    const auto view = [](boost::beast::string_view text) { return std::string_view(text.data(), text.size()); };
+    return fingerprintOf(view(message.method_string()), view(message[boost::beast::http::field::host]),
+                         view(message.target()), message.body());
+}
+
 const std::string &ForwardedRequest::stickyKey() const
 {
     if (!service->isEngine) {
--- a/src/gateway/cp_forwarded_request.hpp
+++ b/src/gateway/cp_forwarded_request.hpp
@@ -9,6 +9,7 @@
 #include "cp_stream_version_record.hpp"
 
 #include <cardamompost/accounts/cp_scoped_id.hpp>
+#include <cardamompost/quarantine/cp_request_fingerprint.hpp>
 #include <cardamompost/routing/cp_route_table.hpp>
 
 namespace cardamompost
@@ -184,6 +185,7 @@
     [[nodiscard]] TurnFinish makeFinish(TurnEnding ending);
     //! How long the complete stream took.
     [[nodiscard]] TurnTiming makeTiming() const;
+    [[nodiscard]] RequestFingerprint fingerprint() const;
     //! Key shared by requests that benefit from reaching the same server; empty for none.
     [[nodiscard]] const std::string &stickyKey() const;
 };
--- a/src/gateway/cp_request_report.cpp
+++ b/src/gateway/cp_request_report.cpp
@@ -10,7 +10,7 @@
 {
 
 constexpr std::size_t logLineBytes = 4096;
-constexpr std::size_t logLineFields = 26;
+constexpr std::size_t logLineFields = 27;
 constexpr unsigned firstServerError = 500;
 
 //! Whether the request was executed, as a metric label.
@@ -85,6 +85,9 @@
         if (request.framing != ResponseFraming::None) {
             line["framing"] = nameOf(responseFramingNames, request.framing);
         }
+        if (outcomeOf(request) == "unknown") {
+            line["fingerprint"] = fmt::format("{:016x}", request.fingerprint());
+        }
         line["sends"] = request.sends;
         line["runs"] = request.runs;
         line["list"] = fmt::format("{}.{}", parts_.pool.version().term, parts_.pool.version().sequence);
