--- a/include/cardamompost/ledger/cp_content_replica.hpp
+++ b/include/cardamompost/ledger/cp_content_replica.hpp
@@ -8,7 +8,8 @@
 namespace cardamompost
 {
 
-//! The route document and the list of backend servers: the original at the ledger's leader, a copy elsewhere.
+//! The route document, the list of backend servers and the list of suspects: the original at the ledger's leader, a
+//! copy elsewhere.
 //!
 //! A copy is kept up to date by replies of the leader or of another copy. Content that arrives in several replies is
 //! applied only once it is complete. The list is updated by its changes; if those don't lead from the version held, it
@@ -32,6 +33,12 @@
     //! read may be stale. \returns what has changed
     BackendChanges setList(std::vector<BackendServer> servers, std::uint64_t term);
 
+    //! Brings the list of suspects up to date.
+    void setSuspects(const SuspectList &suspects)
+    {
+        suspects_.apply(suspects.changesSince(suspects_.version()));
+    }
+
     Applied apply(const UpdateReply &reply);
     //! Fills in the versions and digests that this copy holds.
     void describe(UpdateRequest &request) const;
@@ -43,6 +50,10 @@
     {
         return documentVersion_;
     }
+    [[nodiscard]] const SuspectList &suspects() const
+    {
+        return suspects_;
+    }
     [[nodiscard]] const BackendCatalog &catalog() const
     {
         return catalog_;
@@ -66,6 +77,7 @@
     BackendBuckets listBuckets_;
     //! Version of the list in the buckets.
     BackendListVersion bucketsVersion_;
+    SuspectList suspects_;
 };
 
 } // namespace cardamompost
--- a/include/cardamompost/ledger/cp_ledger_command.hpp
+++ b/include/cardamompost/ledger/cp_ledger_command.hpp
@@ -35,7 +35,8 @@
 
 //! Payload of a log entry.
 struct LedgerCommand {
-    using Action = std::variant<RouteDocumentPut, TurnBegin, TurnFinish, LedgerVm, UsageReport, StreamVersion>;
+    using Action = std::variant<RouteDocumentPut, TurnBegin, TurnFinish, LedgerVm, UsageReport, StreamVersion,
+                                BackendEnd, SuspectClearance>;
 
     //! LedgerClock time of the leader that proposed the command.
     std::int64_t nowMs = 0;
--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -2,6 +2,7 @@
 #define CARDAMOMPOST_CP_LEDGER_MESSAGE_HPP_INCLUDED
 
 #include <cardamompost/ledger/cp_ledger_peers.hpp>
+#include <cardamompost/quarantine/cp_quarantine.hpp>
 #include <cardamompost/routing/cp_backend_buckets.hpp>
 #include <cardamompost/routing/cp_backend_catalog.hpp>
 #include <cardamompost/routing/cp_document_buckets.hpp>
@@ -185,6 +186,47 @@
     std::uint32_t retryAfterMs = 0;
 };
 
+//! What an entry does with a request under which servers have ended.
+enum class SuspectAction : std::uint8_t {
+    //! Asks whether it may be sent to a server.
+    Start,
+    //! It was not sent, or its run says nothing about it.
+    Release,
+    //! The server ended while it ran the request.
+    End,
+    //! The server answered it.
+    Success,
+};
+
+struct SuspectRequest {
+    SuspectAction action = SuspectAction::Start;
+    //! Identifies the run, which the entry starts and later ends by another action; 0 if it was not started.
+    std::uint64_t run = 0;
+    //! Id of the caller's request.
+    std::string requestId;
+    //! The request and the server.
+    BackendEnd end;
+    std::uint32_t timeLeftMs = 0;
+};
+
+enum class SuspectStatus : std::uint8_t {
+    //! This member is not the leader or cannot confirm that it is.
+    NotLeader,
+    Allowed,
+    //! Other suspects have to end first.
+    Busy,
+    //! The request is sent to no more servers of the software version.
+    Quarantined,
+    //! The end of the run is recorded.
+    Recorded,
+};
+
+struct SuspectReply {
+    SuspectStatus status = SuspectStatus::NotLeader;
+    //! Servers that have ended under the request.
+    std::uint32_t ends = 0;
+};
+
 //! How a turn ended at the entry.
 enum class TurnEnding : std::uint8_t {
     //! The caller receives the complete answer once this is durable.
@@ -250,6 +292,8 @@
     std::uint64_t peersDigest = 0;
     //! Term of the latest leader that the sender knows.
     Term knownTerm = 0;
+    //! Version of the suspect list held.
+    std::uint64_t suspectsVersion = 0;
     //! Time since the sender learned that its content is stale; 0 if it is not known to be.
     std::uint32_t staleMs = 0;
     //! How long the receiver may wait for newer content or a later leader before it answers.
@@ -280,6 +324,7 @@
     std::optional<ContentDelta> listDelta;
     //! The changes don't lead from the requester's version: it has to send the digests of its list.
     bool mustResyncList = false;
+    std::optional<SuspectChanges> suspects;
     //! Time since the backend list was read.
     std::uint32_t listAgeMs = 0;
 };
--- a/include/cardamompost/ledger/cp_ledger_state.hpp
+++ b/include/cardamompost/ledger/cp_ledger_state.hpp
@@ -10,7 +10,8 @@
 namespace cardamompost
 {
 
-//! Replicated state machine of the ledger: program budgets, turn histories, the route document, VMs and account usage.
+//! Replicated state machine of the ledger: program budgets, turn histories, the route document, VMs, account usage and
+//! the quarantine.
 //!
 //! Members that apply the same commands in the same order hold the same state. Expiry depends only on the times in the
 //! commands, never on a member's clock.
@@ -56,6 +57,11 @@
     //! Sum of the reservations of the program's running turns, in tokens.
     [[nodiscard]] std::int64_t reserved(const std::string &program) const;
 
+    //! Requests under which backend servers have ended.
+    [[nodiscard]] const Quarantine &quarantine() const
+    {
+        return quarantine_;
+    }
     //! Recent usage of accounts with a limit.
     [[nodiscard]] const UsageLog &usage() const
     {
@@ -123,7 +129,7 @@
         std::int64_t expiresMs = 0;
     };
 
-    void advanceTime(std::int64_t nowMs);
+    void advanceTime(std::int64_t nowMs, LogIndex index);
     void applyDocument(const RouteDocumentPut &put);
     TurnBeginStatus applyBegin(const TurnBegin &begin);
     void applyFinish(const TurnFinish &finish, LogIndex index);
@@ -132,7 +138,7 @@
     void retainTurn(const TurnFinish &finish, LogIndex index);
     void extendHistoryRetention(const std::string &last, std::int64_t expiresMs);
     void extendProgramRetention(Program &program, std::uint32_t retentionMs);
-    void expire();
+    void expire(LogIndex index);
 
     std::int64_t nowMs_ = 0;
     RouteDocumentPut document_;
@@ -144,6 +150,7 @@
     std::size_t turnBytes_ = 0;
     TurnTexts texts_;
     UsageLog usage_;
+    Quarantine quarantine_;
 };
 
 } // namespace cardamompost
--- a/include/cardamompost/ledger/cp_update_relay.hpp
+++ b/include/cardamompost/ledger/cp_update_relay.hpp
@@ -96,6 +96,13 @@
         return changes;
     }
 
+    //! At the leader: makes the current list of suspects known.
+    void publishSuspects(const SuspectList &suspects, TimePoint now)
+    {
+        content_.setSuspects(suspects);
+        serve(now);
+    }
+
     //! This VM has to poll the leader, whose name is given by the caller.
     [[nodiscard]] bool needsFeed(TimePoint now) const
     {
@@ -215,7 +222,8 @@
     [[nodiscard]] bool hasNewContent(const UpdateRequest &request) const
     {
         return request.wantsContent
-            && (request.documentVersion < content_.documentVersion() || request.list < content_.catalog().version());
+            && (request.documentVersion < content_.documentVersion() || request.list < content_.catalog().version()
+                || request.suspectsVersion < content_.suspects().version());
     }
     [[nodiscard]] bool isDue(const UpdateRequest &request) const
     {
--- a/include/cardamompost/net/cp_frame.hpp
+++ b/include/cardamompost/net/cp_frame.hpp
@@ -39,13 +39,13 @@
     Error error;
 };
 
-using FrameBody
-    = std::variant<std::monostate, RaftMessage, SealRequest, SealReply, JournalAppend, JournalAppendReply, JournalRead,
-                   JournalReadReply, JournalForget, LeaseRequest, LeaseReply, ProposeRequest, ProposeReply, PullRequest,
-                   PullReply, StatusRequest, StatusReply, ProbeRequest, ProbeReply, LimitRequest, LimitReply,
-                   ApiRequest, ApiChunk, FailureReply, JoinRequest, JoinReply, TurnBegin, TurnBeginReply, TurnFinish,
-                   TurnFinishReply, UpdateRequest, UpdateReply, Presence, TurnTextsRequest, TurnTextsReply,
-                   LeaderNotice, AdmitRequest, AdmitReply, StreamVersionRequest, StreamVersionReply>;
+using FrameBody = std::variant<std::monostate, RaftMessage, SealRequest, SealReply, JournalAppend, JournalAppendReply,
+                               JournalRead, JournalReadReply, JournalForget, LeaseRequest, LeaseReply, ProposeRequest,
+                               ProposeReply, PullRequest, PullReply, StatusRequest, StatusReply, ProbeRequest,
+                               ProbeReply, LimitRequest, LimitReply, ApiRequest, ApiChunk, FailureReply, JoinRequest,
+                               JoinReply, TurnBegin, TurnBeginReply, TurnFinish, TurnFinishReply, UpdateRequest,
+                               UpdateReply, Presence, TurnTextsRequest, TurnTextsReply, LeaderNotice, AdmitRequest,
+                               AdmitReply, StreamVersionRequest, StreamVersionReply, SuspectRequest, SuspectReply>;
 
 //! Names of the alternatives of FrameBody, in their order.
 inline constexpr std::array<std::string_view, std::variant_size_v<FrameBody>> frameBodyNames {
@@ -56,7 +56,8 @@
     "limit_reply",   "api",          "api_chunk",     "failure",        "join",
     "join_reply",    "begin",        "begin_reply",   "finish",         "finish_reply",
     "update",        "update_reply", "presence",      "turn_texts",     "texts_reply",
-    "leader_notice", "admit",        "admit_reply",   "stream_version", "stream_version_reply"};
+    "leader_notice", "admit",        "admit_reply",   "stream_version", "stream_version_reply",
+    "suspect",       "suspect_reply"};
 
 //! One message on a connection between two peers.
 struct Frame {
--- a/include/cardamompost/observe/cp_log_explainer.hpp
+++ b/include/cardamompost/observe/cp_log_explainer.hpp
@@ -42,6 +42,9 @@
     [[nodiscard]] Explanation explain(std::string_view requestId) const;
 
 private:
+    //! Adds the lines of other attempts at the same work, whose requests and callers may be others.
+    void addAttempts(const std::string &fingerprint, std::string_view requestId, Explanation &result) const;
+
     std::vector<ExplainedLine> lines_;
 };
 
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -261,6 +261,38 @@
   version @1 :ServerVersion;
 }
 
+struct BackendEnd {
+  request @0 :UInt64;
+  backend @1 :Text;
+  incarnation @2 :UInt64;
+  softwareVersion @3 :Text;
+}
+
+struct SuspectClearance {
+  request @0 :UInt64;
+  softwareVersion @1 :Text;
+}
+
+struct SuspectRequest {
+  action @0 :UInt8;
+  run @1 :UInt64;
+  requestId @2 :Text;
+  end @3 :BackendEnd;
+  timeLeftMs @4 :UInt32;
+}
+
+struct SuspectReply {
+  status @0 :UInt8;
+  ends @1 :UInt32;
+}
+
+struct SuspectChanges {
+  since @0 :UInt64;
+  version @1 :UInt64;
+  added @2 :List(UInt64);
+  removed @3 :List(UInt64);
+}
+
 struct PlacementWish {
   service @0 :Text;
   failureDomain @1 :Text;
@@ -432,6 +464,7 @@
   behindMs @7 :UInt32;
   peersDigest @8 :UInt64;
   knownTerm @9 :UInt64;
+  suspectsVersion @10 :UInt64;
 }
 
 struct NewsReply {
@@ -450,6 +483,7 @@
   listChanges @11 :BackendChanges;
   mustResyncList @12 :Bool;
   ageMs @13 :UInt32;
+  suspects @14 :SuspectChanges;
 }
 
 struct Presence {
@@ -512,6 +546,8 @@
     admitReply @40 :AdmitReply;
     streamVersion @41 :StreamVersionRequest;
     streamVersionReply @42 :StreamVersionReply;
+    suspect @43 :SuspectRequest;
+    suspectReply @44 :SuspectReply;
   }
 }
 
@@ -656,6 +692,8 @@
     vm @4 :LedgerVm;
     usage @5 :List(AccountUsage);
     stream @6 :StreamVersion;
+    backendEnd @7 :BackendEnd;
+    suspectClearance @8 :SuspectClearance;
   }
 }
 
@@ -680,6 +718,13 @@
   turns @5 :List(KeptTurn);
   usage @6 :List(Usage);
   streams @7 :List(KeptStream);
+  suspects @8 :List(Suspect);
+  suspectsVersion @9 :UInt64;
+  struct Suspect {
+    request @0 :UInt64;
+    ends @1 :List(BackendEnd);
+    lastEndMs @2 :Int64;
+  }
   struct Usage {
     account @0 :Text;
     atMs @1 :Int64;
--- a/src/cardamompost/ledger/cp_content_replica.cpp
+++ b/src/cardamompost/ledger/cp_content_replica.cpp
@@ -77,6 +77,9 @@
     Applied applied;
     applyDocument(reply, applied);
     applyList(reply, applied);
+    if (reply.suspects) {
+        suspects_.apply(*reply.suspects);
+    }
     return applied;
 }
 
@@ -142,6 +145,7 @@
     request.documentVersion = documentVersion_;
     request.documentDigests = incomingDocument_ ? incomingDocument_->digests() : document_.digests();
     request.list = catalog_.version();
+    request.suspectsVersion = suspects_.version();
     request.listDigests = resync_ ? resync_->digests() : BackendBuckets::Digests {};
 }
 
@@ -154,8 +158,13 @@
     if (request.list < catalog_.version()) {
         addList(reply, request);
     }
+    if (request.suspectsVersion < suspects_.version()) {
+        reply.suspects = suspects_.changesSince(request.suspectsVersion);
+    }
     const std::size_t changes = reply.listChanges ? reply.listChanges->size() : 0;
-    return byteSize(reply.listDelta) + byteSize(reply.documentDelta) + changes * bytesPerServer;
+    const std::size_t suspects = reply.suspects ? reply.suspects->added.size() + reply.suspects->removed.size() : 0;
+    return byteSize(reply.listDelta) + byteSize(reply.documentDelta) + changes * bytesPerServer
+        + suspects * sizeof(RequestFingerprint);
 }
 
 void ContentReplica::addList(UpdateReply &reply, const UpdateRequest &request)
--- a/src/cardamompost/ledger/cp_ledger_codec.cpp
+++ b/src/cardamompost/ledger/cp_ledger_codec.cpp
@@ -58,6 +58,13 @@
     case schema::LedgerCommand::STREAM:
         command.action = decodeStreamVersion(in.getStream());
         break;
+    case schema::LedgerCommand::BACKEND_END:
+        command.action = decodeBackendEnd(in.getBackendEnd());
+        break;
+    case schema::LedgerCommand::SUSPECT_CLEARANCE:
+        command.action = SuspectClearance {in.getSuspectClearance().getRequest(),
+                                           fromText(in.getSuspectClearance().getSoftwareVersion())};
+        break;
     case schema::LedgerCommand::USAGE:
         command.action = decodeUsage(in.getUsage());
         break;
@@ -81,6 +88,11 @@
         encodeTurnFinish(*finish, out.initFinish());
     } else if (const auto *stream = std::get_if<StreamVersion>(&command.action)) {
         encodeStreamVersion(*stream, out.initStream());
+    } else if (const auto *end = std::get_if<BackendEnd>(&command.action)) {
+        encodeBackendEnd(*end, out.initBackendEnd());
+    } else if (const auto *clearance = std::get_if<SuspectClearance>(&command.action)) {
+        out.initSuspectClearance().setRequest(clearance->request);
+        out.getSuspectClearance().setSoftwareVersion(toText(clearance->softwareVersion));
     } else if (const auto *report = std::get_if<UsageReport>(&command.action)) {
         encodeUsage(*report, out.initUsage(static_cast<unsigned>(report->usage.size())));
     } else {
@@ -132,6 +144,7 @@
         encodeTurns(state, out.initTurns(static_cast<unsigned>(state.turns_.size())));
         encodeUsageLog(state.usage_, out);
         encodeStreams(state, out.initStreams(static_cast<unsigned>(state.streams_.size())));
+        encodeQuarantine(state.quarantine_, out);
     }
 
     static void decode(LedgerState &state, schema::LedgerSnapshot::Reader in)
@@ -167,6 +180,15 @@
                                               item.getExpiresMs()};
             state.streams_.emplace(fromText(item.getStream()), stream);
         }
+        Quarantine::Records records;
+        for (const auto item : in.getSuspects()) {
+            Quarantine::Record &record = records[item.getRequest()];
+            record.lastEndMs = item.getLastEndMs();
+            for (const auto end : item.getEnds()) {
+                record.ends.push_back(decodeBackendEnd(end));
+            }
+        }
+        state.quarantine_.restore(std::move(records), in.getSuspectsVersion());
     }
 
 private:
@@ -189,6 +211,22 @@
         }
     }
 
+    static void encodeQuarantine(const Quarantine &quarantine, schema::LedgerSnapshot::Builder snapshot)
+    {
+        snapshot.setSuspectsVersion(quarantine.suspects().version());
+        auto out = snapshot.initSuspects(static_cast<unsigned>(quarantine.records().size()));
+        unsigned position = 0;
+        for (const auto &[request, record] : quarantine.records()) {
+            auto item = out[position++];
+            item.setRequest(request);
+            item.setLastEndMs(record.lastEndMs);
+            auto ends = item.initEnds(static_cast<unsigned>(record.ends.size()));
+            for (unsigned i = 0; i < ends.size(); ++i) {
+                encodeBackendEnd(record.ends[i], ends[i]);
+            }
+        }
+    }
+
     static void encodeStreams(const LedgerState &state, capnp::List<schema::LedgerSnapshot::KeptStream>::Builder out)
     {
         unsigned position = 0;
--- a/src/cardamompost/ledger/cp_ledger_state.cpp
+++ b/src/cardamompost/ledger/cp_ledger_state.cpp
@@ -19,7 +19,7 @@
 
 TurnBeginStatus LedgerState::apply(const LedgerCommand &command, LogIndex index)
 {
-    advanceTime(command.nowMs);
+    advanceTime(command.nowMs, index);
     if (const auto *put = std::get_if<RouteDocumentPut>(&command.action)) {
         applyDocument(*put);
     } else if (const auto *begin = std::get_if<TurnBegin>(&command.action)) {
@@ -30,25 +30,30 @@
         applyStreamVersion(*stream);
     } else if (const auto *report = std::get_if<UsageReport>(&command.action)) {
         usage_.add(nowMs_, report->usage);
+    } else if (const auto *end = std::get_if<BackendEnd>(&command.action)) {
+        quarantine_.recordEnd(*end, nowMs_, index);
+    } else if (const auto *clearance = std::get_if<SuspectClearance>(&command.action)) {
+        quarantine_.clear(*clearance, index);
     } else {
         applyVm(std::get<LedgerVm>(command.action));
     }
     return TurnBeginStatus::Granted;
 }
 
-void LedgerState::advanceTime(std::int64_t nowMs)
+void LedgerState::advanceTime(std::int64_t nowMs, LogIndex index)
 {
     // Time is monotonic even if a new leader started its clock before it had applied all earlier commands.
     const std::int64_t before = nowMs_;
     nowMs_ = std::max(nowMs_, nowMs);
     // Sweep times depend on command times only, so members restored from a snapshot expire the same items.
     if (nowMs_ / sweepIntervalMs != before / sweepIntervalMs) {
-        expire();
+        expire(index);
     }
 }
 
-void LedgerState::expire()
+void LedgerState::expire(LogIndex index)
 {
+    quarantine_.expire(nowMs_, index);
     std::erase_if(programs_, [&](const auto &item) { return item.second.expiresMs < nowMs_; });
     std::erase_if(streams_, [&](const auto &item) { return item.second.expiresMs < nowMs_; });
     std::erase_if(turns_, [&](const auto &item) {
--- a/src/cardamompost/net/cp_frame_decoder.cpp
+++ b/src/cardamompost/net/cp_frame_decoder.cpp
@@ -142,6 +142,32 @@
             fromText(in.getPromptSource())};
 }
 
+//! Messages about requests other than the begin and end of a turn.
+FrameBody decodeRequestBody(Body::Reader in)
+{
+    switch (in.which()) {
+    case Body::STREAM_VERSION:
+        return StreamVersionRequest {decodeStreamVersion(in.getStreamVersion().getRecord()),
+                                     in.getStreamVersion().getIsQuery()};
+    case Body::STREAM_VERSION_REPLY:
+        return StreamVersionReply {decodeEnum(in.getStreamVersionReply().getStatus(), StreamVersionStatus::Unknown),
+                                   decodeServerVersion(in.getStreamVersionReply().getVersion())};
+    case Body::SUSPECT:
+        return decodeSuspectRequest(in.getSuspect());
+    case Body::SUSPECT_REPLY:
+        return SuspectReply {decodeEnum(in.getSuspectReply().getStatus(), SuspectStatus::Recorded),
+                             in.getSuspectReply().getEnds()};
+    case Body::ADMIT:
+        return AdmitRequest {fromText(in.getAdmit().getAccount()), fromText(in.getAdmit().getRequest()),
+                             fromText(in.getAdmit().getAdmission())};
+    case Body::ADMIT_REPLY:
+        return AdmitReply {decodeEnum(in.getAdmitReply().getStatus(), AdmitStatus::Limited),
+                           in.getAdmitReply().getRetryAfterMs()};
+    default:
+        return std::monostate {};
+    }
+}
+
 FrameBody decodeLedgerBody(Body::Reader in)
 {
     switch (in.which()) {
@@ -157,18 +183,6 @@
         return decodeTurnBegin(in.getTurnBegin());
     case Body::TURN_BEGIN_REPLY:
         return decodeTurnBeginReply(in.getTurnBeginReply());
-    case Body::STREAM_VERSION:
-        return StreamVersionRequest {decodeStreamVersion(in.getStreamVersion().getRecord()),
-                                     in.getStreamVersion().getIsQuery()};
-    case Body::STREAM_VERSION_REPLY:
-        return StreamVersionReply {decodeEnum(in.getStreamVersionReply().getStatus(), StreamVersionStatus::Unknown),
-                                   decodeServerVersion(in.getStreamVersionReply().getVersion())};
-    case Body::ADMIT:
-        return AdmitRequest {fromText(in.getAdmit().getAccount()), fromText(in.getAdmit().getRequest()),
-                             fromText(in.getAdmit().getAdmission())};
-    case Body::ADMIT_REPLY:
-        return AdmitReply {decodeEnum(in.getAdmitReply().getStatus(), AdmitStatus::Limited),
-                           in.getAdmitReply().getRetryAfterMs()};
     case Body::TURN_FINISH:
         return decodeTurnFinish(in.getTurnFinish());
     case Body::TURN_FINISH_REPLY:
@@ -198,7 +212,7 @@
         return reply;
     }
     default:
-        return std::monostate {};
+        return decodeRequestBody(in);
     }
 }
 
--- a/src/cardamompost/net/cp_frame_encoder.cpp
+++ b/src/cardamompost/net/cp_frame_encoder.cpp
@@ -306,6 +306,18 @@
         encodeServerVersion(in.version, message.initVersion());
     }
 
+    void operator()(const SuspectRequest &in)
+    {
+        encodeSuspectRequest(in, out.initSuspect());
+    }
+
+    void operator()(const SuspectReply &in)
+    {
+        auto message = out.initSuspectReply();
+        message.setStatus(static_cast<std::uint8_t>(in.status));
+        message.setEnds(in.ends);
+    }
+
     void operator()(const AdmitRequest &in)
     {
         auto message = out.initAdmit();
--- a/src/cardamompost/net/cp_ledger_schema.cpp
+++ b/src/cardamompost/net/cp_ledger_schema.cpp
@@ -106,6 +106,35 @@
     }
 }
 
+void encodeFingerprints(const std::vector<RequestFingerprint> &in, capnp::List<std::uint64_t>::Builder out)
+{
+    for (unsigned i = 0; i < out.size(); ++i) {
+        out.set(i, in[i]);
+    }
+}
+
+std::vector<RequestFingerprint> decodeFingerprints(capnp::List<std::uint64_t>::Reader in)
+{
+    std::vector<RequestFingerprint> fingerprints;
+    for (const std::uint64_t fingerprint : in) {
+        fingerprints.push_back(fingerprint);
+    }
+    return fingerprints;
+}
+
+void encodeSuspects(const SuspectChanges &in, schema::SuspectChanges::Builder out)
+{
+    out.setSince(in.since);
+    out.setVersion(in.version);
+    encodeFingerprints(in.added, out.initAdded(static_cast<unsigned>(in.added.size())));
+    encodeFingerprints(in.removed, out.initRemoved(static_cast<unsigned>(in.removed.size())));
+}
+
+SuspectChanges decodeSuspects(schema::SuspectChanges::Reader in)
+{
+    return {in.getSince(), in.getVersion(), decodeFingerprints(in.getAdded()), decodeFingerprints(in.getRemoved())};
+}
+
 BucketBytes::Digests decodeDigests(capnp::List<std::uint32_t>::Reader in)
 {
     BucketBytes::Digests digests;
@@ -141,6 +170,34 @@
     return {fromText(in.getStream()), decodeServerVersion(in.getVersion()), in.getAttempt(), in.getRetentionMs()};
 }
 
+void encodeBackendEnd(const BackendEnd &in, schema::BackendEnd::Builder out)
+{
+    out.setRequest(in.request);
+    out.setBackend(toText(in.backend));
+    out.setIncarnation(in.incarnation);
+    out.setSoftwareVersion(toText(in.softwareVersion));
+}
+
+BackendEnd decodeBackendEnd(schema::BackendEnd::Reader in)
+{
+    return {in.getRequest(), fromText(in.getBackend()), in.getIncarnation(), fromText(in.getSoftwareVersion())};
+}
+
+void encodeSuspectRequest(const SuspectRequest &in, schema::SuspectRequest::Builder out)
+{
+    out.setAction(static_cast<std::uint8_t>(in.action));
+    out.setRun(in.run);
+    out.setRequestId(toText(in.requestId));
+    encodeBackendEnd(in.end, out.initEnd());
+    out.setTimeLeftMs(in.timeLeftMs);
+}
+
+SuspectRequest decodeSuspectRequest(schema::SuspectRequest::Reader in)
+{
+    return {decodeEnum(in.getAction(), SuspectAction::Success), in.getRun(), fromText(in.getRequestId()),
+            decodeBackendEnd(in.getEnd()), in.getTimeLeftMs()};
+}
+
 void encodeTurnBegin(const TurnBegin &in, schema::TurnBegin::Builder out)
 {
     out.setTurn(toText(in.turn));
@@ -233,6 +290,7 @@
     out.setBehindMs(in.staleMs);
     out.setPeersDigest(in.peersDigest);
     out.setKnownTerm(in.knownTerm);
+    out.setSuspectsVersion(in.suspectsVersion);
     encodeDigests(in.documentDigests, out.initDocumentDigests(static_cast<unsigned>(in.documentDigests.size())));
     encodeDigests(in.listDigests, out.initListDigests(static_cast<unsigned>(in.listDigests.size())));
 }
@@ -247,6 +305,7 @@
     request.staleMs = in.getBehindMs();
     request.peersDigest = in.getPeersDigest();
     request.knownTerm = in.getKnownTerm();
+    request.suspectsVersion = in.getSuspectsVersion();
     request.waitMs = in.getWaitMs();
     request.wantsContent = in.getWantsContent();
     return request;
@@ -274,6 +333,9 @@
         encodeChanges(*in.listChanges, out.initListChanges());
     }
     out.setMustResyncList(in.mustResyncList);
+    if (in.suspects) {
+        encodeSuspects(*in.suspects, out.initSuspects());
+    }
 }
 
 UpdateReply decodeUpdateReply(schema::NewsReply::Reader in)
@@ -298,6 +360,9 @@
         reply.listChanges = decodeChanges(in.getListChanges());
     }
     reply.mustResyncList = in.getMustResyncList();
+    if (in.hasSuspects()) {
+        reply.suspects = decodeSuspects(in.getSuspects());
+    }
     return reply;
 }
 
--- a/src/cardamompost/net/cp_ledger_schema.hpp
+++ b/src/cardamompost/net/cp_ledger_schema.hpp
@@ -28,6 +28,10 @@
 [[nodiscard]] ServerVersion decodeServerVersion(schema::ServerVersion::Reader in);
 void encodeStreamVersion(const StreamVersion &in, schema::StreamVersion::Builder out);
 [[nodiscard]] StreamVersion decodeStreamVersion(schema::StreamVersion::Reader in);
+void encodeBackendEnd(const BackendEnd &in, schema::BackendEnd::Builder out);
+[[nodiscard]] BackendEnd decodeBackendEnd(schema::BackendEnd::Reader in);
+void encodeSuspectRequest(const SuspectRequest &in, schema::SuspectRequest::Builder out);
+[[nodiscard]] SuspectRequest decodeSuspectRequest(schema::SuspectRequest::Reader in);
 void encodeTurnBegin(const TurnBegin &in, schema::TurnBegin::Builder out);
 [[nodiscard]] TurnBegin decodeTurnBegin(schema::TurnBegin::Reader in);
 
--- a/src/cardamompost/observe/cp_log_explainer.cpp
+++ b/src/cardamompost/observe/cp_log_explainer.cpp
@@ -22,10 +22,10 @@
 constexpr std::int64_t contextAfterMs = 1500;
 
 //! Events that record a change of a process's state, independent of any request.
-constexpr std::array<std::string_view, 15> stateEvents {
-    "ledger.lost",      "ledger.found",   "ledger.leader", "members.change",    "process.start",
-    "process.stopping", "list.lost",      "list.regained", "document.in_force", "entry.readiness",
-    "disk.failed",      "ledger.started", "log.dropped",   "backend.left_out",  "process.stalled",
+constexpr std::array<std::string_view, 16> stateEvents {
+    "ledger.lost", "ledger.found",     "ledger.leader",     "members.change",  "process.start", "process.stopping",
+    "list.lost",   "list.regained",    "document.in_force", "entry.readiness", "disk.failed",   "ledger.started",
+    "log.dropped", "backend.left_out", "process.stalled",   "backend.gone",
 };
 
 std::int64_t parseTime(const std::string &text)
@@ -100,6 +100,12 @@
     if (cause == "not-durable" || cause == "not-granted") {
         return "the turn ran, but no quorum of the ledger confirmed it in time";
     }
+    if (cause == "quarantined") {
+        return fmt::format(
+            "backend servers have ended while they ran this work{}; it is sent to no more of them, which "
+            "the lines 'backend.ended' with its fingerprint name",
+            detail);
+    }
     if (cause == "not-run") {
         return fmt::format("no backend server could run it ({} were asked); it has not run", number(end, "sends"));
     }
@@ -233,6 +239,22 @@
     return true;
 }
 
+void LogExplainer::addAttempts(const std::string &fingerprint, std::string_view requestId, Explanation &result) const
+{
+    if (fingerprint.empty()) {
+        return;
+    }
+    for (const ExplainedLine &line : lines_) {
+        if (line.text.find(fingerprint) == std::string::npos) {
+            continue;
+        }
+        const json::object parsed = parseLine(line.text);
+        if (text(parsed, "fingerprint") == fingerprint && !isAboutRequest(parsed, requestId)) {
+            result.lines.push_back(line);
+        }
+    }
+}
+
 Explanation LogExplainer::explain(std::string_view requestId) const
 {
     Explanation result;
@@ -270,6 +292,8 @@
         return result;
     }
     const std::int64_t at = result.lines.back().timeMs;
+    addAttempts(text(end, "fingerprint"), requestId, result);
+    std::stable_sort(result.lines.begin(), result.lines.end(), byTime);
     for (const ExplainedLine &line : lines_) {
         if (isStateEvent(line.event) && line.timeMs >= at - contextBeforeMs && line.timeMs <= at + contextAfterMs) {
             result.contextLines.push_back(line);
--- a/src/gateway/cp_backend_pool.cpp
+++ b/src/gateway/cp_backend_pool.cpp
@@ -35,6 +35,8 @@
 constexpr std::size_t maxIdlePerServer = 16;
 // Shorter than the servers' own idle timeouts: a request that races with the server's close has an unknown outcome.
 constexpr Milliseconds maxIdleTime {20'000};
+// How long an unused connection may wait for its first request; servers may close it sooner than a used one.
+constexpr Milliseconds probeReuseTime {1000};
 constexpr int userTimeoutMs = 2500;
 // The kernel closes an idle connection whose peer is unreachable after about three seconds.
 constexpr int keepaliveIdleSeconds = 1;
@@ -218,6 +220,12 @@
     return isUsable ? found->second : nullptr;
 }
 
+const BackendServer *BackendPool::serverOf(const std::string &id) const
+{
+    const auto found = byId_.find(id);
+    return found == byId_.end() ? nullptr : &found->second->server_;
+}
+
 std::optional<Address> BackendPool::addressOf(const std::string &id, TimePoint now) const
 {
     const auto found = byId_.find(id);
@@ -253,7 +261,8 @@
     const auto isUntried = [&](const BackendState &backend) {
         const bool hasVersion = request.softwareVersion.empty()
             || (backend.server_.softwareVersion == request.softwareVersion && !backend.hasRestarted());
-        return hasVersion && !request.tried.contains(backend.server_.id);
+        return hasVersion && !request.tried.contains(backend.server_.id)
+            && !request.excludedVersions.contains(backend.server_.softwareVersion);
     };
     const auto isUsable = [&](const BackendState &backend) { return !backend.isEjected(now) && isUntried(backend); };
     auto chosen = choose(found->second, request, now, isUsable);
@@ -368,31 +377,57 @@
     return nullptr;
 }
 
-asio::awaitable<Result<std::shared_ptr<BackendConnection>>> BackendPool::connect(std::shared_ptr<BackendState> backend,
-                                                                                 Milliseconds timeout)
+asio::awaitable<boost::system::error_code> BackendPool::open(beast::tcp_stream &stream, const BackendState &backend,
+                                                             Milliseconds timeout)
 {
     connects_.add();
-    const auto executor = co_await asio::this_coro::executor;
-    beast::tcp_stream stream(executor);
     stream.expires_after(timeout);
-    const Address &address = backend->server().address;
+    const Address &address = backend.server().address;
     boost::system::error_code invalid;
     const auto host = asio::ip::make_address(address.host, invalid);
     if (invalid) {
-        co_return makeError(ErrorKind::BackendFailed, "the server's address in the list is not an IP address");
+        co_return asio::error::invalid_argument;
     }
     const asio::ip::tcp::endpoint endpoint(host, address.port);
     const auto [error] = co_await stream.async_connect(endpoint, asTuple);
     if (error) {
-        co_return makeError(ErrorKind::BackendFailed, address.toString() + ": " + error.message());
+        co_return error;
     }
     boost::system::error_code ignored;
     stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     enableKeepalive(stream);
     stream.expires_never();
+    co_return boost::system::error_code {};
+}
+
+asio::awaitable<Result<std::shared_ptr<BackendConnection>>> BackendPool::connect(std::shared_ptr<BackendState> backend,
+                                                                                 Milliseconds timeout)
+{
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    const boost::system::error_code error = co_await open(stream, *backend, timeout);
+    if (error == asio::error::invalid_argument) {
+        co_return makeError(ErrorKind::BackendFailed, "the server's address in the list is not an IP address");
+    }
+    if (error) {
+        co_return makeError(ErrorKind::BackendFailed, backend->server().address.toString() + ": " + error.message());
+    }
     co_return std::make_shared<BackendConnection>(std::move(stream));
 }
 
+asio::awaitable<Reachability> BackendPool::probe(std::shared_ptr<BackendState> backend, Milliseconds timeout)
+{
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    const boost::system::error_code error = co_await open(stream, *backend, timeout);
+    if (error) {
+        co_return error == asio::error::connection_refused ? Reachability::Refused : Reachability::Silent;
+    }
+    const TimePoint now = std::chrono::steady_clock::now();
+    const auto connection = std::make_shared<BackendConnection>(std::move(stream));
+    connection->reusableUntil = now + probeReuseTime;
+    release(*backend, connection, now);
+    co_return Reachability::Listening;
+}
+
 void BackendPool::release(BackendState &backend, std::shared_ptr<BackendConnection> connection, TimePoint now)
 {
     if (backend.server_.isLeaving || backend.idle_.size() >= maxIdlePerServer) {
--- a/src/gateway/cp_backend_pool.hpp
+++ b/src/gateway/cp_backend_pool.hpp
@@ -122,6 +122,16 @@
     //! The only software version that may run the request; empty for any. Servers that have restarted with an unknown
     //! one are excluded.
     std::string softwareVersion {};
+    //! Software versions that must not run the request.
+    std::set<std::string> excludedVersions {};
+};
+
+//! What a new connection to a server tells of it.
+enum class Reachability {
+    Listening,
+    //! Nothing listens at its address.
+    Refused,
+    Silent,
 };
 
 //! The backend servers known to an entry, with their idle connections and ejection state. Thread-safety: none.
@@ -142,6 +152,8 @@
     }
     //! The server with this id; null if it is unknown, leaving or ejected.
     [[nodiscard]] std::shared_ptr<BackendState> find(const std::string &id, TimePoint now) const;
+    //! The listed server with this id, which may be leaving or ejected; null if it is unknown.
+    [[nodiscard]] const BackendServer *serverOf(const std::string &id) const;
     //! Address of a listed server, which may be leaving; nothing if it is unknown or ejected.
     [[nodiscard]] std::optional<Address> addressOf(const std::string &id, TimePoint now) const;
     //! Ids of a service's ejected servers.
@@ -160,6 +172,8 @@
     //! Opens a connection. Errors: BackendFailed; nothing was sent.
     boost::asio::awaitable<Result<std::shared_ptr<BackendConnection>>> connect(std::shared_ptr<BackendState> backend,
                                                                                Milliseconds timeout);
+    //! Opens a connection to find out whether the server still runs, and keeps it for reuse.
+    boost::asio::awaitable<Reachability> probe(std::shared_ptr<BackendState> backend, Milliseconds timeout);
     //! Returns a connection to the pool for reuse.
     void release(BackendState &backend, std::shared_ptr<BackendConnection> connection, TimePoint now);
     //! Records a request that got no response: closes the server's idle connections, and ejects it after consecutive
@@ -176,6 +190,9 @@
 
 private:
     using Servers = std::vector<std::shared_ptr<BackendState>>;
+    //! Connects a stream. Errors: of the socket, or invalid_argument if the server's address is not an IP address.
+    boost::asio::awaitable<boost::system::error_code> open(boost::beast::tcp_stream &stream,
+                                                           const BackendState &backend, Milliseconds timeout);
     //! Whether a server may be chosen for a request.
     using Filter = std::function<bool(const BackendState &)>;
 
--- a/src/gateway/cp_entry_replica.cpp
+++ b/src/gateway/cp_entry_replica.cpp
@@ -44,6 +44,7 @@
 
 void EntryReplica::applyServers(const BackendChanges &changes, const UpdateReply &update)
 {
+    parts_.forwarder.quarantine().onListChange(changes);
     parts_.pool.update(changes, update.list);
     parts_.log.info("backends.taken",
                     {{"term", update.list.term},
--- a/src/gateway/cp_entry_replica.hpp
+++ b/src/gateway/cp_entry_replica.hpp
@@ -23,6 +23,7 @@
     explicit EntryReplica(Parts parts)
         : parts_(parts)
     {
+        parts_.forwarder.quarantine().setSuspects(content_.suspects());
     }
 
     void apply(const UpdateReply &update);
--- a/src/gateway/cp_forwarded_request.hpp
+++ b/src/gateway/cp_forwarded_request.hpp
@@ -104,6 +104,16 @@
     unsigned sends = 0;
     //! Attempts that may have been executed.
     unsigned runs = 0;
+    //! Id of the run that the ledger has admitted although servers have ended under the request; 0 if there is none.
+    std::uint64_t suspectRun = 0;
+    //! Time spent waiting for the runs of other such requests.
+    Milliseconds busyTime {0};
+    //! Software versions whose servers have ended under the request.
+    std::set<std::string> excludedVersions;
+    //! No server may run the request any more.
+    bool isQuarantined = false;
+    //! A server has ended under the request, and the ledger has not recorded it yet.
+    bool hasUnrecordedEnd = false;
     std::shared_ptr<BackendConnection> connection;
     std::string lastBackend;
     //! Software version of that server.
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -64,6 +64,7 @@
     , report_({parts.pool, parts.ledger, parts.log, parts.metrics})
     , access_({parts.adapter, parts.settings, parts.ledger, parts.metrics})
     , incarnationCheck_({parts.adapter, parts.pool, parts.log, parts.metrics})
+    , quarantine_({parts.io, parts.pool, parts.ledger, parts.log, parts.metrics})
     , responseTimeouts_(parts.metrics.counter("cardamompost_answers_given_up_total"))
     , lostRequests_(parts.metrics.counter("cardamompost_backend_lost_total"))
     , retries_(parts.metrics.counter("cardamompost_requests_repeated_total"))
@@ -213,7 +214,9 @@
         const auto leaderChoice = parts_.pool.find(request.begin->backend(), now);
         const bool hasVersion
             = leaderChoice && leaderChoice->server().version() == required && !leaderChoice->hasRestarted();
-        if (leaderChoice && (!request.requiredVersion || hasVersion)) {
+        const bool isExcluded
+            = leaderChoice && request.excludedVersions.contains(leaderChoice->server().softwareVersion);
+        if (leaderChoice && !isExcluded && (!request.requiredVersion || hasVersion)) {
             request.isPlacedByLeader = true;
             return leaderChoice;
         }
@@ -221,9 +224,12 @@
     request.isPlacedByLeader = false;
     const std::string &stickyValue = request.stickyKey();
     const bool isSticky = request.route->isSticky && !stickyValue.empty();
-    const PickRequest pickRequest {request.service->name, isSticky ? stableHash(stickyValue) | 1U : 0, request.tried,
+    const PickRequest pickRequest {request.service->name,
+                                   isSticky ? stableHash(stickyValue) | 1U : 0,
+                                   request.tried,
                                    request.service->isEngine ? engineLoadLimit : serverLoadLimit,
-                                   required.softwareVersion};
+                                   required.softwareVersion,
+                                   request.excludedVersions};
     return parts_.pool.pick(pickRequest, now);
 }
 
@@ -363,11 +369,15 @@
         }
         const std::shared_ptr<BackendState> backend = chooseBackend(request);
         if (!backend) {
-            request.sends = maxSends;
-            hasNextAttempt = co_await retryOrFinish(request, ExchangeEnd::NotExecuted, {});
+            hasNextAttempt = co_await finishWithoutBackend(request);
             continue;
         }
         const std::string backendId = backend->server().id;
+        const QuarantineVerdict verdict = co_await quarantine_.admit(request, *backend);
+        if (verdict != QuarantineVerdict::Send) {
+            hasNextAttempt = verdict == QuarantineVerdict::ChooseAgain || co_await finishWithoutBackend(request);
+            continue;
+        }
         request.connection = co_await connect(request, backend);
         if (request.connection) {
             const bool isUsable = co_await incarnationCheck_.confirm(request, backend);
@@ -376,6 +386,7 @@
             }
         }
         if (!request.connection) {
+            quarantine_.release(request, *backend);
             request.tried.insert(backendId);
             if (++connectFailures >= maxConnectFailures) {
                 request.sends = maxSends;
@@ -392,6 +403,7 @@
         const ExchangeEnd end = co_await exchange.run(responseTimeout);
         request.connection.reset();
         recordResponse(request, end, exchange.responseTime());
+        co_await quarantine_.afterAttempt(request, backend, end);
         // Detects a server that accepts requests and never responds while its health checks pass. A caller that
         // disconnects early says nothing about the server.
         const bool hasCallerGivenUp = end == ExchangeEnd::CallerDisconnected
@@ -406,6 +418,13 @@
     }
 }
 
+asio::awaitable<bool> Forwarder::finishWithoutBackend(ForwardedRequest &request)
+{
+    request.isQuarantined = !request.excludedVersions.empty() && timeNow() < request.deadline;
+    request.sends = maxSends;
+    co_return co_await retryOrFinish(request, ExchangeEnd::NotExecuted, {});
+}
+
 void Forwarder::recordLostRequest(BackendState &backend, const ForwardedRequest &request)
 {
     lostRequests_.add();
@@ -469,7 +488,7 @@
     case ExchangeEnd::Interrupted: {
         RetryState *retryState = retryStateFor(request);
         const bool canRetry = retryState != nullptr && request.runs < request.route->maxAttempts && hasTimeLeft
-            && request.canContinue();
+            && request.canContinue() && !request.isQuarantined && !request.hasUnrecordedEnd;
         if (canRetry && retryState->budget.tryRetry()) {
             (request.hasResponseStarted ? resumedStreams_ : retries_).add();
             co_return true;
@@ -488,6 +507,10 @@
         request.caller->abort();
         co_return false;
     }
+    if (request.isQuarantined) {
+        final = quarantine_.quarantinedResponse();
+        request.cause = "quarantined";
+    }
     request.status = final.status;
     co_await request.caller->sendResponse(final);
     co_return false;
--- a/src/gateway/cp_forwarder.hpp
+++ b/src/gateway/cp_forwarder.hpp
@@ -6,6 +6,7 @@
 #include "cp_forwarded_request.hpp"
 #include "cp_incarnation_check.hpp"
 #include "cp_ledger_client.hpp"
+#include "cp_quarantine_check.hpp"
 #include "cp_request_report.hpp"
 
 #include <cardamompost/limits/cp_retry_budget.hpp>
@@ -42,6 +43,11 @@
         return table_;
     }
 
+    [[nodiscard]] QuarantineCheck &quarantine()
+    {
+        return quarantine_;
+    }
+
     //! Handles one request, up to its final response.
     boost::asio::awaitable<void> forward(CallerRequest message, std::shared_ptr<CallerConnection> caller);
     [[nodiscard]] std::size_t inFlight() const
@@ -76,6 +82,8 @@
     //! \returns true if the request may be forwarded
     boost::asio::awaitable<bool> beginTurn(ForwardedRequest &request);
     boost::asio::awaitable<void> tryBackends(ForwardedRequest &request);
+    //! Handles a request for which there is no server to try. \returns true if it should be tried again
+    boost::asio::awaitable<bool> finishWithoutBackend(ForwardedRequest &request);
     //! An idle or new connection; null if the server can't be reached, which ejects it.
     boost::asio::awaitable<std::shared_ptr<BackendConnection>> connect(ForwardedRequest &request,
                                                                        std::shared_ptr<BackendState> backend);
@@ -98,6 +106,7 @@
     RequestReport report_;
     AccessCheck access_;
     IncarnationCheck incarnationCheck_;
+    QuarantineCheck quarantine_;
     std::shared_ptr<const RouteTable> table_;
     //! Keyed by route name.
     std::unordered_map<std::string, RetryState> retryStates_;
--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -211,6 +211,8 @@
         ledger_->onFinish(std::move(*finish), replier);
     } else if (const auto *stream = std::get_if<StreamVersionRequest>(&body)) {
         ledger_->onStreamVersion(*stream, replier);
+    } else if (const auto *suspect = std::get_if<SuspectRequest>(&body)) {
+        ledger_->onSuspect(*suspect, replier);
     } else if (const auto *update = std::get_if<UpdateRequest>(&body)) {
         ledger_->onUpdateRequest(*update, replier);
     } else if (const auto *texts = std::get_if<TurnTextsRequest>(&body)) {
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -270,6 +270,15 @@
     co_return co_await requestStreamVersion(std::move(request), deadline);
 }
 
+asio::awaitable<std::optional<SuspectReply>> LedgerClient::requestSuspect(SuspectRequest request, TimePoint deadline)
+{
+    FrameBody body = std::move(request);
+    const RetryPolicy<SuspectReply> policy {
+        [](const SuspectReply &reply) { return reply.status != SuspectStatus::NotLeader; }, "peer is not the leader",
+        nullptr};
+    co_return co_await requestFromLeader(std::move(body), deadline, policy);
+}
+
 asio::awaitable<void> LedgerClient::pollUpdates()
 {
     dropLeader({}, "entry is starting");
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -150,6 +150,9 @@
     boost::asio::awaitable<bool> recordStreamVersion(StreamVersion record, TimePoint deadline);
     //! The reply names the recorded version, if there is one; nothing when no leader has answered before the deadline.
     boost::asio::awaitable<std::optional<StreamVersionReply>> findStreamVersion(std::string stream, TimePoint deadline);
+    //! Reports or asks about a request under which servers have ended; nothing when no leader has answered before the
+    //! deadline.
+    boost::asio::awaitable<std::optional<SuspectReply>> requestSuspect(SuspectRequest request, TimePoint deadline);
     //! Announces to some ledger VMs whether this entry accepts requests.
     void announcePresence(bool isReady, std::uint16_t loadPermille);
 
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -45,6 +45,8 @@
     , lateProgramsRefused_(parts.metrics.counter("cardamompost_programs_refused_total", {{"reason", "too-late"}}))
     , queuedProgramsRefused_(
           parts.metrics.counter("cardamompost_programs_refused_total", {{"reason", "queue-too-long"}}))
+    , backendEnds_(parts.metrics.counter("cardamompost_backend_ends_total"))
+    , quarantinedRequests_(parts.metrics.counter("cardamompost_requests_quarantined_total"))
 {
 }
 
@@ -83,6 +85,8 @@
     parts_.metrics.gauge("cardamompost_ledger_whole", {}, [this] {
         return driver_.isStarted() && !driver_.node().isUninitialized() && state_.texts().missing().empty() ? 1.0 : 0.0;
     });
+    parts_.metrics.gauge("cardamompost_suspects", {},
+                         [this] { return static_cast<double>(state_.quarantine().suspects().size()); });
     parts_.metrics.gauge("cardamompost_engines_measured", {},
                          [this] { return static_cast<double>(placement_.rates().engineCount()); });
     parts_.metrics.gauge("cardamompost_engines_unusual", {},
@@ -167,6 +171,7 @@
     arePeersPublished_ = arePeersPublished_ && !std::holds_alternative<LedgerVm>(command.value().action);
     const std::uint64_t before = state_.documentVersion();
     lastApplyStatus_ = state_.apply(command.value(), entry.index);
+    publishSuspects();
     if (state_.documentVersion() != before) {
         parts_.log.info(
             "document.in_force",
@@ -254,6 +259,7 @@
     }
     updateRates();
     reportUsage();
+    publishSuspects();
     if (isLeader != wasLeader_ || driver_.leader() != loggedLeader_) {
         wasLeader_ = isLeader;
         logRole();
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -16,6 +16,7 @@
 #include <cardamompost/limits/cp_request_limiter.hpp>
 #include <cardamompost/net/cp_peer_server.hpp>
 #include <cardamompost/policy/cp_turn_placement.hpp>
+#include <cardamompost/quarantine/cp_suspect_runs.hpp>
 
 #include <deque>
 
@@ -66,6 +67,7 @@
     void onAdmit(const AdmitRequest &request, const Replier &replier);
     void onFinish(TurnFinish finish, const Replier &replier);
     void onStreamVersion(const StreamVersionRequest &request, const Replier &replier);
+    void onSuspect(const SuspectRequest &request, const Replier &replier);
     void onUpdateRequest(const UpdateRequest &request, const Replier &replier)
     {
         updates_.onRequest(request, replier);
@@ -205,6 +207,12 @@
     //! Time since the oldest undecided begin was proposed; 0 when there is none.
     [[nodiscard]] Milliseconds commitDelay(TimePoint now);
     [[nodiscard]] bool isOverloaded(const TurnBegin &begin, TimePoint now);
+    //! Decides whether a request under which servers have ended may be sent to a server now.
+    void startSuspect(const SuspectRequest &request, const Replier &replier);
+    void recordBackendEnd(const SuspectRequest &request, const Replier &replier);
+    void clearSuspect(const SuspectRequest &request, const Replier &replier);
+    //! Offers the list of suspects to entries if it has changed; on the leader only.
+    void publishSuspects();
     //! Offers the current document to entries, and applies its limits; on the leader only.
     void publishDocument();
     //! Starts or stops to serve updates as the leader.
@@ -263,6 +271,8 @@
     TurnPlacement placement_;
     RequestLimiter limiter_;
     UpdateService updates_;
+    SuspectRuns suspectRuns_;
+    TimePoint nextSuspectRemoval_ {};
     Histogram &placementSeconds_;
     Histogram &predictionErrorSeconds_;
     Counter &takeovers_;
@@ -273,6 +283,8 @@
     Counter &overloadedTurns_;
     Counter &lateProgramsRefused_;
     Counter &queuedProgramsRefused_;
+    Counter &backendEnds_;
+    Counter &quarantinedRequests_;
     //! Outcome of the last applied command.
     TurnBeginStatus lastApplyStatus_ = TurnBeginStatus::Granted;
     //! What a ledger VM, member or not, reported with its last join request.
--- a/src/gateway/cp_ledger_updates.cpp
+++ b/src/gateway/cp_ledger_updates.cpp
@@ -32,6 +32,7 @@
 void LedgerService::updateLeadership(bool isLeader)
 {
     placement_.clear();
+    suspectRuns_.clear();
     if (!isLeader) {
         updates_.stopLeading();
         return;
--- a/src/gateway/cp_request_report.cpp
+++ b/src/gateway/cp_request_report.cpp
@@ -85,7 +85,7 @@
         if (request.framing != ResponseFraming::None) {
             line["framing"] = nameOf(responseFramingNames, request.framing);
         }
-        if (outcomeOf(request) == "unknown") {
+        if (outcomeOf(request) == "unknown" || request.isQuarantined) {
             line["fingerprint"] = fmt::format("{:016x}", request.fingerprint());
         }
         line["sends"] = request.sends;
--- a/tests/ledger/cp_update_relay.tests.cpp
+++ b/tests/ledger/cp_update_relay.tests.cpp
@@ -82,6 +82,10 @@
     {
         vms_[leader_]->relay.publishList(servers, now_);
     }
+    void publish(const SuspectList &suspects)
+    {
+        vms_[leader_]->relay.publishSuspects(suspects, now_);
+    }
     //! Lets a VM lead; it notifies all others, as a new leader does.
     void lead(std::size_t vm, Term term)
     {
@@ -133,6 +137,12 @@
             return entry->content.catalog().checksum() == catalog.checksum();
         });
     }
+    [[nodiscard]] std::size_t entriesThatSuspect(RequestFingerprint request) const
+    {
+        return static_cast<std::size_t>(std::count_if(entries_.begin(), entries_.end(), [&](const auto &entry) {
+            return entry->content.suspects().contains(request);
+        }));
+    }
     [[nodiscard]] std::size_t entriesThatKnow(std::size_t leader) const
     {
         return static_cast<std::size_t>(std::count_if(
@@ -442,4 +452,26 @@
     BOOST_TEST(fleet.runUntilUpToDate(longTime).count() <= 100);
 }
 
+// Guards against entries that send a request again before they know that servers have ended under it.
+BOOST_AUTO_TEST_CASE(all_entries_learn_of_a_suspect_within_round_trips)
+{
+    constexpr RequestFingerprint first = 1;
+    constexpr RequestFingerprint second = 2;
+    FleetSimulation fleet(ledgerVmCount, entryCount);
+    fleet.publish(servers(serverCount));
+    fleet.runUntilUpToDate(longTime);
+    fleet.run(Milliseconds(1000));
+    SuspectList suspects;
+    suspects.add(first, 100);
+    fleet.publish(suspects);
+    fleet.run(Milliseconds(100));
+    BOOST_TEST(fleet.entriesThatSuspect(first) == entryCount);
+    suspects.remove(first, 101);
+    suspects.add(second, 102);
+    fleet.publish(suspects);
+    fleet.run(Milliseconds(100));
+    BOOST_TEST(fleet.entriesThatSuspect(first) == 0U);
+    BOOST_TEST(fleet.entriesThatSuspect(second) == entryCount);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/net/cp_frame.tests.cpp
+++ b/tests/net/cp_frame.tests.cpp
@@ -25,6 +25,25 @@
 
 BOOST_AUTO_TEST_SUITE(frame)
 
+BOOST_AUTO_TEST_CASE(messages_about_suspects_round_trip_through_the_frame_codec)
+{
+    const BackendEnd end {1ULL << 63U, "i-1", 77, "v2"};
+    const SuspectRequest suspect = roundTrip(SuspectRequest {SuspectAction::End, 5, "r", end, 4000});
+    BOOST_TEST((suspect.action == SuspectAction::End && suspect.end == end));
+    BOOST_TEST(suspect.run == 5U);
+    BOOST_TEST(suspect.requestId == "r");
+    BOOST_TEST(suspect.timeLeftMs == 4000U);
+    const SuspectReply reply = roundTrip(SuspectReply {SuspectStatus::Recorded, 3});
+    BOOST_TEST((reply.status == SuspectStatus::Recorded && reply.ends == 3U));
+    UpdateReply update;
+    update.suspects = SuspectChanges {3, 9, {1, 2}, {4}};
+    const UpdateReply received = roundTrip(update);
+    BOOST_REQUIRE(received.suspects.has_value());
+    BOOST_TEST((received.suspects->since == 3U && received.suspects->version == 9U));
+    BOOST_TEST((received.suspects->added == std::vector<RequestFingerprint> {1, 2}));
+    BOOST_TEST((received.suspects->removed == std::vector<RequestFingerprint> {4}));
+}
+
 BOOST_AUTO_TEST_CASE(peer_messages_round_trip_through_the_frame_codec)
 {
     RaftMessage raft;
--- a/tests/observe/cp_log_explainer.tests.cpp
+++ b/tests/observe/cp_log_explainer.tests.cpp
@@ -37,4 +37,25 @@
                   "not run, and was told to come back after 700 ms");
 }
 
+// Guards against a refusal that names neither the servers that ended nor the other attempts at the work.
+BOOST_AUTO_TEST_CASE(a_quarantined_request_is_explained_by_the_ends_under_all_attempts_at_its_work)
+{
+    LogExplainer explainer;
+    explainer.add(R"({"time":"2026-08-22T07:52:20.002Z","vm":"ledger-1","event":"backend.ended","backend":"i-1",)"
+                  R"("id":"a1","fingerprint":"00000000000000f1","ends":1,"quarantined":false})");
+    explainer.add(R"({"time":"2026-08-22T07:52:20.003Z","vm":"entry-1","event":"request.end","id":"a1","status":502,)"
+                  R"("cause":"unanswered","account":"officers","fingerprint":"00000000000000f1"})");
+    explainer.add(R"({"time":"2026-08-22T07:52:20.004Z","vm":"entry-1","event":"request.end","id":"b1","status":502,)"
+                  R"("cause":"unanswered","fingerprint":"00000000000000f2"})");
+    explainer.add(R"({"time":"2026-08-22T07:52:21.009Z","vm":"entry-2","event":"request.end","id":"a3","status":400,)"
+                  R"("cause":"quarantined","fingerprint":"00000000000000f1","detail":"3 servers have ended"})");
+    const Explanation explanation = explainer.explain("a3");
+    BOOST_TEST(
+        explanation.cause
+        == "backend servers have ended while they ran this work (3 servers have ended); it is sent to no more of "
+           "them, which the lines 'backend.ended' with its fingerprint name");
+    BOOST_REQUIRE(explanation.lines.size() == 3U);
+    BOOST_TEST(explanation.lines.front().event == "backend.ended");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/gateway_soak.py
+++ b/tests/platform/gateway_soak.py
@@ -23,6 +23,8 @@
   are resumed while two servers of their version are ready;
 - a turn names no engine to fetch its prompt from but one of the others in the list, and none unless the document and the settings allow it; what
   callers name is dropped;
+- a request that ends the servers which run it is sent to no more once three have ended, wherever its caller sends it, and whatever was
+  running beside it is served;
 - an entry that is told to stop, once or several times and also while a ledger VM stops, answers what it has taken on a connection
   that its client keeps using, and ends within its grace period.
 """
@@ -48,6 +50,10 @@
 SERVERS, LEAVING_TIME = 5, 1.0
 # Resumptions from which the share that is served counts, and the least share.
 MIN_RESUMPTIONS, MIN_RESUMED_SHARE = 12, 0.5
+# Servers that may end under one request, those that may, and for how many seconds each is gone. A body with the word ends them.
+MAX_ENDS, FRAGILE_SERVERS, DOWN_TIME, FATAL = 3, 8, 0.8, b"fatal"
+# An entry answers this long after the end of a server, in seconds, without knowing whether the ledger has recorded it.
+RECORD_TIME = 1.5
 # An entry's grace period after SIGTERM, and the time in which a started process is sure to handle SIGHUP, in seconds.
 GRACE, HANDLER_TIME = 8, 2.0
 DOCUMENT = {"routes": [
@@ -55,9 +61,12 @@
      "max-attempts": 1, "retains-context": True, "retention-s": 60.0, "sticky-sessions": True},
     {"name": "drafts", "host": "h.example", "path-prefix": "/drafts/", "kind": "streaming", "timeout-ms": 4000, "service": "e",
      "max-attempts": 2, "retention-s": 60.0, "sticky-sessions": True, "resumable": True},
+    {"name": "fragile", "host": "h.example", "path-prefix": "/fragile/", "kind": "unsafe", "timeout-ms": 4000, "service": "fragile",
+     "max-attempts": 1},
     {"name": "tools", "host": "h.example", "path-prefix": "/tools/", "kind": "unsafe", "timeout-ms": 3000, "service": "e",
      "max-attempts": 1}],
-    "services": [{"name": "e", "max-connections": 100, "engine": {"slots": 16, "key-value-tokens": 1000, "stride": TOKENS_PER_EVENT}}],
+    "services": [{"name": "e", "max-connections": 100, "engine": {"slots": 16, "key-value-tokens": 1000, "stride": TOKENS_PER_EVENT}},
+                 {"name": "fragile", "max-connections": 100}],
     "limits": {"max-header-bytes": 16384, "max-body-bytes": 100000, "header-timeout-ms": 3000, "idle-timeout-ms": 15000}}
 
 
@@ -66,7 +75,8 @@
     more = [{"name": f"grown-{i}", "host": "h.example", "path-prefix": f"/grown-{i}/", "kind": "unsafe", "timeout-ms": 3000,
              "service": "e", "max-attempts": 1} for i in range(grown)]
     return json.dumps({**DOCUMENT, "version": version, "routes": DOCUMENT["routes"] + more, "tenants": accounts(version),
-                       "services": [{**service, "engine": {**service["engine"], "moves": moves}} for service in DOCUMENT["services"]]}).encode()
+                       "services": [{**service, "engine": {**service["engine"], "moves": moves}} if "engine" in service else service
+                                    for service in DOCUMENT["services"]]}).encode()
 
 
 def accounts(version):
@@ -161,6 +171,40 @@
         self.id, self.version, self.address, self.leaving = f"i-{number}", version, None, False
 
 
+class FragileServer:
+    """A server that ends shortly after it has received a certain body, and returns at another address with another id."""
+    started, ended = 0, {}
+
+    async def start(self):
+        FragileServer.started += 1
+        self.id, self.writers = f"f-{FragileServer.started}", set()
+        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = self.listener.sockets[0].getsockname()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, ValueError, KeyError):
+            while True:
+                _, headers = await read_head(reader)
+                body = await read_body(reader, headers)
+                await asyncio.sleep(0.05)
+                if FATAL in body and self.listener:
+                    self.ended[headers["request-id"]] = body
+                    asyncio.ensure_future(self.end())
+                    return
+                Backend.answer(writer, b"done", {"Request-Id": headers["request-id"], "Server-Signature": "s"})
+        self.writers.discard(writer)
+        writer.close()
+
+    async def end(self):
+        listener, self.listener = self.listener, None
+        listener.close()
+        for writer in self.writers:
+            writer.transport.abort()
+        await asyncio.sleep(DOWN_TIME)
+        await self.start()
+
+
 class Backend:
     """Serves as engines, service and backend list, and records the requests that ran."""
 
@@ -178,6 +222,9 @@
             self.slots.append(self.new_server())
             self.slots[slot].address = await listen(lambda reader, writer, slot=slot: self.serve(slot, reader, writer))
         self.address = self.slots[0].address
+        self.fragile = [FragileServer() for _ in range(FRAGILE_SERVERS)]
+        for server in self.fragile:
+            await server.start()
 
     def new_server(self):
         self.started += 1
@@ -203,7 +250,9 @@
 
     def instances(self):
         return [{"id": server.id, "service": "e", "address": "%s:%d" % server.address, "zone": "z", "slots": 16,
-                 "version": server.version, "state": "draining" if server.leaving else "ready"} for server in self.slots]
+                 "version": server.version, "state": "draining" if server.leaving else "ready"} for server in self.slots] + [
+                    {"id": server.id, "service": "fragile", "address": "%s:%d" % server.address, "zone": "z", "slots": 16,
+                     "version": "v1", "state": "ready"} for server in self.fragile]
 
     async def serve(self, slot, reader, writer):
         try:
@@ -338,6 +387,8 @@
         self.keys = {}
         # Streams that began, and resumptions that continued or not while two servers of their version were ready.
         self.begun, self.resumed, self.not_resumed = 0, 0, 0
+        # Requests that end their servers and were refused for good, or not, by whether they were.
+        self.ended_bodies = {True: 0, False: 0}
         self.next_port = os.getpid() * 211
         # Drawn apart, so that the faults of a seed don't depend on the number of settings.
         options = random.Random(seed + 2)
@@ -676,6 +727,28 @@
             await asyncio.sleep(0.1)
         return False
 
+    async def end_servers(self, until):
+        """Sends requests that end their servers until they are refused for good, and others beside them."""
+        number = 0
+        while time.monotonic() + 1 < until:
+            number += 1
+            body, recorded, status = b"%s %d" % (FATAL, number), 0, 0
+            for attempt in range(10):
+                beside = [self.send("/fragile/x", {}, b"beside %d %d %d" % (number, attempt, i)) for i in range(4)]
+                at = time.monotonic()
+                (request, status, _), *others = await asyncio.gather(self.send("/fragile/x", {}, body), *beside)
+                is_recorded = status in (400, 502) and time.monotonic() - at < RECORD_TIME
+                recorded += request in FragileServer.ended and is_recorded
+                for other, other_status, _ in others:
+                    if other_status == 400:
+                        self.fail(f"{other} was refused because of {body.decode()}, which ended its server")
+                if status == 400:
+                    break
+            self.ended_bodies[status == 400] += 1
+            if recorded > MAX_ENDS:
+                self.fail(f"{recorded} servers ended under '{body.decode()}'")
+            await asyncio.sleep(self.random.uniform(0.3, 1.0))
+
     async def operator(self, until):
         version = 1
         while time.monotonic() < until:
@@ -739,7 +812,7 @@
         await self.start()
         until = time.monotonic() + seconds
         work = asyncio.gather(self.traffic(until), self.press(until), self.operator(until), self.keep(until), self.keep(until),
-                              self.backend.roll(until), self.crash_entries(until), self.hang_up(until), *(self.resume_streams(until) for _ in range(4)))
+                              self.backend.roll(until), self.crash_entries(until), self.hang_up(until), self.end_servers(until), *(self.resume_streams(until) for _ in range(4)))
         while time.monotonic() + 6 < until:
             await self.fault()
         await work
@@ -799,6 +872,7 @@
         answers = ", ".join(f"{status}: {count}" for status, count in sorted(soak.counts.items()))
         print(f"seed {seed}: {'BROKEN' if soak.broken else 'held'}; faults {' | '.join(soak.notes)}; answers {answers}; "
               f"streams {soak.begun} begun, {soak.resumed} of {soak.resumed + soak.not_resumed} resumed; "
+              f"{soak.ended_bodies[True]} of {sum(soak.ended_bodies.values())} that end servers refused; "
               f"{soak.backend.fetches} prompts fetched; on: {', '.join(name for name, is_on in soak.placement.items() if is_on) or 'nothing'}"
               f"{', moves' if soak.moves else ''}", flush=True)
         for text in soak.broken[:10]:
--- a/tests/support/cp_crashing_servers.hpp
+++ b/tests/support/cp_crashing_servers.hpp
@@ -20,6 +20,8 @@
 {
 public:
     static constexpr std::string_view fatalWord = "fatal";
+    //! Also in the body of a request whose response begins before the server ends.
+    static constexpr std::string_view lateWord = "late";
     //! Software that does not end under the fatal word.
     static constexpr std::string_view fixedVersion = "v2";
 
@@ -63,6 +65,14 @@
             }
         });
     }
+    void endAll()
+    {
+        boost::asio::post(io_, [this] {
+            for (const auto &server : servers_) {
+                end(server);
+            }
+        });
+    }
     //! True while a server runs a request with this body.
     [[nodiscard]] bool isRunning(const std::string &body)
     {
@@ -113,6 +123,8 @@
     Milliseconds serviceTime {2};
     //! From the end of a server to its return.
     Milliseconds downTime {800};
+    //! Servers end without a trace: their connections stay open, and only the list tells that they are gone.
+    std::atomic<bool> endSilently {false};
 
 private:
     static constexpr auto asTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
@@ -143,6 +155,7 @@
         std::set<std::shared_ptr<Socket>> connections;
         std::multiset<std::string> running;
         bool isLeaving = false;
+        bool hasEnded = false;
     };
     using SharedServer = std::shared_ptr<Server>;
 
@@ -150,6 +163,9 @@
     {
         std::vector<ListedServer> list;
         for (const SharedServer &server : servers_) {
+            if (endSilently && server->hasEnded) {
+                continue;
+            }
             ListedServer listed;
             listed.server = server->id;
             listed.softwareVersion = server->version;
@@ -162,12 +178,18 @@
 
     void end(const SharedServer &server)
     {
-        if (!server->acceptor.is_open()) {
+        if (server->hasEnded) {
             return;
         }
+        server->hasEnded = true;
+        server->running.clear();
         ++ends_;
-        server->acceptor.close();
-        server->resetConnections();
+        if (endSilently) {
+            publish();
+        } else {
+            server->acceptor.close();
+            server->resetConnections();
+        }
         boost::asio::co_spawn(io_, restart(server), boost::asio::detached);
     }
 
@@ -206,9 +228,16 @@
                 break;
             }
             const std::string body = request.body();
-            const auto running = server->running.insert(body);
+            server->running.insert(body);
             if (body.find(fatalWord) != std::string::npos) {
                 ++fatalRequests_;
+                if (body.find(lateWord) != std::string::npos) {
+                    const std::string id(request["Request-Id"]);
+                    const std::string start = "HTTP/1.1 200 OK\r\nRequest-Id: " + id
+                        + "\r\nServer-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
+                          "chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n";
+                    co_await boost::asio::async_write(*socket, boost::asio::buffer(start), asTuple);
+                }
                 co_await sleepFor(timeToEnd);
                 if (server->version != fixedVersion) {
                     end(server);
@@ -216,10 +245,11 @@
             } else {
                 co_await sleepFor(serviceTime);
             }
-            server->running.erase(running);
-            if (!socket->is_open()) {
+            if (server->hasEnded) {
+                // Keeps the connections of a server that ends silently.
                 co_return;
             }
+            server->running.erase(server->running.find(body));
             co_await respond(*socket, request);
         }
         server->connections.erase(socket);
