Let a repeated turn wait until the end of its earlier attempt is committed

What callers saw: a turn that was left and sent again under its id at once cost its program nothing, so a budget could be passed.

Cause: the end of the first attempt was proposed and not applied, so its reservation still stood, and the begin was taken for an entry's retry of it; the end then released it, and the end of the second attempt was dropped as a retry. Class: an id that the caller chooses, used as if it named one attempt.

Ruled out: that the second reservation is only late: the turn was granted after 1 ms with syncs of 450 ms, and the ledger says spent 0.

Change: onBegin() keeps a begin whose turn is being finished until that end is committed, and says that it is queued.

--- a/src/gateway/cp_ledger_begins.cpp
+++ b/src/gateway/cp_ledger_begins.cpp
@@ -34,6 +34,13 @@
         replier->reply(TurnBeginReply {TurnBeginStatus::NotLeader, driver_.leader(), {}, {}});
         return;
     }
+    if (finishRepliers_.contains(begin.turn)) {
+        // The reservation is about to be released, and the caller's next attempt needs its own one.
+        replier->reply(TurnBeginReply {TurnBeginStatus::Queued, self_, {}, {}}, false);
+        const std::string turn = begin.turn;
+        beginsAfterFinish_.emplace(turn, std::pair(std::move(begin), replier));
+        return;
+    }
     if (const auto found = activeBegins_.find(begin.turn); found != activeBegins_.end()) {
         if (begin.account.empty() || found->second->begin.admission == begin.admission) {
             onRepeatedBegin(*found->second, replier);
@@ -336,6 +343,9 @@
     propose(std::move(finish), [this, turn](bool isCommitted) {
         const Replier waiting = std::move(finishRepliers_.extract(turn).mapped());
         waiting->reply(TurnFinishReply {isCommitted, driver_.leader()});
+        while (auto next = beginsAfterFinish_.extract(turn)) {
+            onBegin(std::move(next.mapped().first), next.mapped().second);
+        }
     });
 }
 
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -266,6 +266,8 @@
     Milliseconds lastCommitTime_ {0};
     //! Repliers to requests whose TurnFinish is proposed, by turn.
     std::unordered_map<std::string, Replier> finishRepliers_;
+    //! Begins of turns whose earlier attempt is being finished, by turn.
+    std::unordered_multimap<std::string, std::pair<TurnBegin, Replier>> beginsAfterFinish_;
     //! Repliers to requests whose StreamVersion is proposed, by stream and attempt.
     std::unordered_map<std::string, Replier> streamRepliers_;
     TurnPlacement placement_;
--- a/tests/platform/cp_platform_overload.tests.cpp
+++ b/tests/platform/cp_platform_overload.tests.cpp
@@ -111,6 +111,40 @@
     BOOST_TEST(maxCommits(cluster) - commitsBefore <= 2 * turns + maxOtherCommits);
 }
 
+// Guards against a turn that runs without a reservation, and costs its program nothing, because its caller has left and
+// repeats its id before the end of the first attempt is committed.
+BOOST_AUTO_TEST_CASE(a_turn_whose_caller_leaves_and_repeats_its_id_is_charged)
+{
+    constexpr int budget = 60;
+    GatewayCluster cluster;
+    cluster.putDocument(3);
+    const Address entry = cluster.addEntry(cluster.seeds());
+    BOOST_TEST(cluster.turn(entry, "first", {}).status == 200U);
+    HttpHeaders headers = GatewayCluster::headers("a1");
+    headers["Program"] = "p2";
+    headers["Token-Usage"] = "100,50";
+    headers["Token-Budget"] = std::to_string(budget);
+    // The caller waits until the turn is granted and running, then leaves.
+    auto abandoned = cluster.platform.begin(entry, "POST", "/drafts/silent-once", headers, "in", Milliseconds(500));
+    BOOST_REQUIRE(GatewayCluster::eventually([&] { return cluster.platform.runsOf("a1") == 1; }));
+    std::this_thread::sleep_for(Milliseconds(200));
+    for (const auto &disk : cluster.ledgerDisks) {
+        disk->syncDelayMs = slowSyncMs;
+    }
+    BOOST_TEST(abandoned.get().status == 0U);
+    // The end of the first attempt is proposed, and not committed yet.
+    std::this_thread::sleep_for(Milliseconds(50));
+    const HttpResponse repeated = cluster.platform.call(entry, "POST", "/drafts/silent-once", headers, "in");
+    BOOST_TEST(repeated.status == 200U);
+    for (const auto &disk : cluster.ledgerDisks) {
+        disk->syncDelayMs = 0;
+    }
+    // The ends of both attempts are committed; what the turn has cost leaves no room for another one.
+    std::this_thread::sleep_for(Milliseconds(4 * slowSyncMs));
+    headers["Request-Id"] = "a2";
+    BOOST_TEST(cluster.platform.call(entry, "POST", "/drafts/1", headers, "in").status == 402U);
+}
+
 // Guards against a group that loses its leader, and turns that are given up, while all disks are slow but work.
 BOOST_AUTO_TEST_CASE(turns_are_granted_and_the_leader_stays_while_all_disks_take_seconds)
 {
