--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -106,12 +106,15 @@
         self.lab, self.service, self.address, self.zone, self.slots, self.version = lab, service, address, zone, slots, version
         self.events, self.pause, self.work = events, pause, work
         self.id, self.writers, self.listener, self.state = f"i-{Replica.count:04d}", set(), None, "ready"
+        self.answers_badly = lambda: False
+        # The Unix millisecond of its start, where the list names it.
+        self.born = None
 
     async def start(self):
         self.listener = await asyncio.start_server(self.serve, *self.address)
 
     def crash(self):
-        """The process ends: nothing listens any more and its connections are reset."""
+        """The process ends: nothing listens any more and its connections are closed."""
         if self.listener:
             self.listener.close()
             self.listener = None
@@ -120,7 +123,7 @@
 
     def entry(self):
         return {"id": self.id, "service": self.service, "address": "%s:%d" % self.address, "zone": self.zone, "version": self.version,
-                "slots": self.slots, "state": self.state, "cold-remaining-ms": 0}
+                "slots": self.slots, "state": self.state, "cold-remaining-ms": 0, **({"born": self.born} if self.born else {})}
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -154,6 +157,10 @@
         common = {"Request-Id": request, "Server-Signature": f"s-{self.id}-{request}"}
         if "token-usage" not in headers:
             await asyncio.sleep(self.work)
+            if self.answers_badly():
+                self.lab.record(f"replica {self.id} fails {request} with 503 after having run it, without Not-Executed")
+                self.respond(writer, "503 Service Unavailable", common, b"failed")
+                return True
             self.respond(writer, "200 OK", common, f"done by {self.service}".encode())
             return True
         text = "".join(f"{name}: {value}\r\n" for name, value in common.items())
@@ -234,7 +241,7 @@
         self.record_file.flush()
 
     def free_ports(self, addresses, count):
-        """Ports below the ephemeral range that are free on all addresses; the first has 15 free ones above it in use by nobody here."""
+        """Ports below the ephemeral range that are free on all addresses. The first begins a range of 16."""
         first = int(open("/proc/sys/net/ipv4/ip_local_port_range").read().split()[0])
         for _ in range(200):
             base = random.randrange(10000, first - 100)
