review: entries late with the configuration behind storage machines that are gone

Tried: storage machines are added and taken away again, as planned, 90 of them; then the entries are restarted in turn, and versions drop routes.

--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -1,6 +1,6 @@
 """A small deployment of the gateway as processes on loopback, with stand-ins for the platform, the replicas, the operator and the clients.
 
-Three `storage` machines and two `frontend` machines, each with a loopback address of its own and the same ports. Every process is started with the
+Three `storage` machines and a few `frontend` machines, each with a loopback address of its own and the same ports. Every process is started with the
 command of its role in deploy/system.toml; its settings are deploy/settings.ini filled in with the fields of a process's settings. Run from the
 root of the repository. The stand-ins do what the users' pages say of a sound platform, replica, operator and client.
 """
@@ -186,7 +186,7 @@
         listens = {name: f"{self.address}:{ports[name]}" for name in [*serves, *(["ready"] if "frontend" in serves else [])] if name in ports}
         fields = {"node-name": self.name, "role": self.role, "machine-class": role["on"], "serves": serves, "internet-address": self.address,
                   "zone": self.zone, "region": "r", "internal-port-range": [lab.peer_port, lab.peer_port + 15],
-                  "seeds": [f"{machine.address}:{lab.control_port}" for machine in lab.storages], "bootstrap": self.is_first,
+                  "seeds": [f"{machine.address}:{lab.control_port}" for machine in lab.storages[:3]], "bootstrap": self.is_first,
                   "listen-addresses": listens, "limits": {"cpu-share": 0.5, "memory-mb": 130}, "fault-tolerance": {"machines": 1},
                   "bounds": {"grace-period-s": 8}, "cloud": {"address": "%s:%d" % lab.platform_address}}
         if role["on"] == "storage":
@@ -210,6 +210,15 @@
             with contextlib.suppress(ProcessLookupError):
                 os.kill(self.child.pid, number)
 
+    async def stop(self, grace=8.0):
+        """SIGTERM, and SIGKILL after the grace period."""
+        self.lab.record(f"SIGTERM to {self.name}")
+        self.send(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(self.child.wait(), grace)
+        except asyncio.TimeoutError:
+            await self.kill()
+
     async def kill(self):
         self.send(signal.SIGCONT)
         self.send(signal.SIGKILL)
@@ -218,7 +227,7 @@
 
 
 class Lab:
-    def __init__(self, folder_of_case, seed=1):
+    def __init__(self, folder_of_case, fronts=2, seed=1):
         self.record_file = open(os.path.join(folder_of_case, "record.txt"), "w")
         self.started_at, self.random = time.monotonic(), random.Random(seed)
         self.folder = tempfile.mkdtemp(prefix="review-")
@@ -228,13 +237,14 @@
             raise CannotRun("target/cardamompost-gateway is missing: run the build of the deploy file first")
         self.net = f"127.{os.getpid() % 200 + 20}.{os.getpid() // 200 % 250 + 1}"
         self.storages = [Machine(self, f"storage-{zone}-1", "ledger", zone, f"{self.net}.{10 + i}") for i, zone in enumerate(ZONES)]
-        self.fronts = [Machine(self, f"frontend-{zone}-1", "entry", zone, f"{self.net}.{20 + i}") for i, zone in enumerate(ZONES[:2])]
+        self.fronts = [Machine(self, f"frontend-{zone}-{1 + i // 3}", "entry", zone, f"{self.net}.{15 + i}")
+                       for i, zone in enumerate((ZONES * fronts)[:fronts])]
         addresses = [machine.address for machine in self.storages + self.fronts]
         ports = self.free_ports(addresses, 6)
         self.peer_port, self.front_port, self.ready_port, self.control_port, self.directory_port, list_port = ports
         self.platform_address, self.replica_port = (f"{self.net}.5", list_port), list_port
         self.replicas, self.listed, self.serial, self.list_delay = [], [], 0, 0.0
-        self.sent, self.runs, self.answers = {}, {}, {}
+        self.sent, self.runs, self.answers, self.removed = {}, {}, {}, []
 
     def record(self, text):
         self.record_file.write(f"{time.monotonic() - self.started_at:9.3f} {text}\n")
@@ -283,7 +293,64 @@
         self.runs.setdefault(request, []).append(replica)
         self.record(f"run {request} {method} {path} at {replica.id} of {replica.service}, {len(body)} bytes")
 
+    # Machines that are added and taken away.
+    async def add_storage(self, zone):
+        number = len(self.storages) + len(self.removed) + 1
+        machine = Machine(self, f"storage-{zone}-{number}", "ledger", zone, f"{self.net}.{25 + number}")
+        machine.is_first = False
+        await machine.start()
+        self.storages.append(machine)
+        return machine
+
+    def remove(self, machine):
+        """The machine is gone for good. Nothing answers at its address, as at that of a machine without power: connections to it hang."""
+        self.record(f"{machine.name} at {machine.address} is removed")
+        self.storages.remove(machine)
+        shutil.rmtree(machine.data, ignore_errors=True)
+        silent = socket.socket()
+        silent.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        silent.bind((machine.address, self.peer_port))
+        silent.listen(0)
+        # Once its queue of new connections is full, the kernel drops the opening packets of all others.
+        fillers = [socket.socket() for _ in range(2)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex((machine.address, self.peer_port))
+        self.removed.append((machine, silent, fillers))
+
     # The operator.
+    async def order(self, method, path, body=b"{}", patience=8.0):
+        """Sends an order to any node that serves control until it is answered; follows 307 twice. Returns (status, body)."""
+        until = time.monotonic() + patience
+        while time.monotonic() < until:
+            for machine in self.random.sample(self.storages, len(self.storages)):
+                target = (machine.address, self.control_port)
+                for _ in range(3):
+                    status, headers, content = await call(target, method, path, None, body, 1.0)
+                    if status != 307:
+                        break
+                    host, port = headers["location"].split("/")[2].split(":")
+                    target = (host, int(port))
+                if status in (200, 400, 404, 409):
+                    return status, content
+            await asyncio.sleep(0.05)
+        return 0, b""
+
+    async def retire(self, machine, patience=10.0):
+        """Asks for a storage machine to be emptied, and takes it away once it is. Returns whether it is gone."""
+        path = f"/cardamompost/retire/{machine.name}"
+        status, _ = await self.order("POST", path, b'{"duration-s":10}')
+        self.record(f"retire {machine.name}: {status}")
+        until = time.monotonic() + patience
+        while status == 200 and time.monotonic() < until:
+            state, content = await self.order("GET", path, b"")
+            if state == 200 and json.loads(content)["state"] == "completed":
+                await machine.kill()
+                self.remove(machine)
+                return True
+            await asyncio.sleep(0.1)
+        return False
+
     async def configure(self, document, patience=15.0):
         """Sends a configuration until it is acknowledged, to any node that serves control; follows 307 twice."""
         until, body = time.monotonic() + patience, json.dumps(document).encode()
@@ -350,23 +417,28 @@
             await machine.kill()
         for replica in self.replicas:
             replica.crash()
+        for _, silent, fillers in self.removed:
+            for used in [silent, *fillers]:
+                used.close()
         if os.environ.get("KEEP"):
             print("logs are kept in", self.folder)
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def main(folder_of_case, scenario):
+def main(folder_of_case, scenario, fronts=2):
     """Runs a scenario, which returns the broken rules it saw. Exit code: 1 if there are any, 0 if not, 2 if it could not run."""
     async def run():
-        lab = Lab(folder_of_case)
+        # Stopped from outside, it still ends what it has started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        lab = Lab(folder_of_case, fronts)
         try:
-            return await asyncio.wait_for(scenario(lab, os.environ.get("TROUBLE", "1") != "0"), 110)
+            return await asyncio.wait_for(scenario(lab, os.environ.get("TROUBLE", "1") != "0"), 112)
         finally:
             await lab.finish()
     try:
         broken = asyncio.run(run())
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except (CannotRun, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
         print("the case could not run:", repr(error))
         return 2
     for text in broken[:10]:
