Run a turn only at a server that is listed for its service

What callers saw: 200 with the answer of a service to which their route never led, kept in the program's history, while no server of the route's own service was listed; on streaming routes whose service has no engines, always once the program had a turn elsewhere.

Cause: the leader of the ledger names the engine, the entry sends the request, and neither compared the engine's service with the request's where it was used. TurnPlacement::request() placed a turn whose service has no engine at that of the program's last turn, a fallback for a leader without a list. Class: a decision used elsewhere without the condition that it rested on.

Ruled out: the sticky choice of the entry, which picks among the servers of the service only; resumptions, whose service is compared (a_stream_is_not_resumed_once_its_route_leads_to_another_service passed before the change).

Change: entries take the leader's choice only if the server is listed for the request's service. The leader uses the last engine of a program only until the list is known, gives no slot to turns of services without engines, repeats an earlier choice only while mayRunAt() holds, and ends reservations at an engine that turns out to run another service.

All of test_policy passes (125 cases).

Conclusion: the check at the entry alone would keep the rule; the leader's part keeps slots from being counted at the wrong engine.

--- a/include/cardamompost/policy/cp_turn_placement.hpp
+++ b/include/cardamompost/policy/cp_turn_placement.hpp
@@ -24,6 +24,7 @@
     //! Request id; a repeated request with the same id gets the same slot.
     std::string turn;
     std::string program;
+    //! Empty if the turn's service has no engines; such a turn gets no slot.
     std::string service;
     //! Failure domain of the entry that sends the turn.
     std::string failureDomain;
@@ -69,7 +70,8 @@
 {
 public:
     //! Called at most once, with the engine's id. The id is empty if no engine can be chosen, or if the turn was still
-    //! waiting at clear(). Not called for a turn that is released while it waits.
+    //! waiting at clear(). Not called for a turn that is released while it waits. Until the list is known, the engine
+    //! may be one of another service or gone; whoever sends the turn has to check that.
     using PlacementCallback = std::function<void(const std::string &engine)>;
 
     explicit TurnPlacement(std::uint64_t seed, PlacementOptions options = {});
@@ -80,7 +82,8 @@
     void updateServers(const std::vector<BackendServer> &changed, const std::vector<std::string> &removed,
                        TimePoint now);
     //! Requests a slot. The callback runs immediately, or during a later call to request(), release(), setServers(),
-    //! updateServers(), tick() or clear(). A repeated request replaces the callback of a turn that waits.
+    //! updateServers(), tick() or clear(). A repeated request replaces the callback of a turn that waits; one for a
+    //! turn with a slot gets its engine, or none if that does not run the service any more.
     void request(SlotRequest request, TimePoint now, PlacementCallback callback);
     //! Asks, before request(), whether the first turn of a program can be served in time; nothing if it can, or if
     //! PlacementOptions::refusesHopelessPrograms is off. Turns of programs in progress, and turns that were requested
@@ -122,6 +125,8 @@
     }
     //! Turns that hold a slot at the engine.
     [[nodiscard]] unsigned turnsAt(const std::string &engine) const;
+    //! False if the engine is known to run another service, to be leaving or to be gone.
+    [[nodiscard]] bool mayRunAt(const std::string &engine, const std::string &service) const;
     //! The same, without those that wait in the engine's queue.
     [[nodiscard]] unsigned turnsRunningAt(const std::string &engine) const;
     [[nodiscard]] const ServiceRates &rates() const
@@ -206,6 +211,10 @@
     void countPrograms(const std::set<std::string> &opened);
     //! Drops the turns and affinities of an engine that restarted under the same id.
     void resetEngine(const std::string &id);
+    //! Ends the reservations at an engine that are for another service.
+    //! \param service  empty to end all of them
+    //! \returns how many have ended
+    unsigned dropReservations(const std::string &engine, const std::string &service);
     void openEngine(Engine &engine, const BackendServer &server, TimePoint now);
     void closeEngine(const std::string &id);
     //! Adds an open engine to the slots that accounts share, or takes it from them.
@@ -234,6 +243,8 @@
     //! The turn must wait.
     WaitingTurn removeFromQueue(const std::string &turn);
     void placeWaitingTurns(TimePoint now);
+    //! The engine for a turn while the list is not known: that of its program's last turn; empty if there is none.
+    [[nodiscard]] std::string lastEngineOf(const SlotRequest &request) const;
     //! The engine whose cache has the prompt of a turn that is placed on another one; empty if there is none.
     [[nodiscard]] std::string findPromptSource(const SlotRequest &request, const std::string &engine,
                                                TimePoint now) const;
@@ -249,6 +260,8 @@
 
     std::uint64_t seed_;
     PlacementOptions options_;
+    //! False from clear() until the engines are set.
+    bool hasList_ = false;
     Engines engines_;
     //! Engines that the list names as leaving.
     std::unordered_map<std::string, LeavingEngine> leaving_;
--- a/src/cardamompost/policy/cp_placement_queue.cpp
+++ b/src/cardamompost/policy/cp_placement_queue.cpp
@@ -22,9 +22,14 @@
 
 void TurnPlacement::request(SlotRequest request, TimePoint now, PlacementCallback callback)
 {
+    if (request.service.empty()) {
+        callback({});
+        return;
+    }
     if (const auto reservation = reservations_.find(request.turn); reservation != reservations_.end()) {
+        // The slot stays reserved in any case, since the turn may be running there.
         const std::string engine = reservation->second.engine;
-        callback(engine);
+        callback(mayRunAt(engine, request.service) ? engine : std::string());
         return;
     }
     if (const auto queued = waiting_.find(request.turn); queued != waiting_.end()) {
@@ -33,11 +38,7 @@
         return;
     }
     if (!hasService(request.service)) {
-        // A new leader may not have the engine list yet, but knows the affinities from the log. The entry falls back to
-        // its own choice if that engine is gone.
-        const auto affinity = affinities_.find(request.program);
-        const bool isUsable = affinity != affinities_.end() && request.softwareVersion.empty();
-        const std::string engine = isUsable ? affinity->second.engine : std::string();
+        const std::string engine = hasList_ ? std::string() : lastEngineOf(request);
         if (!engine.empty()) {
             reserveSlot(request, engine, now);
         }
@@ -52,6 +53,15 @@
     placeWaitingTurns(now);
 }
 
+std::string TurnPlacement::lastEngineOf(const SlotRequest &request) const
+{
+    // A new leader may not have the list yet, but knows the affinities from the log. They name no service: the entry
+    // falls back to its own choice if the engine is gone or runs another one.
+    const auto affinity = affinities_.find(request.program);
+    const bool isUsable = affinity != affinities_.end() && request.softwareVersion.empty();
+    return isUsable ? affinity->second.engine : std::string();
+}
+
 void TurnPlacement::placeWaitingTurns(TimePoint now)
 {
     // Callbacks may request or release slots, so nothing is kept across a call.
@@ -139,6 +149,7 @@
 void TurnPlacement::clear()
 {
     // Affinities survive a change of leader; losing them would make all programs recompute their prompts at once.
+    hasList_ = false;
     reservations_.clear();
     reservationExpiries_.clear();
     queueTimes_.clear();
--- a/src/cardamompost/policy/cp_turn_placement.cpp
+++ b/src/cardamompost/policy/cp_turn_placement.cpp
@@ -50,6 +50,7 @@
 void TurnPlacement::updateServers(const std::vector<BackendServer> &changed, const std::vector<std::string> &removed,
                                   TimePoint now)
 {
+    hasList_ = true;
     std::set<std::string> opened;
     for (const BackendServer &server : changed) {
         const auto known = engines_.find(server.id);
@@ -87,6 +88,9 @@
         engine.isOpen = false;
         reindex(server.id, engine);
     }
+    if (engine.service != server.service && engine.turns != 0) {
+        engine.turns -= dropReservations(server.id, server.service);
+    }
     engine.incarnation = server.incarnation;
     engine.service = server.service;
     engine.softwareVersion = server.softwareVersion;
@@ -188,14 +192,7 @@
 void TurnPlacement::resetEngine(const std::string &id)
 {
     // The restarted engine holds neither the turns nor the cached prompts of its previous incarnation.
-    std::erase_if(reservations_, [&](const auto &item) {
-        const bool isAtEngine = item.second.engine == id;
-        if (isAtEngine) {
-            reservationExpiries_.erase({item.second.expiresAt, item.first});
-            queue_.onReleased(item.second.service, item.second.account);
-        }
-        return isAtEngine;
-    });
+    dropReservations(id, {});
     std::erase_if(affinities_, [&](const auto &item) { return item.second.engine == id; });
     Engine &engine = engines_[id];
     countSlots(engine, -1);
@@ -204,6 +201,29 @@
     engine = {};
 }
 
+unsigned TurnPlacement::dropReservations(const std::string &engine, const std::string &service)
+{
+    const auto dropped = std::erase_if(reservations_, [&](const auto &item) {
+        const SlotReservation &reservation = item.second;
+        if (reservation.engine != engine || reservation.service == service) {
+            return false;
+        }
+        reservationExpiries_.erase({reservation.expiresAt, item.first});
+        queue_.onReleased(reservation.service, reservation.account);
+        return true;
+    });
+    return static_cast<unsigned>(dropped);
+}
+
+bool TurnPlacement::mayRunAt(const std::string &engine, const std::string &service) const
+{
+    const auto found = engines_.find(engine);
+    if (!hasList_) {
+        return found == engines_.end() || found->second.service.empty() || found->second.service == service;
+    }
+    return found != engines_.end() && found->second.isOpen && found->second.service == service;
+}
+
 bool TurnPlacement::hasService(const std::string &service) const
 {
     const auto found = services_.find(service);
--- a/src/gateway/cp_backend_pool.hpp
+++ b/src/gateway/cp_backend_pool.hpp
@@ -49,6 +49,11 @@
     {
         return server_;
     }
+    //! False once the server leaves or is gone, and for requests of another service.
+    [[nodiscard]] bool mayServe(std::string_view service) const
+    {
+        return !server_.isLeaving && server_.service == service;
+    }
     //! Estimated requests at the server: this entry's own in flight, and those of others as last reported, which decay
     //! with the report's age.
     [[nodiscard]] double load(TimePoint now) const;
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -216,7 +216,9 @@
             = leaderChoice && leaderChoice->server().version() == required && !leaderChoice->hasRestarted();
         const bool isExcluded
             = leaderChoice && request.excludedVersions.contains(leaderChoice->server().softwareVersion);
-        if (leaderChoice && !isExcluded && (!request.requiredVersion || hasVersion)) {
+        // The leader may have chosen by another list, or for an earlier request with the same id.
+        const bool isOfService = leaderChoice && leaderChoice->mayServe(request.service->name);
+        if (isOfService && !isExcluded && (!request.requiredVersion || hasVersion)) {
             request.isPlacedByLeader = true;
             return leaderChoice;
         }
--- a/src/gateway/cp_ledger_begins.cpp
+++ b/src/gateway/cp_ledger_begins.cpp
@@ -221,8 +221,12 @@
 
 void LedgerService::replyPlacement(const ActiveBegin &active)
 {
-    TurnBeginReply reply {TurnBeginStatus::Tentative, self_, active.history, active.backend};
-    reply.promptSource = active.promptSource;
+    TurnBeginReply reply {TurnBeginStatus::Tentative, self_, active.history, {}};
+    // A reply may follow the choice by as long as the entry takes to ask again.
+    if (placement_.mayRunAt(active.backend, active.begin.placement.service)) {
+        reply.backend = active.backend;
+        reply.promptSource = active.promptSource;
+    }
     active.replier->reply(std::move(reply), false);
 }
 
--- a/src/gateway/cp_ledger_updates.cpp
+++ b/src/gateway/cp_ledger_updates.cpp
@@ -44,7 +44,10 @@
     publishDocument();
     limiter_.restoreUsage(state_.usage(), clock_.nowMs(now), now);
     // The copy of the list is some moments old; the first read corrects it.
-    placement_.setServers(updates_.relay().content().catalog().servers(), now);
+    const BackendCatalog &catalog = updates_.relay().content().catalog();
+    if (catalog.version() != BackendListVersion {}) {
+        placement_.setServers(catalog.servers(), now);
+    }
 }
 
 void LedgerService::publishDocument()
--- a/tests/support/cp_fake_platform.hpp
+++ b/tests/support/cp_fake_platform.hpp
@@ -139,6 +139,7 @@
     bool isUnreachable = false;
     //! Port of a server that the test runs itself; 0 for the platform's server.
     std::uint16_t port = 0;
+    std::string service = "engines";
 };
 
 //! Simulates the users' platform: backend servers, the first of which also serves the backend list, and an HTTP client
@@ -298,7 +299,8 @@
             const ListedServer &listed = list_[i];
             const std::uint16_t ownPort = listed.isUnreachable ? unusedPort : ports[listed.server];
             response.body += std::string(i == 0 ? "" : ",") + R"({"id":"i-)" + std::to_string(listed.server + 1)
-                + R"(","service":"engines","address":")" + local(listed.port == 0 ? ownPort : listed.port).toString()
+                + R"(","service":")" + listed.service + R"(","address":")"
+                + local(listed.port == 0 ? ownPort : listed.port).toString()
                 + R"(","zone":"apapa","slots":16,"version":")" + listed.softwareVersion + R"(","born":)"
                 + std::to_string(listed.incarnation) + R"(,"state":")" + (listed.isLeaving ? "draining" : "ready")
                 + R"("})";
