Refuse requests at once whose service has no listed server

What callers saw: 503 after up to 1.2 s in the leader's queue, or 1.75 s without a leader, for turns that no server could run.

Cause: waiting turns were looked at only when a slot became free, which never happens once the last engine of their service or required software version has left. Entries asked the ledger for such turns like for any other.

Ruled out: plain routes, which found no server and refused at once before, though only after the account's limit.

Change: a change of the list answers turns that wait for a service or version without engines, with no engine, so that their entry refuses them.

Conclusion: refusals for a missing service no longer depend on the ledger.

--- a/include/cardamompost/policy/cp_turn_placement.hpp
+++ b/include/cardamompost/policy/cp_turn_placement.hpp
@@ -243,6 +243,8 @@
     //! The turn must wait.
     WaitingTurn removeFromQueue(const std::string &turn);
     void placeWaitingTurns(TimePoint now);
+    //! Answers turns that wait for a service or software version without engines.
+    void answerUnplaceableTurns();
     //! The engine for a turn while the list is not known: that of its program's last turn; empty if there is none.
     [[nodiscard]] std::string lastEngineOf(const SlotRequest &request) const;
     //! The engine whose cache has the prompt of a turn that is placed on another one; empty if there is none.
--- a/src/cardamompost/policy/cp_placement_queue.cpp
+++ b/src/cardamompost/policy/cp_placement_queue.cpp
@@ -62,6 +62,24 @@
     return isUsable ? affinity->second.engine : std::string();
 }
 
+void TurnPlacement::answerUnplaceableTurns()
+{
+    std::vector<std::string> turns;
+    for (const auto &[turn, waiting] : waiting_) {
+        const SlotRequest &request = waiting.request;
+        if (!hasService(request.service)
+            || (!request.softwareVersion.empty() && !mayHaveVersion(request.service, request.softwareVersion))) {
+            turns.push_back(turn);
+        }
+    }
+    for (const std::string &turn : turns) {
+        // An earlier callback may have released this turn.
+        if (waiting_.contains(turn)) {
+            removeFromQueue(turn).callback({});
+        }
+    }
+}
+
 void TurnPlacement::placeWaitingTurns(TimePoint now)
 {
     // Callbacks may request or release slots, so nothing is kept across a call.
--- a/src/cardamompost/policy/cp_turn_placement.cpp
+++ b/src/cardamompost/policy/cp_turn_placement.cpp
@@ -75,6 +75,7 @@
         leaving_.erase(id);
     }
     countPrograms(opened);
+    answerUnplaceableTurns();
     placeWaitingTurns(now);
 }
 
--- a/src/gateway/cp_backend_pool.hpp
+++ b/src/gateway/cp_backend_pool.hpp
@@ -155,6 +155,11 @@
     {
         return version_;
     }
+    //! True if a server that isn't leaving is listed for the service.
+    [[nodiscard]] bool hasService(const std::string &service) const
+    {
+        return byService_.contains(service);
+    }
     //! The server with this id; null if it is unknown, leaving or ejected.
     [[nodiscard]] std::shared_ptr<BackendState> find(const std::string &id, TimePoint now) const;
     //! The listed server with this id, which may be leaving or ejected; null if it is unknown.
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -154,6 +154,8 @@
         refusal = noRouteResponse();
     } else if (const std::optional<LocalResponse> denied = access_.identify(request)) {
         refusal = *denied;
+    } else if (!parts_.pool.hasService(request.service->name)) {
+        refusal = {statusUnavailable, "no backend server of the service is listed", retryAfterLong};
     } else if (const std::optional<LocalResponse> overLimit = co_await access_.admit(request)) {
         refusal = *overLimit;
     }
--- a/tests/platform/cp_platform_services.tests.cpp
+++ b/tests/platform/cp_platform_services.tests.cpp
@@ -135,6 +135,24 @@
     BOOST_TEST((test.serversOf("t2") == ServerIndexes {textServer}));
 }
 
+// Guards against requests that wait for a ledger, or run elsewhere, although no server of their service is listed.
+BOOST_AUTO_TEST_CASE(requests_of_each_kind_of_route_are_refused_while_their_service_has_no_listed_server)
+{
+    ServicesCluster test;
+    test.changeList(ServicesCluster::list({checkServer, textServer}));
+    test.cluster.killLedgers();
+    for (const std::string path : {"/texts/1", "/tools/1", "/reads/1", "/resumes/1"}) {
+        const std::string id = "id" + path.substr(0, path.find('/', 1)).substr(1);
+        const HttpResponse refused = test.call(id, path);
+        BOOST_TEST(refused.status == 503U);
+        BOOST_TEST(refused.headers.contains("Retry-After"));
+        BOOST_TEST(test.serversOf(id).empty());
+        BOOST_TEST(!test.cluster.explainEnd(id).lines.empty());
+        // Nothing was asked of the ledger, which no longer runs.
+        BOOST_TEST(test.cluster.matchingLogCount("request.end", "no backend server of the service is listed") > 0U);
+    }
+}
+
 // Guards against a leader's choice for one route that is used for another one, since its caller repeats an id.
 BOOST_AUTO_TEST_CASE(a_turn_whose_id_is_used_on_two_routes_runs_only_at_the_service_of_each)
 {
--- a/tests/policy/cp_placement_services.tests.cpp
+++ b/tests/policy/cp_placement_services.tests.cpp
@@ -33,9 +33,21 @@
         placement.request(std::move(request), start, [this, id](const std::string &name) { engineOf[id] = name; });
         return engineOf[id];
     }
+    //! Takes all slots of a service's only engine, and has two more turns of new programs wait.
+    void fill(const std::string &service)
+    {
+        for (int i = 0; i < 10 && placement.waiting() < 2; ++i) {
+            SlotRequest request = turn("fill" + std::to_string(i), "f" + std::to_string(i), service);
+            request.isInProgress = false;
+            place(request);
+            last = request.turn;
+        }
+        BOOST_REQUIRE(placement.waiting() == 2U);
+    }
 
     TurnPlacement placement {7};
     std::map<std::string, std::string> engineOf;
+    std::string last;
 };
 
 } // namespace
@@ -72,6 +84,34 @@
     BOOST_TEST(fixture.place(turn("t3", "p", {})).empty());
 }
 
+// Guards against turns that wait for the maximum queue time although no engine of their service is left.
+BOOST_AUTO_TEST_CASE(waiting_turns_are_answered_when_the_last_engine_of_their_service_leaves)
+{
+    ServicesFixture fixture;
+    fixture.placement.setServers({engine("plan", "plans"), engine("check", "checks")}, start);
+    fixture.fill("checks");
+    BackendServer leaving = engine("check", "checks");
+    leaving.isLeaving = true;
+    fixture.placement.updateServers({leaving}, {}, start);
+    BOOST_TEST(fixture.placement.waiting() == 0U);
+    BOOST_TEST(fixture.engineOf[fixture.last].empty());
+}
+
+// Guards against a resumed stream that waits although no engine of its software version is left.
+BOOST_AUTO_TEST_CASE(waiting_turns_are_answered_when_the_last_engine_of_their_software_version_leaves)
+{
+    ServicesFixture fixture;
+    fixture.placement.setServers({engine("old", "plans", "v1")}, start);
+    fixture.fill("plans");
+    SlotRequest resumed = turn("resumed", "r", "plans");
+    resumed.softwareVersion = "v1";
+    resumed.isLate = true;
+    BOOST_TEST(fixture.place(resumed) == "-");
+    fixture.placement.updateServers({engine("new", "plans", "v2")}, {"old"}, start);
+    BOOST_TEST(fixture.engineOf["resumed"].empty());
+    BOOST_TEST(fixture.engineOf[fixture.last] == "new");
+}
+
 // Guards against naming an engine that has left, or runs another service, because the turn was placed there before.
 BOOST_AUTO_TEST_CASE(a_repeated_request_is_not_sent_to_an_engine_that_no_longer_runs_its_service)
 {
