Check the server and the prompt's source again where they are used

By reading: a request could go to a server that had left, or changed its service, while the entry asked about suspects, connected or confirmed the server's start (up to some 2.5 s); and a prompt could be fetched from a server of another service or software version, or one that had restarted, where the entry's list was newer than the leader's.

Cause: both were checked when they were chosen, by another process or before a wait, and not where they are acted on.

Ruled out: sticky sessions, which name no server and pick among those listed for the service (now in a test); idle connections to an address that another service uses since, whose request names the server's id and is answered 421.

Change: the entry checks BackendState::mayServe() after its last wait before it sends, and BackendPool::promptAddressOf() compares the source with the target.

Conclusion: closed by reading and unit tests.

--- a/include/cardamompost/routing/cp_backend_list.hpp
+++ b/include/cardamompost/routing/cp_backend_list.hpp
@@ -22,6 +22,13 @@
     friend bool operator==(const ServerVersion &, const ServerVersion &) = default;
 };
 
+//! Cached prompts are of use only to servers of the same service and software version. Unknown versions count as equal.
+[[nodiscard]] inline bool canExchangePrompts(const ServerVersion &left, const ServerVersion &right)
+{
+    return left.service == right.service
+        && (!left.isKnown() || !right.isKnown() || left.softwareVersion == right.softwareVersion);
+}
+
 //! An item of the list of active and draining backend servers.
 struct BackendServer {
     std::string id;
--- a/src/cardamompost/policy/cp_turn_placement_sources.cpp
+++ b/src/cardamompost/policy/cp_turn_placement_sources.cpp
@@ -17,13 +17,6 @@
     return request.promptTokens == 0 ? request.isInProgress : request.promptTokens >= minFetchedPromptTokens;
 }
 
-//! Cached prompts are of use only to servers of the same software version. Unknown versions count as equal.
-bool canExchangePrompts(const ServerVersion &left, const ServerVersion &right)
-{
-    return left.service == right.service
-        && (!left.isKnown() || !right.isKnown() || left.softwareVersion == right.softwareVersion);
-}
-
 bool isSameIncarnation(std::uint64_t left, std::uint64_t right)
 {
     return left == 0 || right == 0 || left == right;
--- a/src/gateway/cp_backend_pool.cpp
+++ b/src/gateway/cp_backend_pool.cpp
@@ -233,6 +233,19 @@
     return isReachable ? std::optional(found->second->server_.address) : std::nullopt;
 }
 
+std::optional<Address> BackendPool::promptAddressOf(const std::string &source, const BackendServer &target,
+                                                    TimePoint now) const
+{
+    const std::optional<Address> address = addressOf(source, now);
+    // A server that restarted with another id may have the address of the former one.
+    if (!address || source == target.id || *address == target.address) {
+        return std::nullopt;
+    }
+    const BackendState &state = *byId_.at(source);
+    return !state.hasRestarted() && canExchangePrompts(state.server_.version(), target.version()) ? address
+                                                                                                  : std::nullopt;
+}
+
 void BackendPool::eject(BackendState &backend, TimePoint until)
 {
     backend.ejectedUntil_ = until;
--- a/src/gateway/cp_backend_pool.hpp
+++ b/src/gateway/cp_backend_pool.hpp
@@ -166,6 +166,10 @@
     [[nodiscard]] const BackendServer *serverOf(const std::string &id) const;
     //! Address of a listed server, which may be leaving; nothing if it is unknown or ejected.
     [[nodiscard]] std::optional<Address> addressOf(const std::string &id, TimePoint now) const;
+    //! As addressOf(), for a server from which the target is to fetch a prompt; nothing if it has restarted, or is the
+    //! target or of another service or software version.
+    [[nodiscard]] std::optional<Address> promptAddressOf(const std::string &source, const BackendServer &target,
+                                                         TimePoint now) const;
     //! Ids of a service's ejected servers.
     [[nodiscard]] std::vector<std::string> ejected(std::string_view service, TimePoint now);
     //! Excludes a server from choices until the given time.
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -384,8 +384,9 @@
         }
         request.connection = co_await connect(request, backend);
         if (request.connection) {
-            const bool isUsable = co_await incarnationCheck_.confirm(request, backend);
-            if (!isUsable) {
+            const bool isConfirmed = co_await incarnationCheck_.confirm(request, backend);
+            // The list may have changed since the server was chosen.
+            if (!isConfirmed || !backend->mayServe(request.service->name)) {
                 request.connection.reset();
             }
         }
--- a/src/gateway/cp_prompt_source.cpp
+++ b/src/gateway/cp_prompt_source.cpp
@@ -12,9 +12,8 @@
         return std::nullopt;
     }
     const std::string &source = request.begin->promptSource();
-    const std::optional<Address> address = pool.addressOf(source, now);
-    // A server that restarted with another id may have the address of the former one.
-    if (source == target.id || !address || *address == target.address) {
+    const std::optional<Address> address = pool.promptAddressOf(source, target, now);
+    if (!address) {
         return std::nullopt;
     }
     return PromptSource {source, address->toString()};
--- a/tests/gateway/cp_backend_pool.tests.cpp
+++ b/tests/gateway/cp_backend_pool.tests.cpp
@@ -81,6 +81,56 @@
     BOOST_TEST(!pool.addressOf("a", now).has_value());
 }
 
+// Guards against sending a request to a server that has left, or changed its service, since it was chosen.
+BOOST_AUTO_TEST_CASE(a_chosen_server_serves_only_its_listed_service_until_it_leaves)
+{
+    MetricRegistry metrics;
+    BackendPool pool("entry", "apapa", metrics);
+    pool.setList(list(1, 1, {server("a"), server("b"), server("c")}));
+    const auto moved = pool.find("a", now);
+    const auto left = pool.find("b", now);
+    const auto gone = pool.find("c", now);
+    BOOST_TEST(moved->mayServe("engines"));
+    BOOST_TEST(!moved->mayServe("others"));
+    BackendServer other = server("a");
+    other.service = "others";
+    pool.setList(list(1, 2, {other, server("b", true)}));
+    BOOST_TEST(!moved->mayServe("engines"));
+    BOOST_TEST(moved->mayServe("others"));
+    BOOST_TEST(!left->mayServe("engines"));
+    BOOST_TEST(!gone->mayServe("engines"));
+    // Sticky requests, too, get only servers of their service.
+    BOOST_TEST(pool.pick({"engines", 1}, now) == nullptr);
+    BOOST_TEST(pool.pick({"others", 1}, now) == moved);
+    BOOST_TEST(!pool.hasService("engines"));
+    BOOST_TEST(pool.hasService("others"));
+}
+
+// Guards against naming the source of a prompt that it does not have any more, or that its target can't use.
+BOOST_AUTO_TEST_CASE(a_prompt_is_fetched_only_from_a_server_of_the_same_service_and_software_version)
+{
+    MetricRegistry metrics;
+    BackendPool pool("entry", "apapa", metrics);
+    const auto listed = [](const std::string &id, std::uint16_t port, const std::string &service,
+                           const std::string &softwareVersion) {
+        BackendServer item = server(id);
+        item.address.port = port;
+        item.service = service;
+        item.softwareVersion = softwareVersion;
+        return item;
+    };
+    const BackendServer target = listed("t", 1, "engines", "v1");
+    pool.setList(list(1, 1,
+                      {target, listed("same", 2, "engines", "v1"), listed("newer", 3, "engines", "v2"),
+                       listed("other", 4, "others", "v1"), listed("reborn", 5, "engines", "v1"),
+                       listed("former", 1, "engines", "v1")}));
+    BOOST_TEST(pool.promptAddressOf("same", target, now)->port == 2);
+    pool.find("reborn", now)->recordIncarnation(1);
+    for (const char *id : {"t", "newer", "other", "reborn", "former", "unknown", ""}) {
+        BOOST_TEST(!pool.promptAddressOf(id, target, now).has_value());
+    }
+}
+
 // Guards against a late list of a former leader that returns leaving servers to use.
 BOOST_AUTO_TEST_CASE(an_older_list_or_one_of_an_older_term_is_ignored)
 {
