Bound what a server that sends without end costs, and answer in time

What callers saw: no answer by twice their time, and an entry over its memory, while a server sent faster than the entry's timer; and an interim response handed out as the final one.

Ruled out: long headers and status lines, which the limit of a head ended before; bodies of other types, which are relayed with the caller's own pace (both pass before and after).

Change: ResponseReader takes the reading from servers out of BackendExchange, with bounds and a clock. Refusals are answered after their head; the rest is read in the background, briefly. Events, outputs and tokens of a turn are bounded, all held bytes share a part of the memory. A connection that is not reused is closed at the end of the attempt.

Conclusion: bounded for the shapes listed; a body is relayed until the route's timeout.

--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -9,8 +9,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 
 namespace cardamompost
 {
@@ -23,19 +21,24 @@
 {
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::uint32_t maxResponseHeadBytes = 64U << 10U;
-constexpr std::size_t readBufferBytes = 16U << 10U;
 // Responses up to this size are buffered until they are complete, so that the request can still be retried.
 constexpr std::size_t maxBufferedResponseBytes = 256U << 10U;
 // Lets the server's own timeout response arrive, which is more specific than one from the gateway.
 constexpr Milliseconds deadlineSlack {80};
 // Larger requests are written while the response is being read.
 constexpr std::size_t inlineSendBytes = 12U << 10U;
-constexpr int maxUnmatchedResponses = 4;
-// Used if the server states no keep-alive timeout.
-constexpr Milliseconds defaultIdleTimeout {4000};
-// Tenths of the stated keep-alive timeout for which a connection is reused; the rest covers a request in transit.
-constexpr std::int64_t keepAliveTenths = 7;
+
+//! Longest parts of a response that are held in memory.
+struct HoldLimits {
+    //! An event is relayed whole.
+    std::size_t eventBytes;
+    //! The events of a turn that keeps history are stored when it ends.
+    std::size_t turnOutputBytes;
+};
+constexpr HoldLimits usualLimits {256U << 10U, 1U << 20U};
+// While all responses together hold too much.
+constexpr HoldLimits reducedLimits {16U << 10U, 64U << 10U};
+
 // For a stream that ends at its deadline; its caller may wait a little longer for the answer.
 constexpr Milliseconds minCommitTimeout {250};
 constexpr unsigned statusMisdirected = 421;
@@ -64,7 +67,7 @@
 } // namespace
 
 //! A request as written to the server; lives until the write has ended.
-struct BackendExchange::OutgoingRequest {
+struct BackendExchange::OutgoingRequest : SendState {
     std::string head;
     std::string_view history;
     std::string_view body;
@@ -72,9 +75,6 @@
     std::shared_ptr<PendingBegin> begin;
     //! Holds the body while a large request is written.
     std::string bodyCopy;
-    bool isWritten = false;
-    //! True if writing failed with a reset, which the operating system reports only once.
-    bool wasReset = false;
 
     [[nodiscard]] std::array<asio::const_buffer, 3> buffers() const
     {
@@ -94,10 +94,21 @@
     , backend_(std::move(backend))
     , version_(backend_->server().version())
     , connection_(std::move(connection))
+    , outgoing_(std::make_shared<OutgoingRequest>())
+    , reader_(std::make_shared<ResponseReader>(connection_, outgoing_, request.message.method() == http::verb::head))
     , guard_(backend_)
+    , held_(parts_.heldBytes)
 {
 }
 
+BackendExchange::~BackendExchange()
+{
+    // A request that is still being written would keep the connection open.
+    if (!isConnectionReleased_) {
+        connection_->stream.close();
+    }
+}
+
 Milliseconds BackendExchange::timeLeft() const
 {
     return std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(request_.deadline - timeNow()));
@@ -124,13 +135,13 @@
     }
     const TimePoint deadline = request_.deadline + deadlineSlack;
     // Without a response timeout, a lost response would go unnoticed until the deadline.
-    connection_->stream.expires_at(responseTimeout ? std::min(deadline, startedAt_ + *responseTimeout) : deadline);
+    reader_->setDeadline(responseTimeout ? std::min(deadline, startedAt_ + *responseTimeout) : deadline);
     const bool isSent = co_await send();
     if (!isSent) {
         request_.detail = "sending the request failed";
         co_return request_.caller->isDisconnected() ? ExchangeEnd::CallerDisconnected : ExchangeEnd::NoResponse;
     }
-    const boost::system::error_code error = co_await readHead();
+    const boost::system::error_code error = co_await reader_->readHead(parts_.names.requestId, request_.metadata.id);
     if (error == beast::error::timeout && timeNow() < request_.deadline && !request_.caller->isDisconnected()) {
         request_.detail = fmt::format("no response within {} ms",
                                       std::chrono::duration_cast<Milliseconds>(timeNow() - startedAt_).count());
@@ -142,24 +153,19 @@
     const TimePoint headAt = timeNow();
     responseTime_ = std::chrono::duration_cast<Milliseconds>(headAt - startedAt_);
     request_.streamTimer.onHead(headAt);
-    connection_->stream.expires_at(deadline);
+    reader_->setDeadline(deadline);
+    recordFraming();
     recordStatusAndLoad();
     if (isNotExecuted()) {
-        std::string remainder;
-        boost::system::error_code drainError;
-        while (!drainError && !parser_->is_done()) {
-            drainError = co_await readSome(remainder);
-        }
-        if (!drainError) {
-            releaseConnection();
-        }
+        releaseAfterRest();
         co_return ExchangeEnd::NotExecuted;
     }
     const bool isStream
-        = request_.route->kind == RouteKind::Streaming && parser_->get().result_int() == statusOk && hasBody();
-    const bool hasEvents = isStream && isEventStream(parser_->get());
+        = request_.route->kind == RouteKind::Streaming && reader_->header().result_int() == statusOk && hasBody();
+    const bool hasEvents = isStream && isEventStream(reader_->header());
     if (request_.hasResponseStarted && !hasEvents) {
-        request_.detail = fmt::format("status {} to a continued stream, without events", parser_->get().result_int());
+        request_.detail
+            = fmt::format("status {} to a continued stream, without events", reader_->header().result_int());
         co_return ExchangeEnd::Interrupted;
     }
     if (isStream) {
@@ -197,7 +203,6 @@
     if (request_.hasResponseStarted) {
         options.lastEventId = lastId;
     }
-    outgoing_ = std::make_shared<OutgoingRequest>();
     outgoing_->begin = request_.begin;
     if (request_.begin) {
         outgoing_->history = request_.begin->history();
@@ -224,93 +229,34 @@
     co_return true;
 }
 
-asio::awaitable<boost::system::error_code> BackendExchange::readHead()
-{
-    for (int unmatched = 0; unmatched <= maxUnmatchedResponses; ++unmatched) {
-        parser_.emplace();
-        parser_->header_limit(maxResponseHeadBytes);
-        parser_->body_limit(boost::none);
-        parser_->eager(true);
-        parser_->skip(request_.message.method() == http::verb::head);
-        const auto [error, bytesRead]
-            = co_await http::async_read_header(connection_->stream, connection_->buffer, *parser_, asTuple);
-        if (error) {
-            co_return error;
-        }
-        const auto id = parser_->get().find(parts_.names.requestId);
-        const bool isMatching = id == parser_->get().end() || view(id->value()) == request_.metadata.id;
-        if (isMatching) {
-            recordFraming();
-            co_return boost::system::error_code {};
-        }
-        // A late duplicate response to an earlier request on this connection must not reach this caller.
-        hadUnmatchedResponse_ = true;
-        const bool isDiscarded = co_await discardUnmatchedResponse();
-        if (!isDiscarded) {
-            break;
-        }
-    }
-    co_return http::error::bad_value;
-}
-
-asio::awaitable<bool> BackendExchange::discardUnmatchedResponse()
-{
-    std::string remainder;
-    boost::system::error_code error;
-    while (!error && !parser_->is_done()) {
-        error = co_await readSome(remainder);
-        remainder.clear();
-    }
-    co_return !error;
-}
-
-asio::awaitable<boost::system::error_code> BackendExchange::readSome(std::string &bytes)
-{
-    std::array<char, readBufferBytes> space;
-    auto &body = parser_->get().body();
-    body.data = space.data();
-    body.size = space.size();
-    body.more = true;
-    auto [error, bytesRead]
-        = co_await http::async_read_some(connection_->stream, connection_->buffer, *parser_, asTuple);
-    bytes.append(space.data(), space.size() - body.size);
-    if (error == http::error::need_buffer) {
-        error = {};
-    }
-    if (!error && parser_->is_done() && parser_->need_eof() && outgoing_->wasReset) {
-        error = asio::error::connection_reset;
-    }
-    co_return error;
-}
-
 bool BackendExchange::hasBody() const
 {
-    const unsigned status = parser_->get().result_int();
+    const unsigned status = reader_->header().result_int();
     return request_.message.method() != http::verb::head && status != statusNoContent && status != statusNotModified;
 }
 
 bool BackendExchange::isNotExecuted() const
 {
-    const auto &response = parser_->get();
+    const ResponseReader::Header &response = reader_->header();
     return response.result_int() == statusMisdirected || response.find(parts_.names.notExecuted) != response.end();
 }
 
 void BackendExchange::recordFraming()
 {
-    if (parser_->chunked()) {
+    if (reader_->parser().chunked()) {
         request_.framing = ResponseFraming::Chunks;
     } else {
-        request_.framing = parser_->need_eof() ? ResponseFraming::Connection : ResponseFraming::Length;
+        request_.framing = reader_->parser().need_eof() ? ResponseFraming::Connection : ResponseFraming::Length;
     }
 }
 
 void BackendExchange::recordStatusAndLoad()
 {
     if (!request_.hasResponseStarted) {
-        request_.status = parser_->get().result_int();
+        request_.status = reader_->header().result_int();
     }
-    const auto found = parser_->get().find(parts_.names.serverLoad);
-    if (found == parser_->get().end()) {
+    const auto found = reader_->header().find(parts_.names.serverLoad);
+    if (found == reader_->header().end()) {
         return;
     }
     if (const std::optional<LoadReport> load = readLoad(view(found->value()))) {
@@ -320,22 +266,35 @@
 
 void BackendExchange::releaseConnection()
 {
-    // A connection with unread or unmatched bytes is not reused.
-    const bool isReusable = parser_->is_done() && parser_->get().keep_alive() && connection_->buffer.size() == 0
-        && !hadUnmatchedResponse_ && outgoing_->isWritten;
-    if (!isReusable) {
+    if (!reader_->isReusable()) {
         return;
     }
-    Milliseconds idleTimeout = defaultIdleTimeout;
-    const auto keepAlive = parser_->get().find(http::field::keep_alive);
-    if (keepAlive != parser_->get().end()) {
-        if (const std::optional<Milliseconds> stated = readKeepAlive(view(keepAlive->value()))) {
-            idleTimeout = *stated * keepAliveTenths / 10;
-        }
-    }
     const TimePoint now = timeNow();
-    connection_->reusableUntil = now + idleTimeout;
+    connection_->reusableUntil = now + reader_->idleTimeout();
     parts_.pool.release(*backend_, connection_, now);
+    isConnectionReleased_ = true;
+}
+
+void BackendExchange::releaseAfterRest()
+{
+    if (reader_->isDone()) {
+        releaseConnection();
+        return;
+    }
+    // The outcome is known, so the caller does not wait for the rest of the response.
+    auto discard = [](BackendPool &pool, std::shared_ptr<ResponseReader> reader, std::shared_ptr<BackendState> backend,
+                      std::shared_ptr<BackendConnection> connection) -> asio::awaitable<void> {
+        co_await reader->discardRest();
+        if (!reader->isReusable()) {
+            connection->stream.close();
+            co_return;
+        }
+        const TimePoint now = timeNow();
+        connection->reusableUntil = now + reader->idleTimeout();
+        pool.release(*backend, std::move(connection), now);
+    };
+    asio::co_spawn(parts_.io, discard(parts_.pool, reader_, backend_, connection_), asio::detached);
+    isConnectionReleased_ = true;
 }
 
 asio::awaitable<ExchangeEnd> BackendExchange::relayBuffered()
@@ -343,23 +302,25 @@
     CallerConnection &caller = *request_.caller;
     std::string body;
     std::optional<std::uint64_t> length;
-    if (parser_->content_length()) {
-        length = *parser_->content_length();
+    if (reader_->parser().content_length()) {
+        length = *reader_->parser().content_length();
     }
     BodyFraming framing {length, caller.keepsOpen(), hasBody()};
-    while (!parser_->is_done()) {
-        const boost::system::error_code error = co_await readSome(body);
+    while (!reader_->isDone()) {
+        const boost::system::error_code error = co_await reader_->readSome(body);
         if (error) {
             co_return endForError(error);
         }
+        held_.set(body.size());
+        const bool isBuffering
+            = body.size() <= maxBufferedResponseBytes && !request_.hasResponseStarted && !parts_.heldBytes.isFull();
         // An empty chunk would end the response.
-        const bool isBuffering = body.size() <= maxBufferedResponseBytes && !request_.hasResponseStarted;
         if (isBuffering || body.empty()) {
             continue;
         }
         std::string bytes;
         if (!request_.hasResponseStarted) {
-            bytes = makeCallerHead(parser_->get().base(), parts_.names, framing);
+            bytes = makeCallerHead(reader_->header(), parts_.names, framing);
             request_.hasResponseStarted = true;
         }
         bytes += framing.length ? body : fmt::format("{:x}\r\n{}\r\n", body.size(), body);
@@ -374,7 +335,7 @@
     if (!request_.hasResponseStarted) {
         framing.length = framing.hasBody ? body.size() : length;
         framing.keepsOpen = caller.keepsOpen();
-        bytes = makeCallerHead(parser_->get().base(), parts_.names, framing) + body;
+        bytes = makeCallerHead(reader_->header(), parts_.names, framing) + body;
     } else if (!framing.length) {
         bytes = "0\r\n\r\n";
     }
@@ -416,21 +377,30 @@
     }
     if (!request_.hasResponseStarted) {
         responseHead_
-            = makeCallerHead(parser_->get().base(), parts_.names, {std::nullopt, request_.caller->keepsOpen(), true});
+            = makeCallerHead(reader_->header(), parts_.names, {std::nullopt, request_.caller->keepsOpen(), true});
     }
     // While the begin was committed, the complete stream may have arrived.
     const bool mayBeComplete = request_.begin && request_.route->keepsHistory && !request_.hasResponseStarted;
-    while (!parser_->is_done()) {
+    while (!reader_->isDone()) {
         std::string chunk;
         boost::system::error_code error = co_await readEvents(chunk);
-        while (mayBeComplete && !request_.hasResponseStarted && !error && !parser_->is_done() && hasMoreToRead()
+        while (mayBeComplete && !request_.hasResponseStarted && !error && !reader_->isDone() && reader_->hasMoreToRead()
                && chunk.size() + request_.partialEvent.size() < maxBufferedResponseBytes) {
             error = co_await readEvents(chunk);
         }
         if (error || isCutOff()) {
             co_return co_await breakOff(std::move(chunk), error);
         }
-        if (parser_->is_done() && !request_.hasResponseStarted) {
+        if (isOverGrant()) {
+            request_.detail = "the server generates more tokens than the turn may";
+            request_.mayContinueElsewhere = false;
+            co_return co_await breakOff({}, {});
+        }
+        if (const std::string_view excess = excessOf(); !excess.empty()) {
+            request_.detail = excess;
+            co_return co_await breakOff(std::move(chunk), {});
+        }
+        if (reader_->isDone() && !request_.hasResponseStarted) {
             co_return co_await endStream(std::move(chunk));
         }
         const bool isWritten = chunk.empty() || co_await relayChunk(std::move(chunk));
@@ -445,9 +415,9 @@
 {
     std::string bytes;
     if (request_.begin) {
-        request_.streamTimer.beforeRead(timeNow(), hasEventToRead());
+        request_.streamTimer.beforeRead(timeNow(), reader_->hasEventToRead());
     }
-    const boost::system::error_code error = co_await readSome(bytes);
+    const boost::system::error_code error = co_await reader_->readSome(bytes);
     chunk += makeChunk(std::move(bytes));
     request_.streamTimer.afterRead(timeNow(), request_.eventScanner.eventCount());
     co_return error;
@@ -455,15 +425,35 @@
 
 bool BackendExchange::isCutOff() const
 {
-    if (!parser_->is_done() || !request_.isEventStream) {
+    if (!reader_->isDone() || !request_.isEventStream) {
         return false;
     }
     // The end of the connection does not tell a stream without events from one that its server broke off.
     const bool hasNoSignOfEnd
-        = parser_->need_eof() && request_.eventScanner.eventCount() == 0 && !request_.isResumption();
+        = reader_->parser().need_eof() && request_.eventScanner.eventCount() == 0 && !request_.isResumption();
     return request_.eventScanner.isInsideEvent() || hasNoSignOfEnd;
 }
 
+bool BackendExchange::isOverGrant()
+{
+    const std::int64_t granted = request_.metadata.maxOutputTokens;
+    const bool isBounded = request_.begin && request_.service->isEngine && request_.metadata.budget >= 0 && granted > 0;
+    // The last event may have fewer tokens than the others.
+    return isBounded && request_.tokensSent() >= granted + 2 * request_.service->engine.tokensPerEvent;
+}
+
+std::string_view BackendExchange::excessOf()
+{
+    const bool keepsOutput = request_.begin && request_.route->keepsHistory;
+    const std::size_t outputBytes = keepsOutput ? request_.eventScanner.output().size() : 0;
+    held_.set(request_.partialEvent.size() + outputBytes);
+    const HoldLimits &limits = parts_.heldBytes.isFull() ? reducedLimits : usualLimits;
+    if (request_.partialEvent.size() > limits.eventBytes) {
+        return "an event is longer than the limit";
+    }
+    return outputBytes > limits.turnOutputBytes ? "the turn's output is longer than the limit" : std::string_view {};
+}
+
 asio::awaitable<ExchangeEnd> BackendExchange::breakOff(std::string chunk, boost::system::error_code error)
 {
     request_.eventScanner.discardPartialEvent();
@@ -480,24 +470,12 @@
     if (error) {
         co_return endForError(error);
     }
-    request_.detail = "the stream ended inside an event";
+    if (reader_->isDone()) {
+        request_.detail = "the stream ended inside an event";
+    }
     co_return request_.hasResponseStarted ? ExchangeEnd::Interrupted : ExchangeEnd::NoResponse;
 }
 
-bool BackendExchange::hasMoreToRead() const
-{
-    boost::system::error_code error;
-    return connection_->buffer.size() > 0 || (connection_->stream.socket().available(error) > 0 && !error);
-}
-
-bool BackendExchange::hasEventToRead() const
-{
-    // The parser reads the line end of a chunk together with the next chunk.
-    constexpr std::size_t lineEndBytes = 2;
-    boost::system::error_code error;
-    return connection_->buffer.size() > lineEndBytes || (connection_->stream.socket().available(error) > 0 && !error);
-}
-
 void BackendExchange::proposeVersion()
 {
     const Milliseconds retention = request_.streamRetention();
@@ -517,7 +495,7 @@
         const std::size_t heldBytes = bytes.size() - completeBytes;
         std::string &held = request_.partialEvent;
         held += bytes;
-        const bool isEnd = parser_->is_done() && !isCutOff();
+        const bool isEnd = reader_->isDone() && !isCutOff();
         const std::size_t relayableBytes = completeBytes == 0 ? 0 : held.size() - heldBytes;
         bytes = held.substr(0, isEnd ? held.size() : relayableBytes);
         held.erase(0, bytes.size());
--- a/src/gateway/cp_backend_exchange.hpp
+++ b/src/gateway/cp_backend_exchange.hpp
@@ -2,9 +2,8 @@
 #define CARDAMOMPOST_CP_BACKEND_EXCHANGE_HPP_INCLUDED
 
 #include "cp_forwarded_request.hpp"
-
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
+#include "cp_held_bytes.hpp"
+#include "cp_response_reader.hpp"
 
 namespace cardamompost
 {
@@ -20,10 +19,14 @@
         LedgerClient &ledger;
         //! Counts requests that name another engine as the source of their prompt.
         Counter &promptFetches;
+        HeldBytes &heldBytes;
     };
 
     BackendExchange(Parts parts, ForwardedRequest &request, std::shared_ptr<BackendState> backend,
                     std::shared_ptr<BackendConnection> connection);
+    ~BackendExchange();
+    BackendExchange(const BackendExchange &) = delete;
+    BackendExchange &operator=(const BackendExchange &) = delete;
 
     //! \param responseTimeout  time to wait for the head of the response; nothing to wait until the request's deadline
     boost::asio::awaitable<ExchangeEnd> run(std::optional<Milliseconds> responseTimeout);
@@ -37,15 +40,10 @@
     [[nodiscard]] std::optional<Milliseconds> timeWithoutResponse() const;
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
     struct OutgoingRequest;
 
     //! Sends the request; a large one is written in the background. \returns false if writing failed
     boost::asio::awaitable<bool> send();
-    boost::asio::awaitable<boost::system::error_code> readHead();
-    //! \returns false if reading failed
-    boost::asio::awaitable<bool> discardUnmatchedResponse();
-    boost::asio::awaitable<boost::system::error_code> readSome(std::string &bytes);
     //! Relays a response that is not an event stream; a small one only once it is complete.
     boost::asio::awaitable<ExchangeEnd> relayBuffered();
     //! Waits until the ledger has granted the turn and recorded the stream's version.
@@ -56,12 +54,12 @@
     boost::asio::awaitable<boost::system::error_code> readEvents(std::string &chunk);
     //! Records the version of a stream that its caller may resume.
     void proposeVersion();
-    //! True if bytes have arrived that are not read yet.
-    [[nodiscard]] bool hasMoreToRead() const;
-    //! True if bytes have arrived that are not read yet, and that may belong to an event.
-    [[nodiscard]] bool hasEventToRead() const;
     //! True if the response has ended and its event stream lacks the end of an event, or has not begun.
     [[nodiscard]] bool isCutOff() const;
+    //! True if the caller would get more tokens than the ledger has granted to the turn.
+    [[nodiscard]] bool isOverGrant();
+    //! Why no more of the stream may be read; empty if it is within the limits.
+    [[nodiscard]] std::string_view excessOf();
     //! Ends the attempt after a stream that is not complete.
     //! \param chunk  events that precede the end
     //! \param error  why reading ended; none if the server ended the response
@@ -80,6 +78,8 @@
     void recordStatusAndLoad();
     //! Returns the connection to the pool if it can be reused.
     void releaseConnection();
+    //! The same in the background, once the rest of the response has been read.
+    void releaseAfterRest();
     [[nodiscard]] ExchangeEnd endForError(const boost::system::error_code &error) const;
     [[nodiscard]] Milliseconds timeLeft() const;
 
@@ -89,11 +89,12 @@
     //! As when the request was sent; the server may restart with another one.
     const ServerVersion version_;
     std::shared_ptr<BackendConnection> connection_;
-    InFlightGuard guard_;
-    std::optional<Parser> parser_;
     std::shared_ptr<OutgoingRequest> outgoing_;
+    std::shared_ptr<ResponseReader> reader_;
+    InFlightGuard guard_;
+    HeldBytes::Share held_;
     std::string responseHead_;
-    bool hadUnmatchedResponse_ = false;
+    bool isConnectionReleased_ = false;
     std::optional<Milliseconds> responseTime_;
     TimePoint startedAt_ {};
 };
--- a/src/gateway/cp_backend_pool.hpp
+++ b/src/gateway/cp_backend_pool.hpp
@@ -29,8 +29,11 @@
     {
     }
 
+    //! Bounds what a server can have in memory besides the body, such as extensions of chunks and trailers.
+    static constexpr std::size_t maxBufferBytes = 128U << 10U;
+
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer {maxBufferBytes};
     //! End of the time in which the connection may be reused.
     TimePoint reusableUntil {};
 };
--- a/src/gateway/cp_forwarded_request.hpp
+++ b/src/gateway/cp_forwarded_request.hpp
@@ -93,6 +93,8 @@
     //! True once the head of the response has been written.
     bool hasResponseStarted = false;
     bool isResponseComplete = false;
+    //! False once no other server may go on with the response.
+    bool mayContinueElsewhere = true;
 
     //! The only version that may run the request: that of the servers that began its stream. Empty while the stream has
     //! not begun.
@@ -169,7 +171,7 @@
     {
         const bool isContinuableStream
             = route->kind == RouteKind::Streaming && route->isResumable && isEventStream && eventScanner.canContinue();
-        return !hasResponseStarted || isContinuableStream;
+        return mayContinueElsewhere && (!hasResponseStarted || isContinuableStream);
     }
     //! True if the caller resumes a stream that another request began.
     [[nodiscard]] bool isResumption() const
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -38,6 +38,9 @@
 constexpr double engineLoadLimit = 0.8;
 constexpr double serverLoadLimit = 0.5;
 constexpr unsigned maxConnectFailures = 6;
+// Part of the process's memory that responses which are held back may take before their limits are reduced.
+constexpr std::size_t heldBytesDivisor = 8;
+constexpr std::size_t minHeldBytes = 8U << 20U;
 // Limits retries to a share of first attempts, so that servers that fail together are not overloaded.
 constexpr double retriesPerAttempt = 0.2;
 constexpr double retryBurst = 20;
@@ -64,6 +67,7 @@
     , report_({parts.pool, parts.ledger, parts.log, parts.metrics})
     , access_({parts.adapter, parts.settings, parts.ledger, parts.metrics})
     , incarnationCheck_({parts.adapter, parts.pool, parts.log, parts.metrics})
+    , heldBytes_(std::max(minHeldBytes, parts.settings.memoryBytes / heldBytesDivisor))
     , quarantine_({parts.io, parts.pool, parts.ledger, parts.log, parts.metrics})
     , responseTimeouts_(parts.metrics.counter("cardamompost_answers_given_up_total"))
     , lostRequests_(parts.metrics.counter("cardamompost_backend_lost_total"))
@@ -75,6 +79,8 @@
     , missingVersions_(parts.metrics.counter("cardamompost_resumptions_refused_total", {{"reason", "no-such-version"}}))
     , unconfirmedVersions_(parts.metrics.counter("cardamompost_resumptions_refused_total", {{"reason", "no-ledger"}}))
 {
+    parts.metrics.gauge("cardamompost_held_response_bytes", {},
+                        [this] { return static_cast<double>(heldBytes_.total()); });
 }
 
 void Forwarder::setTable(std::shared_ptr<const RouteTable> table)
@@ -402,8 +408,9 @@
         request.lastBackend = backendId;
         request.lastBackendVersion = backend->server().softwareVersion;
         request.lastBackendIncarnation = backend->server().incarnation;
-        BackendExchange exchange({parts_.io, parts_.adapter.headers(), parts_.pool, parts_.ledger, promptFetches_},
-                                 request, backend, request.connection);
+        BackendExchange exchange(
+            {parts_.io, parts_.adapter.headers(), parts_.pool, parts_.ledger, promptFetches_, heldBytes_}, request,
+            backend, request.connection);
         const std::optional<Milliseconds> responseTimeout = responseTimeoutFor(request);
         const ExchangeEnd end = co_await exchange.run(responseTimeout);
         request.connection.reset();
--- a/src/gateway/cp_forwarder.hpp
+++ b/src/gateway/cp_forwarder.hpp
@@ -4,6 +4,7 @@
 #include "cp_access_check.hpp"
 #include "cp_backend_pool.hpp"
 #include "cp_forwarded_request.hpp"
+#include "cp_held_bytes.hpp"
 #include "cp_incarnation_check.hpp"
 #include "cp_ledger_client.hpp"
 #include "cp_quarantine_check.hpp"
@@ -106,6 +107,7 @@
     RequestReport report_;
     AccessCheck access_;
     IncarnationCheck incarnationCheck_;
+    HeldBytes heldBytes_;
     QuarantineCheck quarantine_;
     std::shared_ptr<const RouteTable> table_;
     //! Keyed by route name.
