Replace refusals of servers that may have run the request

What callers saw: 503 for orders that were carried out; a caller takes that as a promise and sends the order again.

Cause: BackendExchange handed out the status of any answer without Not-Executed, also one that promises callers more than the server had stated: 408, 429, 503, and 402 for turns.

Ruled out: that the request was sent to a second server; isNotExecuted() told such answers apart, and each request ran once.

Change: for requests that may run only once such an answer ends the attempt (ExchangeEnd::FalsePromise) and the caller gets 502 without the server's signature, as for any run of unknown outcome. Safe requests and resumable streams get the server's answer as before.

Conclusion: PROTOCOL says that clients retry only after a promise, and that no response but Not-Executed states that nothing has run; both hold now.

--- a/src/cardamompost/observe/cp_log_explainer.cpp
+++ b/src/cardamompost/observe/cp_log_explainer.cpp
@@ -97,6 +97,10 @@
     if (cause == "timed-out") {
         return fmt::format("its time was over after {} ms at the backend server '{}'", number(end, "ms"), backend);
     }
+    if (cause == "false-promise") {
+        return fmt::format("the backend server '{}' refused the request without stating that it has not run{}", backend,
+                           detail);
+    }
     if (cause == "not-durable" || cause == "not-granted") {
         return "the turn ran, but no quorum of the ledger confirmed it in time";
     }
--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -41,7 +41,11 @@
 
 // For a stream that ends at its deadline; its caller may wait a little longer for the answer.
 constexpr Milliseconds minCommitTimeout {250};
+constexpr unsigned statusPaymentRequired = 402;
+constexpr unsigned statusRequestTimeout = 408;
 constexpr unsigned statusMisdirected = 421;
+constexpr unsigned statusTooManyRequests = 429;
+constexpr unsigned statusUnavailable = 503;
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusNoContent = 204;
 constexpr unsigned statusNotModified = 304;
@@ -160,6 +164,12 @@
         releaseAfterRest();
         co_return ExchangeEnd::NotExecuted;
     }
+    if (!request_.isRepeatable() && promisesNotExecuted(request_.status)) {
+        request_.detail
+            = fmt::format("status {} of a server that does not state that it has not run the request", request_.status);
+        releaseAfterRest();
+        co_return ExchangeEnd::FalsePromise;
+    }
     const bool isStream
         = request_.route->kind == RouteKind::Streaming && reader_->header().result_int() == statusOk && hasBody();
     const bool hasEvents = isStream && isEventStream(reader_->header());
@@ -241,6 +251,13 @@
     return response.result_int() == statusMisdirected || response.find(parts_.names.notExecuted) != response.end();
 }
 
+bool BackendExchange::promisesNotExecuted(unsigned status) const
+{
+    const bool isRefusal
+        = status == statusRequestTimeout || status == statusTooManyRequests || status == statusUnavailable;
+    return isRefusal || (status == statusPaymentRequired && request_.isTurn());
+}
+
 void BackendExchange::recordFraming()
 {
     if (reader_->parser().chunked()) {
--- a/src/gateway/cp_backend_exchange.hpp
+++ b/src/gateway/cp_backend_exchange.hpp
@@ -74,6 +74,8 @@
     boost::asio::awaitable<ExchangeEnd> endStream(std::string lastChunk);
     [[nodiscard]] bool hasBody() const;
     [[nodiscard]] bool isNotExecuted() const;
+    //! A response with this status tells callers that the request has not run and never will.
+    [[nodiscard]] bool promisesNotExecuted(unsigned status) const;
     void recordFraming();
     void recordStatusAndLoad();
     //! Returns the connection to the pool if it can be reused.
--- a/src/gateway/cp_forwarded_request.hpp
+++ b/src/gateway/cp_forwarded_request.hpp
@@ -27,6 +27,8 @@
     ResponseOverdue,
     //! The response ended before it was complete.
     Interrupted,
+    //! The server may have executed the request, and its response states that it has not.
+    FalsePromise,
     //! The turn's reservation was not confirmed.
     NotGranted,
     //! The end of the turn was not made durable in time.
@@ -36,10 +38,15 @@
 };
 
 inline constexpr std::array exchangeEndNames {
-    Named {ExchangeEnd::Completed, "answered"},     Named {ExchangeEnd::NotExecuted, "not-run"},
-    Named {ExchangeEnd::NoResponse, "unanswered"},  Named {ExchangeEnd::ResponseOverdue, "silent"},
-    Named {ExchangeEnd::Interrupted, "broke-off"},  Named {ExchangeEnd::NotGranted, "not-granted"},
-    Named {ExchangeEnd::NotDurable, "not-durable"}, Named {ExchangeEnd::CallerDisconnected, "caller-gone"},
+    Named {ExchangeEnd::Completed, "answered"},
+    Named {ExchangeEnd::NotExecuted, "not-run"},
+    Named {ExchangeEnd::NoResponse, "unanswered"},
+    Named {ExchangeEnd::ResponseOverdue, "silent"},
+    Named {ExchangeEnd::Interrupted, "broke-off"},
+    Named {ExchangeEnd::FalsePromise, "false-promise"},
+    Named {ExchangeEnd::NotGranted, "not-granted"},
+    Named {ExchangeEnd::NotDurable, "not-durable"},
+    Named {ExchangeEnd::CallerDisconnected, "caller-gone"},
     Named {ExchangeEnd::TimedOut, "timed-out"},
 };
 
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -510,6 +510,9 @@
     case ExchangeEnd::TimedOut:
         final = {statusGatewayTimeout, "the request's deadline has passed", Milliseconds(0)};
         break;
+    case ExchangeEnd::FalsePromise:
+        final.reason = "the backend server may have run the request, and answers that it has not";
+        break;
     case ExchangeEnd::NotGranted:
     case ExchangeEnd::NotDurable:
         final.reason = "the ledger did not confirm the turn";
--- a/src/gateway/cp_quarantine_check.cpp
+++ b/src/gateway/cp_quarantine_check.cpp
@@ -146,6 +146,7 @@
         co_await onLostRun(request, backend);
         break;
     case ExchangeEnd::NotExecuted:
+    case ExchangeEnd::FalsePromise:
     case ExchangeEnd::NotGranted:
     case ExchangeEnd::NotDurable:
         break;
