Stop naming ledger VMs that were retired and have left the group

What callers saw: restarted entries ran requests on dropped routes for 2 to 4 s after the acknowledgement, once many ledger VMs had come and gone.

Cause: LedgerState keeps a record of each VM that ever joined, and the leader named all of them to the entries, whose relays and heartbeat targets are chosen from these by hash. Each that is gone costs an entry 250 ms, again and again.

Change: servingPeers() leaves out VMs that are retiring and neither voter nor learner; the leader publishes the peers again when the group changes. Presence and notices of ledger VMs go to the same set.

--- a/src/gateway/cp_ledger_members.cpp
+++ b/src/gateway/cp_ledger_members.cpp
@@ -77,12 +77,7 @@
 {
     const Presence presence {parts_.settings.vm, parts_.settings.directory.toString(), parts_.settings.failureDomain,
                              false, true};
-    std::set<VmName> others;
-    for (const auto &[vm, record] : state_.vms()) {
-        others.insert(record.peer);
-    }
-    others.erase(self_);
-    for (const VmName &other : others) {
+    for (const VmName &other : servingVms()) {
         if (const auto client = parts_.peers.client(other)) {
             client->notify(presence);
         }
@@ -96,14 +91,23 @@
     });
 }
 
+std::set<VmName> LedgerService::servingVms() const
+{
+    std::set<VmName> vms;
+    const Membership members = driver_.isStarted() ? driver_.node().membership() : Membership {};
+    for (const LedgerPeer &peer : servingPeers(state_.vms(), members)) {
+        vms.insert(peer.peer);
+    }
+    vms.erase(self_);
+    return vms;
+}
+
 std::set<VmName> LedgerService::allPeers() const
 {
-    const std::vector<VmName> known = knownPeers();
-    std::set<VmName> peers(known.begin(), known.end());
-    for (const auto &[vm, record] : state_.vms()) {
-        peers.insert(record.peer);
+    std::set<VmName> peers = servingVms();
+    for (VmName &peer : knownPeers()) {
+        peers.insert(std::move(peer));
     }
-    peers.erase(self_);
     return peers;
 }
 
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -264,11 +264,12 @@
         wasLeader_ = isLeader;
         logRole();
     }
-    if (isLeader && !arePeersPublished_) {
+    const Membership &members = driver_.node().membership();
+    if (isLeader && (!arePeersPublished_ || members != publishedMembers_)) {
         updates_.relay().setPeers(ledgerPeers());
         arePeersPublished_ = true;
+        publishedMembers_ = members;
     }
-    const Membership &members = driver_.node().membership();
     updates_.tick(members.voters.contains(self_) || members.learners.contains(self_));
     planMembers();
 }
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -13,6 +13,7 @@
 #include <cardamompost/ledger/cp_ledger_clock.hpp>
 #include <cardamompost/ledger/cp_ledger_state.hpp>
 #include <cardamompost/ledger/cp_member_planner.hpp>
+#include <cardamompost/ledger/cp_serving_peers.hpp>
 #include <cardamompost/limits/cp_request_limiter.hpp>
 #include <cardamompost/net/cp_peer_server.hpp>
 #include <cardamompost/policy/cp_turn_placement.hpp>
@@ -219,6 +220,8 @@
     void updateLeadership(bool isLeader);
     //! All ledger VMs by the replicated records.
     [[nodiscard]] LedgerPeers ledgerPeers() const;
+    //! Other ledger VMs that may be contacted.
+    [[nodiscard]] std::set<VmName> servingVms() const;
     void planMembers();
     [[nodiscard]] MemberCandidates candidates() const;
     [[nodiscard]] std::size_t desiredVoters() const
@@ -302,6 +305,8 @@
     std::uint64_t lastReadVersion_ = 0;
     //! False when the records of VMs have changed since they were published.
     bool arePeersPublished_ = false;
+    //! The group when they were published.
+    Membership publishedMembers_;
     PresenceTable presence_;
     TimePoint nextPlanAt_ {};
     bool wasLeader_ = false;
--- a/src/gateway/cp_ledger_updates.cpp
+++ b/src/gateway/cp_ledger_updates.cpp
@@ -22,11 +22,7 @@
 
 LedgerPeers LedgerService::ledgerPeers() const
 {
-    std::vector<LedgerPeer> peers;
-    for (const auto &[vm, record] : state_.vms()) {
-        peers.push_back({record.peer, record.failureDomain});
-    }
-    return LedgerPeers(std::move(peers));
+    return LedgerPeers(servingPeers(state_.vms(), driver_.node().membership()));
 }
 
 void LedgerService::updateLeadership(bool isLeader)
--- a/tests/ledger/cp_ledger_peers.tests.cpp
+++ b/tests/ledger/cp_ledger_peers.tests.cpp
@@ -1,4 +1,5 @@
 #include <cardamompost/ledger/cp_ledger_peers.hpp>
+#include <cardamompost/ledger/cp_serving_peers.hpp>
 
 #include <boost/test/unit_test.hpp>
 
@@ -31,6 +32,30 @@
 
 BOOST_AUTO_TEST_SUITE(ledger_peers)
 
+// Guards against contacting VMs that were taken away, of which a ledger has had any number over the years.
+BOOST_AUTO_TEST_CASE(a_retired_vm_that_has_left_the_group_is_no_longer_contacted)
+{
+    std::map<VmName, LedgerVm> vms;
+    for (const auto &[name, isRetiring] :
+         {std::pair("member", false), std::pair("retiring-voter", true), std::pair("retiring-learner", true),
+          std::pair("spare", false), std::pair("gone", true)}) {
+        vms[name] = {name, std::string(name) + ":1", isRetiring, "apapa"};
+    }
+    const Membership members {{"member:1", "retiring-voter:1"}, {"retiring-learner:1"}};
+    std::set<VmName> contacted;
+    for (const LedgerPeer &peer : servingPeers(vms, members)) {
+        contacted.insert(peer.peer);
+        BOOST_TEST(peer.failureDomain == "apapa");
+    }
+    const std::set<VmName> expected {"member:1", "retiring-voter:1", "retiring-learner:1", "spare:1"};
+    BOOST_TEST(contacted == expected, boost::test_tools::per_element());
+    // Another VM at the address of one that is gone.
+    vms["newcomer"] = {"newcomer", "gone:1", false, "onne"};
+    const std::vector<LedgerPeer> peers = servingPeers(vms, members);
+    BOOST_TEST(std::count(peers.begin(), peers.end(), LedgerPeer {"gone:1", "onne"}) == 1);
+    BOOST_TEST(peers.size() == expected.size() + 1);
+}
+
 // Guards against heartbeats that grow with the product of entries and ledger VMs.
 BOOST_AUTO_TEST_CASE(an_entry_sends_its_heartbeats_to_a_bounded_number_of_ledger_vms)
 {
