Return connections to the pool in one place

Cause: the release after a response and the one after its discarded rest had the same four lines. Ruled out: a change of behaviour; both paths call the same function now. Change: tryRelease() in the exchange's source. Conclusion: none for callers.

--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -68,6 +68,19 @@
     return found == header.end() || beast::iequals(found->value().substr(0, type.size()), type);
 }
 
+//! Returns a connection to the pool. \returns false if it can't be reused
+bool tryRelease(BackendPool &pool, BackendState &backend, const ResponseReader &reader,
+                const std::shared_ptr<BackendConnection> &connection)
+{
+    if (!reader.isReusable()) {
+        return false;
+    }
+    const TimePoint now = timeNow();
+    connection->reusableUntil = now + reader.idleTimeout();
+    pool.release(backend, connection, now);
+    return true;
+}
+
 } // namespace
 
 //! A request as written to the server; lives until the write has ended.
@@ -283,13 +296,7 @@
 
 void BackendExchange::releaseConnection()
 {
-    if (!reader_->isReusable()) {
-        return;
-    }
-    const TimePoint now = timeNow();
-    connection_->reusableUntil = now + reader_->idleTimeout();
-    parts_.pool.release(*backend_, connection_, now);
-    isConnectionReleased_ = true;
+    isConnectionReleased_ = tryRelease(parts_.pool, *backend_, *reader_, connection_);
 }
 
 void BackendExchange::releaseAfterRest()
@@ -302,13 +309,9 @@
     auto discard = [](BackendPool &pool, std::shared_ptr<ResponseReader> reader, std::shared_ptr<BackendState> backend,
                       std::shared_ptr<BackendConnection> connection) -> asio::awaitable<void> {
         co_await reader->discardRest();
-        if (!reader->isReusable()) {
+        if (!tryRelease(pool, *backend, *reader, connection)) {
             connection->stream.close();
-            co_return;
         }
-        const TimePoint now = timeNow();
-        connection->reusableUntil = now + reader->idleTimeout();
-        pool.release(*backend, std::move(connection), now);
     };
     asio::co_spawn(parts_.io, discard(parts_.pool, reader_, backend_, connection_), asio::detached);
     isConnectionReleased_ = true;
