Forward the events of a turn as they arrive

What callers saw: no event of a turn that keeps history until the stream was complete, from servers that send chunks; callers that leave after a gap never got such a turn.

Cause: BackendExchange::relayStream() reads on before its first event while hasMoreToRead(), and the parser leaves the line end after a chunk in the buffer until the next chunk, so two bytes always counted as more.

Ruled out: the wait for the turn's reservation; with a length or the connection as framing the event arrived (same test).

Change: the loop asks hasEventToRead(), which leaves the line end out; hasMoreToRead() is gone.

Conclusion: a turn that its server breaks off later is cut off for its caller, where it could end with a status before.

--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -404,8 +404,8 @@
     while (!reader_->isDone()) {
         std::string chunk;
         boost::system::error_code error = co_await readEvents(chunk);
-        while (mayBeComplete && !request_.hasResponseStarted && !error && !reader_->isDone() && reader_->hasMoreToRead()
-               && chunk.size() + request_.partialEvent.size() < maxBufferedResponseBytes) {
+        while (mayBeComplete && !request_.hasResponseStarted && !error && !reader_->isDone()
+               && reader_->hasEventToRead() && chunk.size() + request_.partialEvent.size() < maxBufferedResponseBytes) {
             error = co_await readEvents(chunk);
         }
         if (error || isCutOff()) {
--- a/src/gateway/cp_response_reader.cpp
+++ b/src/gateway/cp_response_reader.cpp
@@ -142,12 +142,6 @@
     co_await discardBody(maxDiscardedBytes);
 }
 
-bool ResponseReader::hasMoreToRead() const
-{
-    boost::system::error_code error;
-    return connection_->buffer.size() > 0 || (connection_->stream.socket().available(error) > 0 && !error);
-}
-
 bool ResponseReader::hasEventToRead() const
 {
     // The parser reads the line end of a chunk together with the next chunk.
--- a/src/gateway/cp_response_reader.hpp
+++ b/src/gateway/cp_response_reader.hpp
@@ -52,8 +52,6 @@
     {
         return parser_->is_done();
     }
-    //! True if bytes have arrived that are not read yet.
-    [[nodiscard]] bool hasMoreToRead() const;
     //! True if bytes have arrived that are not read yet, and that may belong to an event.
     [[nodiscard]] bool hasEventToRead() const;
     //! True if the next request can be sent on the connection.
--- a/tests/platform/cp_platform_cut_answers.tests.cpp
+++ b/tests/platform/cp_platform_cut_answers.tests.cpp
@@ -1,6 +1,7 @@
 #include "support/cp_cut_answer_cluster.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 
 #include <random>
 
@@ -346,4 +347,31 @@
     }
 }
 
+// Guards against events of a turn that are held until its stream is complete, for a server that sends chunks.
+BOOST_AUTO_TEST_CASE(events_of_a_turn_are_forwarded_as_they_arrive)
+{
+    CutAnswerCluster test;
+    for (const std::string framing : {"chunks", "connection", "length"}) {
+        const std::string event = "id: 1\ndata: a\n\n";
+        std::string bytes = "HTTP/1.1 200 OK\r\nServer-Signature: sig\r\nContent-Type: text/event-stream\r\n";
+        if (framing == "chunks") {
+            bytes += fmt::format("Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n", event.size(), event);
+        } else {
+            bytes += (framing == "length" ? "Content-Length: 1000\r\n\r\n" : "\r\n") + event;
+        }
+        // The server says nothing more, and keeps the connection open.
+        const std::string id = "silent-" + framing;
+        test.script(id, {{bytes, ResponseEnd::KeepOpen, {}}});
+        HttpHeaders headers = CutAnswerCluster::headers(id, true);
+        headers["Deadline-Milliseconds"] = "1000";
+        const ReceivedResponse received = RawCaller(test.entry).call("POST", "/plans/1", headers, "in");
+        BOOST_TEST_CONTEXT(framing)
+        {
+            BOOST_TEST(received.status == 200U);
+            BOOST_TEST(received.body == event);
+            BOOST_TEST(!received.isComplete);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
