Cut a turn off by its program's budget, not by its own maximum

What callers saw: on turns of servers that generate more tokens than the turn's stated maximum were cut off; the soak's last turns, which state 10 tokens, were served by nobody.

Cause: bounded an endless turn by its reservation. That maximum is stated by the caller, and a server that passes it a little still gives a whole answer, which the ledger charges in full.

Ruled out: the ledger, the list and the machines that the soak disturbs; request.end names the cut in each case.

Change: a turn is cut off only once it alone has more tokens than its program's budget and one turn.

Failed try: the bound by reservation. Conclusion: the rule on budgets is what a cut must rest on.

--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -411,8 +411,8 @@
         if (error || isCutOff()) {
             co_return co_await breakOff(std::move(chunk), error);
         }
-        if (isOverGrant()) {
-            request_.detail = "the server generates more tokens than the turn may";
+        if (isOverBudget()) {
+            request_.detail = "the server generates more tokens than the program's budget";
             request_.mayContinueElsewhere = false;
             co_return co_await breakOff({}, {});
         }
@@ -454,12 +454,11 @@
     return request_.eventScanner.isInsideEvent() || hasNoSignOfEnd;
 }
 
-bool BackendExchange::isOverGrant()
+bool BackendExchange::isOverBudget()
 {
-    const std::int64_t granted = request_.metadata.maxOutputTokens;
-    const bool isBounded = request_.begin && request_.service->isEngine && request_.metadata.budget >= 0 && granted > 0;
-    // The last event may have fewer tokens than the others.
-    return isBounded && request_.tokensSent() >= granted + 2 * request_.service->engine.tokensPerEvent;
+    const std::int64_t budget = request_.metadata.budget;
+    const bool isBounded = request_.begin && request_.service->isEngine && budget >= 0;
+    return isBounded && request_.tokensSent() > budget + request_.metadata.maxOutputTokens;
 }
 
 std::string_view BackendExchange::excessOf()
--- a/src/gateway/cp_backend_exchange.hpp
+++ b/src/gateway/cp_backend_exchange.hpp
@@ -56,8 +56,8 @@
     void proposeVersion();
     //! True if the response has ended and its event stream lacks the end of an event, or has not begun.
     [[nodiscard]] bool isCutOff() const;
-    //! True if the caller would get more tokens than the ledger has granted to the turn.
-    [[nodiscard]] bool isOverGrant();
+    //! True if the turn alone would give its caller more tokens than the program's budget and one turn.
+    [[nodiscard]] bool isOverBudget();
     //! Why no more of the stream may be read; empty if it is within the limits.
     [[nodiscard]] std::string_view excessOf();
     //! Ends the attempt after a stream that is not complete.
