Reword three comments

Cause: words that are not the field's. Ruled out: nothing. Change: comments only. Conclusion: none for callers.

--- a/include/cardamompost/policy/cp_turn_placement.hpp
+++ b/include/cardamompost/policy/cp_turn_placement.hpp
@@ -71,7 +71,7 @@
 public:
     //! Called at most once, with the engine's id. The id is empty if no engine can be chosen, or if the turn was still
     //! waiting at clear(). Not called for a turn that is released while it waits. Until the list is known, the engine
-    //! may be one of another service or gone; whoever sends the turn has to check that.
+    //! may be one of another service or gone; the sender of the turn has to check that.
     using PlacementCallback = std::function<void(const std::string &engine)>;
 
     explicit TurnPlacement(std::uint64_t seed, PlacementOptions options = {});
--- a/src/gateway/cp_response_reader.hpp
+++ b/src/gateway/cp_response_reader.hpp
@@ -36,7 +36,7 @@
     boost::asio::awaitable<boost::system::error_code> readHead(std::string_view idHeader, std::string_view id);
     //! Reads once from the body. \param bytes  receives what was read
     boost::asio::awaitable<boost::system::error_code> readSome(std::string &bytes);
-    //! Reads the rest of a body that nobody needs, so that the connection can be used again. Gives up soon.
+    //! Reads the rest of an unneeded body, so that the connection can be used again. Gives up soon.
     boost::asio::awaitable<void> discardRest();
 
     [[nodiscard]] const Parser &parser() const
@@ -61,7 +61,7 @@
 
 private:
     [[nodiscard]] bool isPastDeadline() const;
-    //! Reads the body of a response that nobody needs. \returns false if reading failed or the body is too long
+    //! Reads the body of an unneeded response. \returns false if reading failed or the body is too long
     boost::asio::awaitable<bool> discardBody(std::size_t maxBytes);
 
     std::shared_ptr<BackendConnection> connection_;
