--- a/include/cardamompost/ledger/cp_turn_texts.hpp
+++ b/include/cardamompost/ledger/cp_turn_texts.hpp
@@ -45,8 +45,10 @@
     //! Removes the text of an expired turn.
     void remove(LogIndex index);
 
-    //! Returns the texts to write to disk, oldest first. They stay pinned until endStoring().
+    //! Returns the texts to write to disk in addition to those being written, oldest first. They stay pinned until
+    //! endStoring().
     [[nodiscard]] std::vector<LogIndex> beginStoring();
+    //! All texts being written are on disk.
     void endStoring();
     //! Returns texts to delete from disk, each only once.
     [[nodiscard]] std::vector<LogIndex> takeObsolete();
@@ -56,7 +58,8 @@
     //! Registers a text that was fetched from another member and written to disk.
     void markFetched(LogIndex index);
     //! Removes all texts except the given ones after the state was replaced. Given texts that are neither pinned in
-    //! memory nor on disk become missing.
+    //! memory nor on disk become missing. Pinned ones count as held, so they must be on disk before the log that holds
+    //! them is discarded.
     //! \param sizes  in bytes, by index
     void retain(const std::map<LogIndex, std::size_t> &sizes);
 
--- a/src/cardamompost/ledger/cp_turn_texts.cpp
+++ b/src/cardamompost/ledger/cp_turn_texts.cpp
@@ -66,9 +66,9 @@
 
 std::vector<LogIndex> TurnTexts::beginStoring()
 {
-    storing_.assign(unstored_.begin(), unstored_.end());
-    unstored_.clear();
-    return storing_;
+    const std::set<LogIndex> added = std::exchange(unstored_, {});
+    storing_.insert(storing_.end(), added.begin(), added.end());
+    return {added.begin(), added.end()};
 }
 
 void TurnTexts::endStoring()
--- a/src/gateway/cp_consensus_driver.cpp
+++ b/src/gateway/cp_consensus_driver.cpp
@@ -7,6 +7,7 @@
 #include <fmt/ranges.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace cardamompost
 {
@@ -207,6 +208,35 @@
     if (!ready->hard && node_->role() == RaftRole::Leader) {
         send(std::exchange(ready->messages, {}));
     }
+    if (ready->snapshot) {
+        storeReceivedSnapshot(ready);
+    } else {
+        write(ready);
+    }
+}
+
+void ConsensusDriver::storeReceivedSnapshot(const std::shared_ptr<RaftReady> &ready)
+{
+    const bool isStoringParts = !snapshotParts_.empty();
+    // Data outside the state is durable only in the log until this member's next snapshot, and the received one
+    // discards the log.
+    LogBatch data;
+    state_.addToSnapshot(data);
+    if (!data.isEmpty()) {
+        std::ranges::move(splitBatch(std::move(data), snapshotPartBytes), std::back_inserter(snapshotParts_));
+    }
+    if (snapshotParts_.empty()) {
+        write(ready);
+        return;
+    }
+    receivedSnapshot_ = ready;
+    if (!isStoringParts) {
+        storeSnapshotPart();
+    }
+}
+
+void ConsensusDriver::write(const std::shared_ptr<RaftReady> &ready)
+{
     DiskThread::Job job;
     job.group = controlGroup;
     job.prepare = [ready](LogStore & /*store*/, LogBatch &batch) {
@@ -329,15 +359,15 @@
     snapshotParts_ = splitBatch(std::move(texts), snapshotPartBytes);
     // Written last, since it discards the log entries from which a restart would rebuild the other parts.
     snapshotParts_.back().putSnapshot(controlGroup, node_->log().snapshot());
-    storeSnapshot();
+    storeSnapshotPart();
 }
 
-void ConsensusDriver::storeSnapshot()
+void ConsensusDriver::storeSnapshotPart()
 {
     // Written in parts, so that appends and votes do not wait for one large write.
     DiskThread::Job job;
-    job.group = snapshotParts_.size() > 1 ? textGroup : controlGroup;
     auto part = std::make_shared<LogBatch>(std::move(snapshotParts_.front()));
+    job.group = part->records().back().group;
     job.prepare = [part](LogStore & /*store*/, LogBatch &batch) { batch.append(std::move(*part)); };
     job.finish = [this](const Result<void> &written) {
         asio::post(parts_.io, [this, isWritten = written.has_value()] {
@@ -345,10 +375,13 @@
                 return;
             }
             snapshotParts_.pop_front();
-            if (snapshotParts_.empty()) {
-                state_.onSnapshotStored();
-            } else {
-                storeSnapshot();
+            if (!snapshotParts_.empty()) {
+                storeSnapshotPart();
+                return;
+            }
+            state_.onSnapshotStored();
+            if (const auto received = std::exchange(receivedSnapshot_, nullptr)) {
+                write(received);
             }
         });
     };
--- a/src/gateway/cp_consensus_driver.hpp
+++ b/src/gateway/cp_consensus_driver.hpp
@@ -118,6 +118,9 @@
     //! \returns true if the next round has been scheduled for later
     [[nodiscard]] bool mustDeferRound();
     void store(const std::shared_ptr<RaftReady> &ready);
+    //! Stores a ready received snapshot after the data that it discards with the log.
+    void storeReceivedSnapshot(const std::shared_ptr<RaftReady> &ready);
+    void write(const std::shared_ptr<RaftReady> &ready);
     void complete(RaftReady &ready);
     //! Applies what is committed, and completes reads, while a RaftReady is being stored.
     void deliverCommitted();
@@ -129,8 +132,8 @@
     void applyCommitted(const std::vector<LogEntry> &entries);
     void completeReads(const RaftReady &ready);
     void compactIfDue();
-    //! Writes the next part of a snapshot. Other writes may be queued between parts.
-    void storeSnapshot();
+    //! Writes the next of the snapshot parts. Other writes may be queued between parts.
+    void storeSnapshotPart();
     //! This member leads, and a responsive learner lacks committed entries.
     [[nodiscard]] bool hasLaggingLearner() const;
     void failPending();
@@ -154,8 +157,10 @@
     LogIndex applied_ = 0;
     std::size_t bytesSinceSnapshot_ = 0;
     std::size_t snapshotBytes_ = 0;
-    //! Parts of a snapshot that are not stored yet; the last one holds the snapshot itself.
+    //! Parts of this member's snapshot, and of the data that a received one discards, which are not stored yet.
     std::deque<LogBatch> snapshotParts_;
+    //! A received snapshot that is written once snapshotParts_ are stored; null for none.
+    std::shared_ptr<RaftReady> receivedSnapshot_;
     unsigned compactionSlot_ = 0;
     std::uint64_t diskJobsDone_ = 0;
     std::unordered_map<VmName, TimePoint> lastHeard_;
--- a/tests/ledger/cp_turn_texts.tests.cpp
+++ b/tests/ledger/cp_turn_texts.tests.cpp
@@ -123,6 +123,19 @@
     BOOST_TEST(texts.memoryBytes() == 0U);
 }
 
+// Guards against texts of a snapshot under way that are never marked as stored.
+BOOST_AUTO_TEST_CASE(texts_added_while_others_are_written_are_stored_with_them)
+{
+    TurnTexts texts(cacheBytes);
+    texts.add(1, "a");
+    BOOST_TEST(texts.beginStoring().size() == 1U);
+    texts.add(2, "b");
+    BOOST_TEST(texts.beginStoring() == std::vector<LogIndex> {2}, boost::test_tools::per_element());
+    texts.endStoring();
+    BOOST_TEST(texts.isStored(1));
+    BOOST_TEST(texts.isStored(2));
+}
+
 BOOST_AUTO_TEST_CASE(restored_state_adopts_the_texts_of_the_replaced_state)
 {
     constexpr std::int64_t nowMs = 1000;
