Keep texts that a restart applies again after they were written

What callers saw: nothing on a deployment; a copy of a conversation's texts vanished from one disk without notice.

Ruled out: the order of records in a batch alone; written after the deletion they would stay, but a list that names needed texts is wrong for a fetched one as well.

Change: obsolete texts are a set, from which an index that is added or fetched is removed.

Conclusion: no index is both needed and deleted.

--- a/include/cardamompost/ledger/cp_turn_texts.hpp
+++ b/include/cardamompost/ledger/cp_turn_texts.hpp
@@ -100,7 +100,8 @@
     std::set<LogIndex> unstored_;
     std::vector<LogIndex> storing_;
     std::unordered_set<LogIndex> stored_;
-    std::vector<LogIndex> obsolete_;
+    //! Texts on disk that are not needed; an index that is needed again is removed.
+    std::set<LogIndex> obsolete_;
     std::map<LogIndex, std::size_t> missing_;
 };
 
--- a/src/cardamompost/ledger/cp_turn_texts.cpp
+++ b/src/cardamompost/ledger/cp_turn_texts.cpp
@@ -15,6 +15,7 @@
     memoryBytes_ += bytes;
     unstored_.insert(index);
     missing_.erase(index);
+    obsolete_.erase(index);
 }
 
 void TurnTexts::cache(LogIndex index, std::string text)
@@ -60,7 +61,7 @@
     unstored_.erase(index);
     missing_.erase(index);
     if (stored_.erase(index) != 0) {
-        obsolete_.push_back(index);
+        obsolete_.insert(index);
     }
 }
 
@@ -77,7 +78,7 @@
         const auto item = cached_.find(index);
         if (item == cached_.end()) {
             // The turn expired while its text was being written.
-            obsolete_.push_back(index);
+            obsolete_.insert(index);
             continue;
         }
         stored_.insert(index);
@@ -88,7 +89,8 @@
 
 std::vector<LogIndex> TurnTexts::takeObsolete()
 {
-    return std::exchange(obsolete_, {});
+    const std::set<LogIndex> obsolete = std::exchange(obsolete_, {});
+    return {obsolete.begin(), obsolete.end()};
 }
 
 void TurnTexts::markStored(LogIndex index)
@@ -100,8 +102,9 @@
 {
     if (missing_.erase(index) != 0) {
         stored_.insert(index);
+        obsolete_.erase(index);
     } else if (!stored_.contains(index)) {
-        obsolete_.push_back(index);
+        obsolete_.insert(index);
     }
 }
 
--- a/tests/gateway/cp_consensus_driver.tests.cpp
+++ b/tests/gateway/cp_consensus_driver.tests.cpp
@@ -116,4 +116,28 @@
     BOOST_TEST(checkEachWrite({turnsUntilCompaction, turnsUntilCompaction + 5}, true) > 1);
 }
 
+// Guards against a snapshot that deletes texts which a process wrote before it ended.
+BOOST_AUTO_TEST_CASE(texts_that_were_stored_before_a_restart_outlast_the_next_snapshot)
+{
+    MemoryFiles files;
+    {
+        LedgerMember member(files);
+        member.append(turns(firstTurn, turnsUntilCompaction, textBytes));
+        BOOST_REQUIRE(member.runUntilApplied(turnsUntilCompaction));
+        BOOST_REQUIRE(member.isStoringSnapshot());
+        constexpr int writesOfPartsBeforeTheEnd = 5;
+        files.writesUntilFull = writesOfPartsBeforeTheEnd;
+        member.runUntilStored();
+    }
+    BOOST_TEST(missingFrom(durableTexts(files), turnsUntilCompaction).empty());
+    {
+        LedgerMember member(files);
+        member.append(turns(turnsUntilCompaction + 1, turnsUntilCompaction + 1, textBytes));
+        BOOST_REQUIRE(member.runUntilApplied(turnsUntilCompaction + 1));
+        BOOST_REQUIRE(member.isStoringSnapshot());
+        member.runUntilStored();
+    }
+    BOOST_TEST(missingFrom(durableTexts(files), turnsUntilCompaction + 1).size() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/ledger/cp_turn_texts.tests.cpp
+++ b/tests/ledger/cp_turn_texts.tests.cpp
@@ -123,6 +123,18 @@
     BOOST_TEST(texts.memoryBytes() == 0U);
 }
 
+// Guards against a snapshot that deletes a text which it has just written.
+BOOST_AUTO_TEST_CASE(a_text_that_is_applied_again_after_a_restart_is_not_deleted)
+{
+    TurnTexts texts(cacheBytes);
+    // Written for a snapshot that was not completed; the previous one doesn't know the turn yet.
+    texts.markStored(5);
+    texts.retain({});
+    texts.add(5, "a");
+    BOOST_TEST(texts.beginStoring() == std::vector<LogIndex> {5}, boost::test_tools::per_element());
+    BOOST_TEST(texts.takeObsolete().empty());
+}
+
 // Guards against texts of a snapshot under way that are never marked as stored.
 BOOST_AUTO_TEST_CASE(texts_added_while_others_are_written_are_stored_with_them)
 {
