Refuse a turn whose history lacks a turn

What callers saw: the model went on without the beginning of a conversation, and nobody was told.

Cause: LedgerState::history() ended at a missing turn, and after 10,000 turns, as it ends at the first turn, and check() asks only for the turn that is named.

Ruled out: the texts; TurnTextStore gives all or nothing of what history() names.

Change: history() returns nothing unless it is whole. The leader refuses the turn with IncompleteHistory: 503 with when to come back, history.incomplete, cardamompost_turns_refused_total{reason="incomplete-history"}. 404 would state that the named turn doesn't exist. An entry of an earlier release takes the status for the highest one that it knows, a program that can't be served in time, 503 as well.

Two cases of ledger_state test the function.

Conclusion: whatever loses a turn, a part isn't sent as the whole.

--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -145,6 +145,8 @@
     NoSuchVersion,
     //! The program can't be served in time beside those that are in progress; its first turn is not run.
     NotAdmitted,
+    //! A turn of the history to continue is lost; the turn is not run.
+    IncompleteHistory,
 };
 
 struct TurnBeginReply {
@@ -154,7 +156,7 @@
     std::string history;
     //! Id of the backend server with a slot for the turn; empty if the entry has to choose. Only with Tentative.
     std::string backend;
-    //! Only with Limited, Overloaded and NotAdmitted.
+    //! Only with Limited, Overloaded, NotAdmitted and IncompleteHistory.
     std::uint32_t retryAfterMs = 0;
     //! Recorded version of the turn's stream, if there is one; only with Granted.
     ServerVersion version {};
--- a/include/cardamompost/ledger/cp_ledger_state.hpp
+++ b/include/cardamompost/ledger/cp_ledger_state.hpp
@@ -19,6 +19,9 @@
 class LedgerState
 {
 public:
+    //! Bounds the traversal of a history.
+    static constexpr std::size_t maxHistoryTurns = 10'000;
+
     //! \param index  log index of the command, which identifies the text of a turn that it finishes
     //! \returns the outcome of a TurnBegin; Granted for all other commands
     TurnBeginStatus apply(const LedgerCommand &command, LogIndex index);
@@ -40,8 +43,9 @@
     {
         return turns_.contains(turn);
     }
-    //! Indexes of the texts of a turn and all its predecessors, oldest first; empty for an unknown turn.
-    [[nodiscard]] std::vector<LogIndex> history(const std::string &turn) const;
+    //! Indexes of the texts of a turn and all its predecessors, oldest first; nothing if one of them is unknown or there
+    //! are more than maxHistoryTurns.
+    [[nodiscard]] std::optional<std::vector<LogIndex>> history(const std::string &turn) const;
     [[nodiscard]] TurnTexts &texts()
     {
         return texts_;
--- a/src/cardamompost/ledger/cp_ledger_state.cpp
+++ b/src/cardamompost/ledger/cp_ledger_state.cpp
@@ -12,8 +12,6 @@
 // steady clocks drift.
 constexpr std::int64_t expiryMarginMs = 15'000;
 constexpr std::int64_t sweepIntervalMs = 2000;
-// Bounds the traversal of a corrupt history.
-constexpr std::size_t maxHistoryTurns = 10'000;
 
 } // namespace
 
@@ -182,13 +180,16 @@
     return found == streams_.end() ? nullptr : &found->second.version;
 }
 
-std::vector<LogIndex> LedgerState::history(const std::string &turn) const
+std::optional<std::vector<LogIndex>> LedgerState::history(const std::string &turn) const
 {
     std::vector<LogIndex> indexes;
-    auto found = turns_.find(turn);
-    while (found != turns_.end() && indexes.size() < maxHistoryTurns) {
+    for (const std::string *next = &turn; !next->empty();) {
+        const auto found = turns_.find(*next);
+        if (found == turns_.end() || indexes.size() == maxHistoryTurns) {
+            return std::nullopt;
+        }
         indexes.push_back(found->second.index);
-        found = found->second.previous.empty() ? turns_.end() : turns_.find(found->second.previous);
+        next = &found->second.previous;
     }
     std::reverse(indexes.begin(), indexes.end());
     return indexes;
--- a/src/cardamompost/net/cp_frame_decoder.cpp
+++ b/src/cardamompost/net/cp_frame_decoder.cpp
@@ -133,7 +133,7 @@
 
 TurnBeginReply decodeTurnBeginReply(schema::TurnBeginReply::Reader in)
 {
-    return {decodeEnum(in.getStatus(), TurnBeginStatus::NotAdmitted),
+    return {decodeEnum(in.getStatus(), TurnBeginStatus::IncompleteHistory),
             fromText(in.getLeader()),
             fromData(in.getHistory()),
             fromText(in.getBackend()),
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -327,6 +327,8 @@
         refusal = {statusUnavailable, "the program can't be served in time", request.begin->retryAfter()};
     } else if (request.begin->status() == TurnBeginStatus::NoSuchVersion) {
         refusal = missingVersionResponse(request);
+    } else if (request.begin->status() == TurnBeginStatus::IncompleteHistory) {
+        refusal = {statusUnavailable, "a part of the turn's history is lost", request.begin->retryAfter()};
     }
     co_await refuse(request, refusal);
     // The leader may have made a reservation although its reply was lost.
--- a/src/gateway/cp_ledger_begins.cpp
+++ b/src/gateway/cp_ledger_begins.cpp
@@ -134,7 +134,12 @@
         startBegin(active);
         return;
     }
-    texts_.read(state_.history(active->begin.previous), [this, active](std::optional<std::string> history) {
+    const std::optional<std::vector<LogIndex>> turns = state_.history(active->begin.previous);
+    if (!turns) {
+        refuseIncompleteHistory(*active);
+        return;
+    }
+    texts_.read(*turns, [this, active](std::optional<std::string> history) {
         // An unavailable history is reported as retryable, and not as an unknown turn.
         if (!history || !leads()) {
             completeBegin(*active, TurnBeginReply {TurnBeginStatus::NotLeader, driver_.leader(), {}, {}});
@@ -145,6 +150,21 @@
     });
 }
 
+void LedgerService::refuseIncompleteHistory(ActiveBegin &active)
+{
+    const TurnBegin &begin = active.begin;
+    incompleteHistories_.add();
+    parts_.log.write(LogLevel::Error, "history.incomplete",
+                     {{"turn", unscopedId(begin.turn)},
+                      {"program", unscopedId(begin.program)},
+                      {"previous", unscopedId(begin.previous)},
+                      {"account", accountOf(begin.turn)},
+                      {"previous_known", state_.hasTurn(begin.previous)},
+                      {"turns", state_.turnCount()}});
+    const auto retryAfter = static_cast<std::uint32_t>(minRetryAfter.count());
+    completeBegin(active, TurnBeginReply {TurnBeginStatus::IncompleteHistory, self_, {}, {}, retryAfter});
+}
+
 bool LedgerService::isProgramInProgress(const TurnBegin &begin) const
 {
     return !begin.previous.empty() || state_.spent(begin.program) != 0 || state_.reserved(begin.program) != 0;
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -87,7 +87,7 @@
     {
         return recordedVersion_;
     }
-    //! Valid once status() is Limited, Overloaded or NotAdmitted.
+    //! Valid once status() is Limited, Overloaded, NotAdmitted or IncompleteHistory.
     [[nodiscard]] Milliseconds retryAfter() const
     {
         return retryAfter_;
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -40,6 +40,8 @@
     , exhaustedTurns_(parts.metrics.counter("cardamompost_turns_refused_total", {{"reason", "spent"}}))
     , unknownTurns_(parts.metrics.counter("cardamompost_turns_refused_total", {{"reason", "no-such-turn"}}))
     , missingVersions_(parts.metrics.counter("cardamompost_turns_refused_total", {{"reason", "no-such-version"}}))
+    , incompleteHistories_(
+          parts.metrics.counter("cardamompost_turns_refused_total", {{"reason", "incomplete-history"}}))
     , limitedRequests_(parts.metrics.counter("cardamompost_requests_limited_total"))
     , overloadedTurns_(parts.metrics.counter("cardamompost_turns_refused_total", {{"reason", "overloaded"}}))
     , lateProgramsRefused_(parts.metrics.counter("cardamompost_programs_refused_total", {{"reason", "too-late"}}))
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -187,6 +187,8 @@
     void runAfter(Milliseconds delay, std::function<void()> work);
     //! Reads the texts of the turns that a begin continues.
     void readHistory(const std::shared_ptr<ActiveBegin> &active);
+    //! Logs and counts the refusal of a turn that continues a history of which a part is lost, and replies.
+    void refuseIncompleteHistory(ActiveBegin &active);
     //! The turn continues another one, or its program has spent or reserved tokens.
     [[nodiscard]] bool isProgramInProgress(const TurnBegin &begin) const;
     void startBegin(const std::shared_ptr<ActiveBegin> &active);
@@ -284,6 +286,7 @@
     Counter &exhaustedTurns_;
     Counter &unknownTurns_;
     Counter &missingVersions_;
+    Counter &incompleteHistories_;
     Counter &limitedRequests_;
     Counter &overloadedTurns_;
     Counter &lateProgramsRefused_;
--- a/tests/ledger/cp_ledger_state.tests.cpp
+++ b/tests/ledger/cp_ledger_state.tests.cpp
@@ -41,7 +41,8 @@
 
 std::string historyOf(LedgerState &state, const std::string &turn)
 {
-    return state.texts().join(state.history(turn)).value_or("not in memory");
+    const std::optional<std::vector<LogIndex>> indexes = state.history(turn);
+    return indexes ? state.texts().join(*indexes).value_or("not in memory") : "incomplete";
 }
 
 bool isStatus(TurnBeginStatus left, TurnBeginStatus right)
@@ -127,6 +128,31 @@
     BOOST_TEST(state.turnBytes() == (std::string("in-x;out-x\n") + "in-y;out-y\n").size());
 }
 
+// Guards against a part of a history that is taken for the whole.
+BOOST_AUTO_TEST_CASE(a_history_that_lacks_a_turn_is_incomplete)
+{
+    LedgerState state;
+    apply(state, finish("b", 1, TurnEnding::Complete, "a"));
+    apply(state, finish("c", 1, TurnEnding::Complete, "b"));
+    BOOST_TEST(!state.history("b"));
+    BOOST_TEST(!state.history("c"));
+    BOOST_TEST(!state.history("nobody"));
+    BOOST_TEST(state.history("").value().empty());
+}
+
+// Guards against a history whose oldest turns are left out because there are too many.
+BOOST_AUTO_TEST_CASE(a_history_with_too_many_turns_is_incomplete)
+{
+    LedgerState state;
+    const auto name = [](std::size_t number) { return number == 0 ? std::string() : "t" + std::to_string(number); };
+    // Added last turn first, since each finish visits the predecessors that are known.
+    for (std::size_t i = LedgerState::maxHistoryTurns + 1; i > 0; --i) {
+        apply(state, finish(name(i), 1, TurnEnding::Complete, name(i - 1)));
+    }
+    BOOST_TEST(state.history(name(LedgerState::maxHistoryTurns)).value().size() == LedgerState::maxHistoryTurns);
+    BOOST_TEST(!state.history(name(LedgerState::maxHistoryTurns + 1)));
+}
+
 // Guards against early or late expiry after a leader change between VMs with different clocks.
 BOOST_AUTO_TEST_CASE(leader_change_neither_shortens_nor_restarts_the_retention_time)
 {
--- a/tests/ledger/cp_turn_texts.tests.cpp
+++ b/tests/ledger/cp_turn_texts.tests.cpp
@@ -167,7 +167,7 @@
     own.add(9, "text of an expired turn");
     LedgerState state = LedgerState::decode(ahead.encode()).value();
     state.adoptTexts(std::move(own));
-    BOOST_TEST(state.history("t3") == (std::vector<LogIndex> {1, 2, 3}), boost::test_tools::per_element());
+    BOOST_TEST(state.history("t3").value() == (std::vector<LogIndex> {1, 2, 3}), boost::test_tools::per_element());
     BOOST_TEST(missingOf(state.texts()) == (std::vector<LogIndex> {2, 3}), boost::test_tools::per_element());
     BOOST_TEST(state.turnBytes() == ahead.turnBytes());
     BOOST_TEST(state.texts().memoryBytes() == 2U);
--- a/tests/support/cp_fake_platform.hpp
+++ b/tests/support/cp_fake_platform.hpp
@@ -150,6 +150,7 @@
 //! - "cut-once" aborts the first attempt within an event
 //! - "cut-begin" aborts each stream that begins, after its first event
 //! - "slow" pauses before each event
+//! - "held" pauses before the last event until the streams are released
 //! - "never" doesn't respond
 //! - "no-fetch" refuses requests to fetch a prompt, without executing them
 class FakePlatform
@@ -242,6 +243,11 @@
         const std::lock_guard lock(mutex_);
         return disconnected_.contains(id);
     }
+    //! Ends the streams of paths with "/held".
+    void releaseHeldStreams()
+    {
+        isReleased_ = true;
+    }
     //! Replaces the first server by another instance at the same address.
     void reuseFirstAddress()
     {
@@ -289,6 +295,7 @@
     static constexpr std::size_t serverCount = 3;
     static constexpr Milliseconds slowPause {150};
     static constexpr int slowEvents = 4;
+    static constexpr Milliseconds heldPollInterval {10};
 
     [[nodiscard]] HttpResponse list()
     {
@@ -419,6 +426,9 @@
             responder.abort();
             co_return;
         }
+        while (pathContains("/held") && !isReleased_) {
+            co_await sleepFor(heldPollInterval);
+        }
         co_await responder.write(event(2, "b-" + id));
         co_await responder.end({});
         if (pathContains("/twice")) {
@@ -435,6 +445,7 @@
     boost::asio::io_context io_;
     std::vector<std::unique_ptr<HttpServer>> servers_;
     HttpClient client_;
+    std::atomic<bool> isReleased_ {false};
     std::mutex mutex_;
     std::vector<ListedServer> list_ {{0}, {1}};
     //! When each server started.
--- a/tests/support/cp_gateway_cluster.hpp
+++ b/tests/support/cp_gateway_cluster.hpp
@@ -4,6 +4,7 @@
 #include "support/cp_fake_platform.hpp"
 #include "support/cp_fault_injecting_proxy.hpp"
 
+#include <cardamompost/ledger/cp_ledger_command.hpp>
 #include <cardamompost/observe/cp_log_explainer.hpp>
 
 #include <cstdlib>
@@ -159,6 +160,52 @@
         ledgerThreads[number] = std::make_unique<GatewayThread>(settings, ledgerDisks[number]);
         BOOST_REQUIRE(ledgerThreads[number]->isStarted());
     }
+    //! Restarts all ledger VMs with a log whose last command is later than the one before by a time.
+    void advanceLedgerTime(Milliseconds by)
+    {
+        restartLedgersAfter(UsageReport {}, by);
+    }
+    //! Restarts all ledger VMs with a command at the end of their logs.
+    //! \param delay  between the last command of the log and this one
+    void restartLedgersAfter(LedgerCommand::Action action, Milliseconds delay)
+    {
+        killLedgers();
+        RaftStoredState latest;
+        for (const GatewaySettings &settings : ledgerSettings) {
+            const auto files = PosixFiles::openFolder(settings.dataFolder, true).value();
+            RaftStoredState stored = LogStore::open(*files).value().loadRaft(controlGroup).value();
+            const auto last = [](const RaftStoredState &state) {
+                return state.entries.empty() ? std::pair(state.snapshot.term, state.snapshot.index)
+                                             : std::pair(state.entries.back().term, state.entries.back().index);
+            };
+            if (last(latest) < last(stored)) {
+                latest = std::move(stored);
+            }
+        }
+        std::int64_t nowMs = 0;
+        for (const LogEntry &entry : latest.entries) {
+            if (entry.kind == EntryKind::Command) {
+                nowMs = std::max(nowMs, decodeLedgerCommand(entry.payload).value().nowMs);
+            }
+        }
+        BOOST_REQUIRE(!latest.entries.empty());
+        const LogEntry &last = latest.entries.back();
+        latest.entries.push_back({last.index + 1, last.term, EntryKind::Command,
+                                  encodeLedgerCommand({nowMs + delay.count(), std::move(action)})});
+        for (const GatewaySettings &settings : ledgerSettings) {
+            const auto files = PosixFiles::openFolder(settings.dataFolder, true).value();
+            LogStore store = LogStore::open(*files).value();
+            LogBatch batch;
+            batch.putHardState(controlGroup, latest.hard);
+            for (const LogEntry &entry : latest.entries) {
+                batch.putEntry(controlGroup, entry);
+            }
+            BOOST_REQUIRE(store.write(batch));
+        }
+        for (std::size_t number = 0; number < ledgerSettings.size(); ++number) {
+            restartLedger(number);
+        }
+    }
     //! Changes the seeds in the settings of all ledger VMs, from their next starts on.
     void changeLedgerSeeds(const std::vector<std::size_t> &numbers)
     {
