Retain a history while a turn that continues it runs

Cause: a turn is retained from its end, and its history is extended only by the end of a turn that continues it. Past the margin of 15 s the first turns expired while that turn ran, and its end found nothing to extend.

The end of the long turn could not restore the texts either.

Change: with a begin the leader proposes a repeated finish of the turn to continue if that may expire before the new turn's deadline and the margin. It extends the whole history and does nothing else. Entries send the time left for turns at plain services too. The state machine and its formats stay as they are: members of an earlier release apply the command in the same way.

Conclusion: what a running turn needs is retained until its deadline and the margin.

--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -57,6 +57,7 @@
     std::uint32_t rank = 0;
     //! Time until the program's deadline; negative if it has passed.
     std::int64_t programTimeLeftMs = 0;
+    //! Time until the turn's deadline.
     std::uint32_t timeLeftMs = 0;
     //! Ids of backend servers that the entry failed to reach recently.
     std::vector<std::string> unreachable {};
--- a/include/cardamompost/ledger/cp_ledger_state.hpp
+++ b/include/cardamompost/ledger/cp_ledger_state.hpp
@@ -21,6 +21,9 @@
 public:
     //! Bounds the traversal of a history.
     static constexpr std::size_t maxHistoryTurns = 10'000;
+    //! Added to retention times, since the caller may receive the answer after the turn's finish was committed, and
+    //! steady clocks drift.
+    static constexpr std::int64_t expiryMarginMs = 15'000;
 
     //! \param index  log index of the command, which identifies the text of a turn that it finishes
     //! \returns the outcome of a TurnBegin; Granted for all other commands
@@ -43,6 +46,8 @@
     {
         return turns_.contains(turn);
     }
+    //! Ledger time until which a turn and all its predecessors are retained; 0 for an unknown turn.
+    [[nodiscard]] std::int64_t retainedUntilMs(const std::string &turn) const;
     //! Indexes of the texts of a turn and all its predecessors, oldest first; nothing if one of them is unknown or there
     //! are more than maxHistoryTurns.
     [[nodiscard]] std::optional<std::vector<LogIndex>> history(const std::string &turn) const;
--- a/src/cardamompost/ledger/cp_ledger_state.cpp
+++ b/src/cardamompost/ledger/cp_ledger_state.cpp
@@ -8,9 +8,6 @@
 namespace
 {
 
-// Added to the retention time, since the caller may receive the answer after the turn's finish was committed, and
-// steady clocks drift.
-constexpr std::int64_t expiryMarginMs = 15'000;
 constexpr std::int64_t sweepIntervalMs = 2000;
 
 } // namespace
@@ -180,6 +177,13 @@
     return found == streams_.end() ? nullptr : &found->second.version;
 }
 
+std::int64_t LedgerState::retainedUntilMs(const std::string &turn) const
+{
+    // Each extension covers all predecessors, so none of them expires before the turn.
+    const auto found = turns_.find(turn);
+    return found == turns_.end() ? 0 : found->second.expiresMs;
+}
+
 std::optional<std::vector<LogIndex>> LedgerState::history(const std::string &turn) const
 {
     std::vector<LogIndex> indexes;
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -55,6 +55,12 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(number, 0, std::numeric_limits<std::uint32_t>::max()));
 }
 
+//! Time until a request's deadline; 0 once it has passed.
+std::uint32_t timeLeftMs(const ForwardedRequest &request)
+{
+    return toCount(std::max<std::int64_t>(0, toMs(request.deadline - timeNow())));
+}
+
 } // namespace
 
 Forwarder::RetryState::RetryState()
@@ -196,8 +202,6 @@
     placement.failureDomain = parts_.pool.failureDomain();
     placement.rank = request.rank();
     placement.programTimeLeftMs = request.metadata.programTimeLeft.value_or(Milliseconds(0)).count();
-    placement.timeLeftMs = static_cast<std::uint32_t>(
-        std::max<std::int64_t>(0, std::chrono::duration_cast<Milliseconds>(request.deadline - now).count()));
     if (request.requiredVersion) {
         placement.softwareVersion = request.requiredVersion->softwareVersion;
     }
@@ -300,6 +304,7 @@
     if (request.service->isEngine) {
         begin.placement = placementRequestFor(request);
     }
+    begin.placement.timeLeftMs = timeLeftMs(request);
     request.begin = parts_.ledger.begin(std::move(begin), request.deadline, leaderTimeout);
     co_await request.begin->waitUntilTentative();
     request.admissionTime = std::chrono::duration_cast<Milliseconds>(timeNow() - request.arrived);
--- a/src/gateway/cp_ledger_begins.cpp
+++ b/src/gateway/cp_ledger_begins.cpp
@@ -53,7 +53,7 @@
     const auto pending = pendingTokens_.find(begin.program);
     const std::int64_t uncommittedTokens = pending == pendingTokens_.end() ? 0 : pending->second.tokens;
     const TurnBeginStatus status = state_.check(begin, uncommittedTokens);
-    if (status == TurnBeginStatus::NoSuchTurn) {
+    if (status == TurnBeginStatus::NoSuchTurn || isPreviousExpired(begin)) {
         confirmNoSuchTurn(begin, replier);
         return;
     }
@@ -130,7 +130,7 @@
 
 void LedgerService::readHistory(const std::shared_ptr<ActiveBegin> &active)
 {
-    if (active->begin.previous.empty()) {
+    if (active->begin.previous.empty() || isPreviousExpired(active->begin)) {
         startBegin(active);
         return;
     }
@@ -176,6 +176,11 @@
         return;
     }
     const TurnBegin &begin = active->begin;
+    if (isPreviousExpired(begin)) {
+        // It expired while the begin waited. The entry asks again and gets a confirmed answer.
+        completeBegin(*active, TurnBeginReply {TurnBeginStatus::NotLeader, driver_.leader(), {}, {}});
+        return;
+    }
     SlotRequest request = slotRequestFor(begin);
     // Another turn of the program may have been granted whose reservation isn't applied yet.
     const bool mayHaveBegun = !begin.program.empty() && pendingTokens_.contains(begin.program);
@@ -292,13 +297,18 @@
     replier->reply(TurnBeginReply {status, driver_.leader(), {}, {}});
 }
 
+bool LedgerService::isPreviousExpired(const TurnBegin &begin)
+{
+    return !begin.previous.empty() && state_.retainedUntilMs(begin.previous) < ledgerTimeMs();
+}
+
 void LedgerService::confirmNoSuchTurn(const TurnBegin &begin, const Replier &replier)
 {
     // A deposed leader may lack a turn that its successor holds, so that NoSuchTurn is final only once a quorum
     // confirms the read. An exhausted budget needs no confirmation: a stale leader can only underestimate what was
     // spent, or miss tokens that were released a moment ago.
     driver_.confirmRead([this, begin, replier](bool isConfirmed) {
-        const bool isStillUnknown = isConfirmed && state_.check(begin, 0) == TurnBeginStatus::NoSuchTurn;
+        const bool isStillUnknown = isConfirmed && isPreviousExpired(begin);
         refuse(begin, isStillUnknown ? TurnBeginStatus::NoSuchTurn : TurnBeginStatus::NotLeader, isConfirmed, replier);
     });
 }
@@ -313,6 +323,7 @@
     PendingTokens &proposed = pendingTokens_[active->begin.program];
     proposed.tokens += active->begin.maxTokens;
     ++proposed.turns;
+    retainHistory(active->begin);
     TurnBegin record = active->begin;
     record.placement = {};
     record.account.clear();
@@ -334,6 +345,24 @@
     });
 }
 
+void LedgerService::retainHistory(const TurnBegin &begin)
+{
+    const std::int64_t nowMs = ledgerTimeMs();
+    const std::int64_t retainedUntilMs = state_.retainedUntilMs(begin.previous);
+    const std::int64_t neededUntilMs = nowMs + begin.placement.timeLeftMs + LedgerState::expiryMarginMs;
+    if (begin.previous.empty() || retainedUntilMs < nowMs || retainedUntilMs >= neededUntilMs) {
+        return;
+    }
+    // A repeated finish of a turn that is still retained only extends the retention of its history. Unlike a new
+    // command, it has the same effect on members of an earlier version.
+    TurnFinish repeated;
+    repeated.turn = begin.previous;
+    repeated.ending = TurnEnding::Complete;
+    repeated.isRetained = true;
+    repeated.retentionMs = begin.placement.timeLeftMs;
+    proposeAt(nowMs, std::move(repeated), [](bool) {});
+}
+
 void LedgerService::onFinish(TurnFinish finish, const Replier &replier)
 {
     if (!leads()) {
--- a/src/gateway/cp_ledger_service.cpp
+++ b/src/gateway/cp_ledger_service.cpp
@@ -138,8 +138,11 @@
 
 void LedgerService::propose(LedgerCommand::Action action, ConsensusDriver::CommitCallback done)
 {
-    refreshClock();
-    const std::int64_t nowMs = clock_.nowMs(std::chrono::steady_clock::now());
+    proposeAt(ledgerTimeMs(), std::move(action), std::move(done));
+}
+
+void LedgerService::proposeAt(std::int64_t nowMs, LedgerCommand::Action action, ConsensusDriver::CommitCallback done)
+{
     // The entries of turns know for how long their callers wait.
     const bool isTurn = std::holds_alternative<TurnBegin>(action) || std::holds_alternative<TurnFinish>(action);
     const auto expiry
@@ -147,6 +150,12 @@
     driver_.propose(encodeLedgerCommand({nowMs, std::move(action)}), expiry, std::move(done));
 }
 
+std::int64_t LedgerService::ledgerTimeMs()
+{
+    refreshClock();
+    return std::max(clock_.nowMs(std::chrono::steady_clock::now()), state_.nowMs());
+}
+
 void LedgerService::refreshClock()
 {
     if (driver_.isStarted() && clockTerm_ != driver_.node().term()) {
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -168,9 +168,12 @@
     void logSearch(const VmName &target, const std::vector<VmName> &peers);
     //! Proposes a command with the ledger's time.
     void propose(LedgerCommand::Action action, ConsensusDriver::CommitCallback done);
+    void proposeAt(std::int64_t nowMs, LedgerCommand::Action action, ConsensusDriver::CommitCallback done);
     //! Logs and counts a rejected begin, and replies.
     //! \param isConfirmed  a quorum has confirmed the state that the rejection is based on
     void refuse(const TurnBegin &begin, TurnBeginStatus status, bool isConfirmed, const Replier &replier);
+    //! The turn that a begin continues is unknown, or may be removed at any time.
+    [[nodiscard]] bool isPreviousExpired(const TurnBegin &begin);
     void confirmNoSuchTurn(const TurnBegin &begin, const Replier &replier);
     //! Charges a turn to its account's limit; then rejects it, or continues with it at once or after a delay.
     void applyAccountLimit(const std::shared_ptr<ActiveBegin> &active);
@@ -183,12 +186,16 @@
     //! Proposes the accounts' usage when a report is due.
     void reportUsage();
     void refreshClock();
+    //! The ledger's time, from which commands that are proposed now are applied.
+    [[nodiscard]] std::int64_t ledgerTimeMs();
     //! Calls back after a delay; synchronously if there is none.
     void runAfter(Milliseconds delay, std::function<void()> work);
     //! Reads the texts of the turns that a begin continues.
     void readHistory(const std::shared_ptr<ActiveBegin> &active);
     //! Logs and counts the refusal of a turn that continues a history of which a part is lost, and replies.
     void refuseIncompleteHistory(ActiveBegin &active);
+    //! Extends the retention of the turns that a begin continues, if they may expire before its turn ends.
+    void retainHistory(const TurnBegin &begin);
     //! The turn continues another one, or its program has spent or reserved tokens.
     [[nodiscard]] bool isProgramInProgress(const TurnBegin &begin) const;
     void startBegin(const std::shared_ptr<ActiveBegin> &active);
--- a/tests/platform/cp_platform_retention.tests.cpp
+++ b/tests/platform/cp_platform_retention.tests.cpp
@@ -52,6 +52,20 @@
 // The ledger retains programs and turns for 60 s and a margin of 15 s.
 BOOST_AUTO_TEST_SUITE(platform_retention)
 
+// Guards against a history whose first turns expire while a later one runs, and that is sent without them.
+BOOST_AUTO_TEST_CASE(a_history_is_retained_while_a_turn_that_continues_it_runs)
+{
+    LongTurnCluster cluster;
+    BOOST_TEST(cluster.turn(cluster.entry, "a1", {}).status == 200U);
+    cluster.advanceLedgerTime(Milliseconds(65'000));
+    std::future<HttpResponse> second = cluster.beginHeldTurn("a2", "a1", 1000);
+    cluster.advanceLedgerTime(Milliseconds(30'000));
+    cluster.platform.releaseHeldStreams();
+    BOOST_TEST(second.get().status == 200U);
+    BOOST_TEST(cluster.turn(cluster.entry, "a3", "a2").status == 200U);
+    BOOST_TEST(cluster.platform.bodyOf("a3") == "in-a1;a-a1\nb-a1\nin-a2;a-a2\nb-a2\nin-a3;");
+}
+
 // Guards against a part of a history that is sent as the whole.
 BOOST_AUTO_TEST_CASE(a_turn_whose_history_lacks_a_turn_is_refused_with_a_log_line)
 {
