Retain a program's budget while one of its turns runs

What callers saw: programs with turns longer than the retention and 15 s got more tokens than their budget, without any disruption.

Cause: a program was retained from its last begin or end. It expired with the reservation of a running turn; the next turn found the whole budget, and the end of the running one found no reservation and charged nothing.

Change: the leader adds the time that the turn has left to the retention in the begin that it proposes. The state machine is unchanged, so members of an earlier release hold the same state.

Conclusion: a reservation lasts until the turn's deadline, its program's retention and the margin.

--- a/src/gateway/cp_ledger_begins.cpp
+++ b/src/gateway/cp_ledger_begins.cpp
@@ -1,5 +1,7 @@
 #include "cp_ledger_service.hpp"
 
+#include <limits>
+
 namespace cardamompost
 {
 
@@ -14,6 +16,12 @@
 constexpr Milliseconds minRetryAfter {300};
 constexpr Milliseconds retryAfterJitter {600};
 
+//! Sum of two durations, at most the largest one.
+std::uint32_t extended(std::uint32_t retentionMs, std::uint32_t byMs)
+{
+    return retentionMs + std::min(byMs, std::numeric_limits<std::uint32_t>::max() - retentionMs);
+}
+
 } // namespace
 
 void LedgerService::reportUsage()
@@ -325,6 +333,8 @@
     ++proposed.turns;
     retainHistory(active->begin);
     TurnBegin record = active->begin;
+    // The times count from now, and what they retain is needed until the turn has ended.
+    record.retentionMs = extended(record.retentionMs, record.placement.timeLeftMs);
     record.placement = {};
     record.account.clear();
     record.isRetained = false;
--- a/tests/platform/cp_platform_retention.tests.cpp
+++ b/tests/platform/cp_platform_retention.tests.cpp
@@ -66,6 +66,21 @@
     BOOST_TEST(cluster.platform.bodyOf("a3") == "in-a1;a-a1\nb-a1\nin-a2;a-a2\nb-a2\nin-a3;");
 }
 
+// Guards against a program whose reservation expires while its turn runs, so that its tokens are not charged.
+BOOST_AUTO_TEST_CASE(a_budget_is_retained_while_a_turn_of_its_program_runs)
+{
+    constexpr int budget = 60;
+    LongTurnCluster cluster;
+    std::future<HttpResponse> first = cluster.beginHeldTurn("b1", {}, budget);
+    cluster.advanceLedgerTime(Milliseconds(80'000));
+    // The first turn has reserved 50 tokens, as each turn does.
+    BOOST_TEST(cluster.turn(cluster.entry, "b2", {}, budget).status == 402U);
+    cluster.platform.releaseHeldStreams();
+    BOOST_TEST(first.get().status == 200U);
+    // It has used 20 tokens.
+    BOOST_TEST(cluster.turn(cluster.entry, "b3", {}, budget).status == 402U);
+}
+
 // Guards against a part of a history that is sent as the whole.
 BOOST_AUTO_TEST_CASE(a_turn_whose_history_lacks_a_turn_is_refused_with_a_log_line)
 {
