Take only a response with the request's id as its answer

What callers saw: successes that no server had signed, with the bytes of nobody's response, and requests that ran twice.

Cause: readHead() skipped a response with another id and took one without any, which may be additional bytes after the response to an earlier request on the connection. Its Not-Executed was believed.

Ruled out: that the case asks more than the protocol: servers echo the id in their responses, it identifies an extra one, and additional bytes belong to no request. Bytes that arrive while a connection is idle: it isn't used again.

Change: a response without an id is skipped on a connection that had an earlier request, and ends the attempt with an unknown outcome on a new one, where nothing else is known to follow. The log names it ("no response with the request's id").

Conclusion: an id is needed, not only compared where it is given.

--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -165,7 +165,11 @@
         co_return ExchangeEnd::ResponseOverdue;
     }
     if (error) {
-        co_return endForError(error);
+        const ExchangeEnd end = endForError(error);
+        if (reader_->hadUnmatchedResponse()) {
+            request_.detail = "no response with the request's id";
+        }
+        co_return end;
     }
     const TimePoint headAt = timeNow();
     responseTime_ = std::chrono::duration_cast<Milliseconds>(headAt - startedAt_);
--- a/src/gateway/cp_backend_pool.cpp
+++ b/src/gateway/cp_backend_pool.cpp
@@ -384,6 +384,7 @@
         backend.idle_.pop_back();
         if (now < connection->reusableUntil && isReusable(*connection)) {
             reusedConnections_.add();
+            connection->isReused = true;
             return connection;
         }
     }
--- a/src/gateway/cp_backend_pool.hpp
+++ b/src/gateway/cp_backend_pool.hpp
@@ -36,6 +36,8 @@
     boost::beast::flat_buffer buffer {maxBufferBytes};
     //! End of the time in which the connection may be reused.
     TimePoint reusableUntil {};
+    //! An earlier request was sent on the connection.
+    bool isReused = false;
 };
 
 //! A backend server as seen by one entry. Requests in flight share ownership, so its state outlives its removal from
--- a/src/gateway/cp_response_reader.cpp
+++ b/src/gateway/cp_response_reader.cpp
@@ -88,11 +88,17 @@
             continue;
         }
         const auto found = header().find(idName);
-        if (found == header().end() || view(found->value()) == id) {
+        const bool hasId = found != header().end();
+        if (hasId ? view(found->value()) == id : id.empty()) {
             co_return boost::system::error_code {};
         }
-        // A late duplicate response to an earlier request on this connection must not reach this caller.
+        // A late duplicate response to an earlier request on this connection, or bytes that follow its response, must
+        // not reach this caller.
         hadUnmatchedResponse_ = true;
+        if (!hasId && !connection_->isReused) {
+            // The only response that the server has sent.
+            break;
+        }
         const bool isDiscarded = co_await discardBody(maxSkippedBytes);
         if (!isDiscarded) {
             break;
--- a/src/gateway/cp_response_reader.hpp
+++ b/src/gateway/cp_response_reader.hpp
@@ -32,7 +32,8 @@
     //! Reading fails with beast::error::timeout from the deadline on.
     void setDeadline(TimePoint deadline);
     //! Reads heads until that of the response to the request. Skips interim responses, and a few responses to other
-    //! requests, which are told apart by the header with the request's id.
+    //! requests or without an id, which may follow an earlier request on the connection. A server states the id in each
+    //! response.
     boost::asio::awaitable<boost::system::error_code> readHead(std::string_view idHeader, std::string_view id);
     //! Reads once from the body. \param bytes  receives what was read
     boost::asio::awaitable<boost::system::error_code> readSome(std::string &bytes);
@@ -54,6 +55,11 @@
     }
     //! True if bytes have arrived that are not read yet, and that may belong to an event.
     [[nodiscard]] bool hasEventToRead() const;
+    //! Responses to other requests, or without an id, were read.
+    [[nodiscard]] bool hadUnmatchedResponse() const
+    {
+        return hadUnmatchedResponse_;
+    }
     //! True if the next request can be sent on the connection.
     [[nodiscard]] bool isReusable() const;
     //! How long the connection may be idle, according to the server.
