Count a VM at a retired one's address as the VM that it is

What callers saw: turns got 503 for good after a second loss, although a new VM had been there for the first one.

Cause: candidates() goes through records by name and keeps them by address; of two with one address the last by name decided, and the retired one's made the new VM ineligible.

Change: the VM that sent the last join request from an address is the one there. Other records with the address are no candidates, and the retirement of their VMs stays completed although the address is a member again.

Conclusion: an address belongs to the VM that uses it.

--- a/src/gateway/cp_ledger_members.cpp
+++ b/src/gateway/cp_ledger_members.cpp
@@ -244,7 +244,8 @@
         }
         return;
     }
-    joinRequesters_[request.peer] = {std::chrono::steady_clock::now(), request.completeUpTo, request.failureDomain};
+    joinRequesters_[request.peer]
+        = {std::chrono::steady_clock::now(), request.completeUpTo, request.failureDomain, request.vm};
     const auto known = state_.vms().find(request.vm);
     const bool isKnown = known != state_.vms().end() && known->second.peer == request.peer
         && known->second.failureDomain == request.failureDomain;
@@ -305,20 +306,32 @@
         }
         const Membership &members = driver_.node().membership();
         const VmName &peer = found->second.peer;
-        const bool isRemoved = !members.voters.contains(peer) && !members.learners.contains(peer)
-            && members.voters.size() >= desiredVoters();
+        const bool isMember
+            = !isAddressTaken(found->second) && (members.voters.contains(peer) || members.learners.contains(peer));
+        const bool isRemoved = !isMember && members.voters.size() >= desiredVoters();
         done(found->second.isRetiring && isRemoved ? OperationResult::Done : OperationResult::Running);
     });
 }
 
+bool LedgerService::isAddressTaken(const LedgerVm &record) const
+{
+    const auto requester = joinRequesters_.find(record.peer);
+    return requester != joinRequesters_.end() && requester->second.vm != record.vm;
+}
+
 MemberCandidates LedgerService::candidates() const
 {
     MemberCandidates result;
     const RaftNode &node = driver_.node();
     for (const auto &[vm, record] : state_.vms()) {
-        MemberCandidate &candidate = result[record.peer];
-        candidate.isRetiring = record.isRetiring;
-        if (const auto requester = joinRequesters_.find(record.peer); requester != joinRequesters_.end()) {
+        if (isAddressTaken(record)) {
+            continue;
+        }
+        const auto requester = joinRequesters_.find(record.peer);
+        const auto [item, isFirst] = result.try_emplace(record.peer);
+        MemberCandidate &candidate = item->second;
+        candidate.isRetiring = record.isRetiring && (isFirst || candidate.isRetiring);
+        if (requester != joinRequesters_.end()) {
             candidate.isLive = std::chrono::steady_clock::now() - requester->second.requestedAt < joinRequestMaxAge;
             candidate.failureDomain = requester->second.failureDomain;
         }
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -232,6 +232,8 @@
     //! Other ledger VMs that may be contacted.
     [[nodiscard]] std::set<VmName> servingVms() const;
     void planMembers();
+    //! Another VM than the recorded one uses its address now.
+    [[nodiscard]] bool isAddressTaken(const LedgerVm &record) const;
     [[nodiscard]] MemberCandidates candidates() const;
     [[nodiscard]] std::size_t desiredVoters() const
     {
@@ -307,7 +309,9 @@
         TimePoint requestedAt {};
         LogIndex completeUpTo = 0;
         std::string failureDomain;
+        VmName vm;
     };
+    //! By address.
     std::unordered_map<VmName, JoinRequester> joinRequesters_;
     //! VMs whose record is being committed.
     std::set<VmName> proposedVms_;
--- a/tests/platform/cp_platform_faults.tests.cpp
+++ b/tests/platform/cp_platform_faults.tests.cpp
@@ -114,6 +114,47 @@
     BOOST_TEST(cluster.platform.bodyOf("r2") == "in-r1;a-r1\nb-r1\nin-r2;");
 }
 
+// Guards against a VM that is never used because another one at its address was retired.
+BOOST_AUTO_TEST_CASE(a_vm_at_the_address_of_a_retired_one_becomes_a_member)
+{
+    GatewayCluster cluster;
+    cluster.putDocument(3);
+    const Address entry = cluster.addEntry(cluster.seeds());
+    BOOST_TEST(cluster.turn(entry, "v1", {}).status == 200U);
+    cluster.addLedger();
+    constexpr std::size_t reused = 3;
+    const VmName retiredVm = cluster.ledgerSettings[reused].vm;
+    const auto retired = [&](const std::string &method) {
+        const std::string path = "/cardamompost/retire/" + retiredVm;
+        return std::any_of(cluster.ledgerSettings.begin(), cluster.ledgerSettings.end(), [&](const auto &ledger) {
+            const HttpResponse answer = cluster.platform.call(ledger.control, method, path);
+            return answer.status == 200 && (method == "POST" || answer.body.find("completed") != std::string::npos);
+        });
+    };
+    BOOST_REQUIRE(GatewayCluster::eventually([&] { return retired("POST"); }));
+    BOOST_REQUIRE(GatewayCluster::eventually([&] { return retired("GET"); }));
+    cluster.ledgerThreads[reused].reset();
+    cluster.ledgerThreads[0].reset();
+    // Its name comes before the retired one's.
+    cluster.ledgerSettings[reused].vm = "ledger-00";
+    cluster.restartLedger(reused, false);
+    // It is added as a learner, becomes a voter, and the lost voter is removed.
+    constexpr std::size_t changes = 3;
+    const std::string peer = cluster.ledgerSettings[reused].peer.toString();
+    BOOST_REQUIRE(
+        GatewayCluster::eventually([&] { return cluster.matchingLogCount("members.change", peer) >= changes; }));
+    BOOST_TEST(GatewayCluster::eventually([&] { return retired("GET"); }));
+    // Two of three members remain.
+    cluster.ledgerThreads[1].reset();
+    constexpr int maxTurns = 5;
+    unsigned status = 0;
+    for (int i = 0; i < maxTurns && status != 200; ++i) {
+        status = cluster.turn(entry, "v2", "v1").status;
+    }
+    BOOST_TEST(status == 200U);
+    BOOST_TEST(cluster.platform.bodyOf("v2") == "in-v1;a-v1\nb-v1\nin-v2;");
+}
+
 // Guards against refused turns while heartbeats detect dead connections; new connections work, as after a firewall
 // restart.
 BOOST_AUTO_TEST_CASE(a_turn_is_served_although_all_open_connections_are_blackholed)
