Bound what HttpClient reads besides the body

What callers saw: nothing on a deployment; by reading, a server or the platform could take a process's memory.

Cause: the buffer of a connection had no bound, so extensions of chunks and trailers without end grew it.

Ruled out: bodies, which have a limit of 64 MB (as before), and streams, whose bytes are handed on.

Change: the bound that connections to backend servers have, 128 KB.

Evidence, before and after: http_client/a_response_with_a_very_long_chunk_extension_or_trailer_is_an_error failed on in 3 of 3 runs; now it passes (1 run).

--- a/src/cardamompost/net/cp_http_client.cpp
+++ b/src/cardamompost/net/cp_http_client.cpp
@@ -28,6 +28,8 @@
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t readBufferBytes = 16U << 10U;
 constexpr std::uint64_t maxResponseBytes = 64U << 20U;
+// Bounds what a server can have in memory besides the body, such as extensions of chunks and trailers.
+constexpr std::size_t maxBufferBytes = 128U << 10U;
 constexpr Milliseconds connectTimeout {2000};
 
 Error transportError(const Address &address, const boost::system::error_code &error)
@@ -59,7 +61,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer {maxBufferBytes};
     bool isReused = false;
     //! True if the last response leaves the connection ready for another request.
     bool isReusable = false;
--- a/tests/net/cp_http_client.tests.cpp
+++ b/tests/net/cp_http_client.tests.cpp
@@ -111,4 +111,18 @@
     BOOST_TEST(response.value().header("Content-Length") == "5");
 }
 
+// Guards against a server that takes the process's memory by what it sends besides the body.
+BOOST_AUTO_TEST_CASE(a_response_with_a_very_long_chunk_extension_or_trailer_is_an_error)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(1U << 20U, 'x');
+    for (const std::string &rest :
+         {"2;" + filler + "\r\nok\r\n0\r\n\r\n", "2\r\nok\r\n0\r\nX-Long: " + filler + "\r\n\r\n"}) {
+        ClientTest test({{head + rest, ResponseEnd::KeepOpen, {}}});
+        const Result<HttpResponse> answer = test.request("GET");
+        BOOST_REQUIRE(!answer.has_value());
+        BOOST_TEST((answer.error().kind == ErrorKind::BackendFailed));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
