Format a comment

Cause: the comment of LedgerState::history() was written after the formatter had run on the file. Ruled out: other files; the formatter finds none. Change: its line breaks. Conclusion: none for callers.

--- a/include/cardamompost/ledger/cp_ledger_state.hpp
+++ b/include/cardamompost/ledger/cp_ledger_state.hpp
@@ -48,8 +48,8 @@
     }
     //! Ledger time until which a turn and all its predecessors are retained; 0 for an unknown turn.
     [[nodiscard]] std::int64_t retainedUntilMs(const std::string &turn) const;
-    //! Indexes of the texts of a turn and all its predecessors, oldest first; nothing if one of them is unknown or there
-    //! are more than maxHistoryTurns.
+    //! Indexes of the texts of a turn and all its predecessors, oldest first; nothing if one of them is unknown or
+    //! there are more than maxHistoryTurns.
     [[nodiscard]] std::optional<std::vector<LogIndex>> history(const std::string &turn) const;
     [[nodiscard]] TurnTexts &texts()
     {
