Let the stand-ins of two test files echo the request's id

Cause: the whole test command on the commit before failed in three tests, platform_cut_answers/a_response_that_is_reset_while_its_request_is_written_does_not_look_complete, platform_cut_answers/events_of_a_turn_are_forwarded_as_they_arrive and platform_endless_answers/each_request_whose_server_sends_without_end_gets_its_final_answer: their servers state no request id, which the protocol asks of each response, and such a response is no answer any more.

Ruled out: a fault of the product; platform_response_ids has responses without an id, and each of these tests passes once its server states one.

Change: the endless server echoes the id in final responses that state none, and two scripted responses state it. No assertion, bound or case is changed.

Conclusion: the checks are as strict as before, and their servers speak the protocol.

--- a/tests/platform/cp_platform_cut_answers.tests.cpp
+++ b/tests/platform/cp_platform_cut_answers.tests.cpp
@@ -236,7 +236,8 @@
     test.cluster.put(large);
     BOOST_REQUIRE(GatewayCluster::eventually([&] {
         const std::string body(limit.size() + 200'000, 'x');
-        test.script("probe", {{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", ResponseEnd::KeepOpen, {}}});
+        test.script("probe",
+                    {{"HTTP/1.1 200 OK\r\nRequest-Id: probe\r\nContent-Length: 0\r\n\r\n", ResponseEnd::KeepOpen, {}}});
         return RawCaller(test.entry).call("POST", "/tools/1", CutAnswerCluster::headers("probe", false), body).status
             == 200;
     }));
@@ -353,14 +354,15 @@
     CutAnswerCluster test;
     for (const std::string framing : {"chunks", "connection", "length"}) {
         const std::string event = "id: 1\ndata: a\n\n";
-        std::string bytes = "HTTP/1.1 200 OK\r\nServer-Signature: sig\r\nContent-Type: text/event-stream\r\n";
+        const std::string id = "silent-" + framing;
+        std::string bytes = "HTTP/1.1 200 OK\r\nRequest-Id: " + id
+            + "\r\nServer-Signature: sig\r\nContent-Type: text/event-stream\r\n";
         if (framing == "chunks") {
             bytes += fmt::format("Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n", event.size(), event);
         } else {
             bytes += (framing == "length" ? "Content-Length: 1000\r\n\r\n" : "\r\n") + event;
         }
         // The server says nothing more, and keeps the connection open.
-        const std::string id = "silent-" + framing;
         test.script(id, {{bytes, ResponseEnd::KeepOpen, {}}});
         HttpHeaders headers = CutAnswerCluster::headers(id, true);
         headers["Deadline-Milliseconds"] = "1000";
--- a/tests/support/cp_endless_server.hpp
+++ b/tests/support/cp_endless_server.hpp
@@ -98,7 +98,8 @@
             if (error) {
                 co_return;
             }
-            const EndlessResponse response = script_(request);
+            EndlessResponse response = script_(request);
+            addRequestId(response.start, std::string(request["Request-Id"]));
             std::tie(error, count)
                 = co_await boost::asio::async_write(socket, boost::asio::buffer(response.start), asTuple);
             isOpen = !error && response.repeated.empty();
@@ -108,6 +109,16 @@
         }
     }
 
+    //! Echoes the request's id in a final response that states none.
+    static void addRequestId(std::string &start, const std::string &id)
+    {
+        const std::size_t lineEnd = start.find("\r\n");
+        const bool isInterim = start.starts_with("HTTP/1.1 1");
+        if (lineEnd != std::string::npos && !isInterim && start.find("Request-Id:") == std::string::npos) {
+            start.insert(lineEnd + 2, "Request-Id: " + id + "\r\n");
+        }
+    }
+
     boost::asio::awaitable<void> sendForever(boost::asio::ip::tcp::socket &socket, const std::string &repeated)
     {
         std::string block;
