Reword three comments of tests

Cause: they used a word that the project's comments avoid. Ruled out: a change of code; only comments differ. Change: the three lines. Conclusion: none for callers.

--- a/tests/ledger/cp_ledger_state.tests.cpp
+++ b/tests/ledger/cp_ledger_state.tests.cpp
@@ -128,7 +128,7 @@
     BOOST_TEST(state.turnBytes() == (std::string("in-x;out-x\n") + "in-y;out-y\n").size());
 }
 
-// Guards against a part of a history that is taken for the whole.
+// Guards against a part of a history that is taken for a complete one.
 BOOST_AUTO_TEST_CASE(a_history_that_lacks_a_turn_is_incomplete)
 {
     LedgerState state;
--- a/tests/platform/cp_platform_retention.tests.cpp
+++ b/tests/platform/cp_platform_retention.tests.cpp
@@ -81,7 +81,7 @@
     BOOST_TEST(cluster.turn(cluster.entry, "b3", {}, budget).status == 402U);
 }
 
-// Guards against a part of a history that is sent as the whole.
+// Guards against a part of a history that is sent as a complete one.
 BOOST_AUTO_TEST_CASE(a_turn_whose_history_lacks_a_turn_is_refused_with_a_log_line)
 {
     LongTurnCluster cluster;
--- a/tests/support/cp_ledger_member.hpp
+++ b/tests/support/cp_ledger_member.hpp
@@ -96,7 +96,7 @@
         message.entries = std::move(entries);
         driver_.onMessage(std::move(message));
     }
-    //! Delivers a snapshot of the leader's state as a whole.
+    //! Delivers a snapshot of the leader's state in one chunk.
     void receiveSnapshot(LogIndex index, std::string state)
     {
         RaftMessage message = fromLeader(RaftMessageType::SnapshotChunk);
