Log what an entry holds when it ends

Cause: not named before this commit. process.stopped told only whether the entry was idle, so a request that was cut left no line.

Change: process.stopped counts requests in flight and requests that have arrived in part; request.unfinished names each request in flight.

--- a/src/gateway/cp_entry_server.cpp
+++ b/src/gateway/cp_entry_server.cpp
@@ -150,6 +150,13 @@
     }
 }
 
+void EntryServer::logStopped() const
+{
+    forwarder_.logUnfinished();
+    parts_.log.info("process.stopped",
+                    {{"idle", isIdle()}, {"in_flight", forwarder_.inFlight()}, {"arriving", arriving_}});
+}
+
 asio::awaitable<void> EntryServer::onReadinessRequest(HttpRequest &request, IHttpResponder &responder)
 {
     HttpResponse response;
@@ -199,6 +206,7 @@
         parser.body_limit(bounds.bodyBytes);
         parser.eager(true);
         stream.expires_after(bounds.headerTimeout);
+        ++arriving_;
         auto [error, bytesRead] = co_await http::async_read_header(stream, buffer, parser, asTuple);
         if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
             std::string interimResponse = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -208,6 +216,7 @@
             stream.expires_after(bounds.idleTimeout);
             std::tie(error, bytesRead) = co_await http::async_read(stream, buffer, parser, asTuple);
         }
+        --arriving_;
         stream.expires_never();
         if (error) {
             const std::optional<LocalResponse> refusal = responseForReadError(error);
--- a/src/gateway/cp_entry_server.hpp
+++ b/src/gateway/cp_entry_server.hpp
@@ -36,6 +36,8 @@
     {
         return forwarder_.inFlight() == 0;
     }
+    //! Logs that the process ends, and what is unfinished then.
+    void logStopped() const;
     [[nodiscard]] bool hasLeader() const
     {
         return ledger_.hasLeader();
@@ -67,6 +69,8 @@
     LoadMeter load_;
     //! Connections waiting for their next request.
     std::set<std::shared_ptr<CallerConnection>> idle_;
+    //! Number of requests of which a part has arrived.
+    std::size_t arriving_ = 0;
     bool isDraining_ = false;
     bool wasReady_ = false;
 };
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -108,7 +108,7 @@
     request.message = std::move(message);
     request.caller = std::move(caller);
     request.table = table_;
-    ++inFlight_;
+    inFlight_.insert(&request);
     request.caller->watchForDisconnect([&request] {
         if (request.begin) {
             request.begin->fail(BeginFailure::CallerDisconnected);
@@ -120,10 +120,17 @@
     });
     co_await run(request);
     request.caller->watchForDisconnect({});
-    --inFlight_;
+    inFlight_.erase(&request);
     report_.end(request);
 }
 
+void Forwarder::logUnfinished() const
+{
+    for (const ForwardedRequest *request : inFlight_) {
+        report_.unfinished(*request);
+    }
+}
+
 bool Forwarder::findRoute(ForwardedRequest &request)
 {
     const auto target = request.message.target();
--- a/src/gateway/cp_forwarder.hpp
+++ b/src/gateway/cp_forwarder.hpp
@@ -13,6 +13,8 @@
 #include <cardamompost/limits/cp_retry_budget.hpp>
 #include <cardamompost/policy/cp_response_time_tracker.hpp>
 
+#include <unordered_set>
+
 namespace cardamompost
 {
 
@@ -53,8 +55,10 @@
     boost::asio::awaitable<void> forward(CallerRequest message, std::shared_ptr<CallerConnection> caller);
     [[nodiscard]] std::size_t inFlight() const
     {
-        return inFlight_;
+        return inFlight_.size();
     }
+    //! Logs the requests in flight, which get no response because the process ends.
+    void logUnfinished() const;
 
 private:
     //! State of a route whose requests may be retried.
@@ -112,7 +116,7 @@
     std::shared_ptr<const RouteTable> table_;
     //! Keyed by route name.
     std::unordered_map<std::string, RetryState> retryStates_;
-    std::size_t inFlight_ = 0;
+    std::unordered_set<const ForwardedRequest *> inFlight_;
     Counter &responseTimeouts_;
     Counter &lostRequests_;
     Counter &retries_;
--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -361,7 +361,7 @@
         }
         isDone = (elapsed >= minDrainTime && entry_->isIdle()) || elapsed >= settings_.grace - shutdownMargin;
     }
-    log_.info("process.stopped", {{"idle", entry_->isIdle()}});
+    entry_->logStopped();
     io_.stop();
 }
 
--- a/src/gateway/cp_request_report.cpp
+++ b/src/gateway/cp_request_report.cpp
@@ -103,4 +103,17 @@
     parts_.log.write(isFailure ? LogLevel::Warning : LogLevel::Info, "request.end", line);
 }
 
+void RequestReport::unfinished(const ForwardedRequest &request) const
+{
+    const auto elapsed = std::chrono::steady_clock::now() - request.arrived;
+    parts_.log.warn("request.unfinished",
+                    {{"id", request.metadata.id},
+                     {"route", request.route == nullptr ? std::string("none") : request.route->name},
+                     {"ms", std::chrono::duration_cast<Milliseconds>(elapsed).count()},
+                     {"backend", request.lastBackend},
+                     {"runs", request.runs},
+                     {"is_sent", request.connection != nullptr},
+                     {"has_response_started", request.hasResponseStarted}});
+}
+
 } // namespace cardamompost
--- a/src/gateway/cp_request_report.hpp
+++ b/src/gateway/cp_request_report.hpp
@@ -23,6 +23,8 @@
 
     //! Called once per request, after its final response.
     void end(const ForwardedRequest &request) const;
+    //! Called instead of end() for a request that is in flight when the process ends.
+    void unfinished(const ForwardedRequest &request) const;
 
 private:
     Parts parts_;
