Give each request its final answer before an entry ends

What callers saw: connections that ended without an answer although a server had their request, when entries were restarted; for a request that may not be repeated they could only look.

Cause: a stopping entry accepted requests until 3.7 s after SIGTERM and passed them on whatever their timeout (6 s on the users' route), and stopped its event loop at 7.4 s whatever was in flight. Class: something accepted has no owner of its final answer when its process ends at a fixed time.

Ruled out: a wait inside the entry as the only cause (each request without an answer had an attempt under way).

Change: RequestDrain knows the requests in flight. After SIGTERM a request is forwarded if it ends in time by the longest recent time of its route, and refused at once otherwise (503, Retry-After); at 7.4 s of 8 all that is left gets its final answer, also requests that have arrived in part. The times fit any grace period (DrainSchedule). The process waits for reports to the ledger. Idle connections are closed only if nothing has arrived on them, the listener's backlog is served, a pipelined request gets its answer, and closing waits until the caller has taken its response. Setting drain_forwarding. RawCaller gives up after its timeout; it waited for ever before, as its socket option has no effect on reads of Asio.

Conclusion: each request that has arrived gets an answer.

--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -134,13 +134,18 @@
 ExchangeEnd BackendExchange::endForError(const boost::system::error_code &error) const
 {
     request_.detail = error.message();
+    if (error == beast::error::timeout) {
+        return endUnlessAbandoned(ExchangeEnd::TimedOut);
+    }
+    return endUnlessAbandoned(request_.hasResponseStarted ? ExchangeEnd::Interrupted : ExchangeEnd::NoResponse);
+}
+
+ExchangeEnd BackendExchange::endUnlessAbandoned(ExchangeEnd end) const
+{
     if (request_.caller->isDisconnected()) {
         return ExchangeEnd::CallerDisconnected;
     }
-    if (error == beast::error::timeout) {
-        return ExchangeEnd::TimedOut;
-    }
-    return request_.hasResponseStarted ? ExchangeEnd::Interrupted : ExchangeEnd::NoResponse;
+    return request_.isGivenUp ? ExchangeEnd::ShuttingDown : end;
 }
 
 asio::awaitable<ExchangeEnd> BackendExchange::run(std::optional<Milliseconds> responseTimeout)
@@ -156,7 +161,7 @@
     const bool isSent = co_await send();
     if (!isSent) {
         request_.detail = "sending the request failed";
-        co_return request_.caller->isDisconnected() ? ExchangeEnd::CallerDisconnected : ExchangeEnd::NoResponse;
+        co_return endUnlessAbandoned(ExchangeEnd::NoResponse);
     }
     const boost::system::error_code error = co_await reader_->readHead(parts_.names.requestId, request_.metadata.id);
     if (error == beast::error::timeout && timeNow() < request_.deadline && !request_.caller->isDisconnected()) {
@@ -329,7 +334,7 @@
     if (reader_->parser().content_length()) {
         length = *reader_->parser().content_length();
     }
-    BodyFraming framing {length, caller.keepsOpen(), hasBody()};
+    BodyFraming framing {length, false, hasBody()};
     while (!reader_->isDone()) {
         const boost::system::error_code error = co_await reader_->readSome(body);
         if (error) {
@@ -344,6 +349,7 @@
         }
         std::string bytes;
         if (!request_.hasResponseStarted) {
+            framing.keepsOpen = caller.settleKeepsOpen();
             bytes = makeCallerHead(reader_->header(), parts_.names, framing);
             request_.hasResponseStarted = true;
         }
@@ -358,7 +364,7 @@
     std::string bytes;
     if (!request_.hasResponseStarted) {
         framing.length = framing.hasBody ? body.size() : length;
-        framing.keepsOpen = caller.keepsOpen();
+        framing.keepsOpen = caller.settleKeepsOpen();
         bytes = makeCallerHead(reader_->header(), parts_.names, framing) + body;
     } else if (!framing.length) {
         bytes = "0\r\n\r\n";
@@ -381,7 +387,7 @@
         co_await request_.begin->waitUntilFinal();
         if (!request_.begin->isGranted()) {
             request_.detail = nameOf(beginFailureNames, request_.begin->failure());
-            co_return request_.caller->isDisconnected() ? ExchangeEnd::CallerDisconnected : ExchangeEnd::NotGranted;
+            co_return endUnlessAbandoned(ExchangeEnd::NotGranted);
         }
         request_.versionRecord.setRecorded(request_.begin->recordedVersion());
         proposeVersion();
@@ -389,7 +395,7 @@
     const bool mayRelay = co_await request_.versionRecord.wait();
     if (!mayRelay) {
         request_.detail = "the stream's software version was not recorded";
-        co_return request_.caller->isDisconnected() ? ExchangeEnd::CallerDisconnected : ExchangeEnd::NotGranted;
+        co_return endUnlessAbandoned(ExchangeEnd::NotGranted);
     }
     co_return std::nullopt;
 }
@@ -401,7 +407,7 @@
     }
     if (!request_.hasResponseStarted) {
         responseHead_
-            = makeCallerHead(reader_->header(), parts_.names, {std::nullopt, request_.caller->keepsOpen(), true});
+            = makeCallerHead(reader_->header(), parts_.names, {std::nullopt, request_.caller->settleKeepsOpen(), true});
     }
     // While the begin was committed, the complete stream may have arrived.
     const bool mayBeComplete = request_.begin && request_.route->keepsHistory && !request_.hasResponseStarted;
--- a/src/gateway/cp_backend_exchange.hpp
+++ b/src/gateway/cp_backend_exchange.hpp
@@ -83,6 +83,8 @@
     //! The same in the background, once the rest of the response has been read.
     void releaseAfterRest();
     [[nodiscard]] ExchangeEnd endForError(const boost::system::error_code &error) const;
+    //! \returns end, unless the attempt ended because the caller disconnected or the request was given up
+    [[nodiscard]] ExchangeEnd endUnlessAbandoned(ExchangeEnd end) const;
     [[nodiscard]] Milliseconds timeLeft() const;
 
     Parts parts_;
--- a/src/gateway/cp_caller_connection.cpp
+++ b/src/gateway/cp_caller_connection.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/status.hpp>
 #include <fmt/format.h>
 
+#include <array>
 #include <sys/socket.h>
 
 namespace cardamompost
@@ -20,6 +21,10 @@
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 // A caller that reads nothing for this long is treated as disconnected.
 constexpr Milliseconds writeTimeout {8000};
+// Time for a caller to close its end, and bytes that it may send meanwhile.
+constexpr Milliseconds closeTimeout {250};
+constexpr std::size_t maxDiscardedBytes = 1U << 20U;
+constexpr std::size_t discardBufferBytes = 4U << 10U;
 
 } // namespace
 
@@ -80,7 +85,7 @@
     if (response.retryAfter.count() > 0) {
         text += fmt::format("Retry-After: {:.3f}\r\n", static_cast<double>(response.retryAfter.count()) / 1000);
     }
-    if (!keepsOpen_) {
+    if (!settleKeepsOpen()) {
         text += "Connection: close\r\n";
     }
     text += "\r\n";
@@ -88,6 +93,44 @@
     co_return co_await write(std::move(text));
 }
 
+bool CallerConnection::hasInput()
+{
+    boost::system::error_code error;
+    return buffer_.size() > 0 || (stream_.socket().available(error) > 0 && !error);
+}
+
+bool CallerConnection::settleKeepsOpen()
+{
+    keepsOpen_ = keepsOpen_ && (!closesWhenQuiet_ || hasInput());
+    return keepsOpen();
+}
+
+void CallerConnection::closeIdle()
+{
+    boost::system::error_code ignored;
+    stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    stream_.close();
+}
+
+asio::awaitable<void> CallerConnection::closeAfterWrite()
+{
+    if (!stream_.socket().is_open()) {
+        co_return;
+    }
+    boost::system::error_code ignored;
+    stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    // Closing with unread bytes would reset the connection, and the caller could lose the response.
+    stream_.expires_after(closeTimeout);
+    std::array<char, discardBufferBytes> space {};
+    std::size_t discarded = 0;
+    while (!isDisconnected_ && discarded < maxDiscardedBytes) {
+        const auto [error, bytesRead] = co_await stream_.async_read_some(asio::buffer(space), asTuple);
+        discarded += bytesRead;
+        isDisconnected_ = isDisconnected_ || error;
+    }
+    stream_.close();
+}
+
 void CallerConnection::abort()
 {
     keepsOpen_ = false;
--- a/src/gateway/cp_caller_connection.hpp
+++ b/src/gateway/cp_caller_connection.hpp
@@ -26,6 +26,16 @@
     Milliseconds retryAfter {0};
 };
 
+//! What a caller's connection is used for at the moment.
+enum class ConnectionPhase {
+    //! Waits for the next request.
+    Idle,
+    //! A part of a request has arrived.
+    Reading,
+    Responding,
+    Closing,
+};
+
 //! A caller's connection. Writes responses, and detects a disconnect while one is pending.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
@@ -55,6 +65,27 @@
     boost::asio::awaitable<bool> write(std::string bytes);
     boost::asio::awaitable<bool> sendResponse(LocalResponse response);
 
+    [[nodiscard]] ConnectionPhase phase() const
+    {
+        return phase_;
+    }
+    void setPhase(ConnectionPhase phase)
+    {
+        phase_ = phase;
+    }
+    //! True if bytes of the next request have arrived.
+    [[nodiscard]] bool hasInput();
+    //! Closes the connection after its next response that no further request has followed yet.
+    void closeWhenQuiet()
+    {
+        closesWhenQuiet_ = true;
+    }
+    //! Decides whether the connection stays open after the response that is about to begin.
+    [[nodiscard]] bool settleKeepsOpen();
+    //! Closes the connection at once. A request that is in transit stays unread, so the caller can repeat it.
+    void closeIdle();
+    //! Closes the connection once the caller has taken what was written, or after a short time.
+    boost::asio::awaitable<void> closeAfterWrite();
     //! Resets the connection after an incomplete response, so that it can't be mistaken for a complete one.
     void abort();
     void closeAfterResponse()
@@ -77,9 +108,11 @@
     boost::beast::tcp_stream stream_;
     boost::beast::flat_buffer buffer_;
     std::function<void()> onDisconnect_;
+    ConnectionPhase phase_ = ConnectionPhase::Idle;
     bool isArmed_ = false;
     bool isDisconnected_ = false;
     bool keepsOpen_ = true;
+    bool closesWhenQuiet_ = false;
 };
 
 } // namespace cardamompost
--- a/src/gateway/cp_entry_server.cpp
+++ b/src/gateway/cp_entry_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <ctime>
 
 namespace cardamompost
@@ -28,6 +29,9 @@
 constexpr Milliseconds minHeartbeatInterval {100};
 constexpr Milliseconds maxHeartbeatInterval {300};
 constexpr Milliseconds acceptRetryDelay {20};
+// For reports to the ledger after the last responses.
+constexpr Milliseconds reportTime {200};
+constexpr Milliseconds retryElsewhereAfter {20};
 constexpr std::size_t firstReadBytes = 8U << 10U;
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusBadRequest = 400;
@@ -135,26 +139,65 @@
     });
 }
 
-void EntryServer::drain()
+void EntryServer::drain(TimePoint responsesDue)
 {
     isDraining_ = true;
+    forwarder_.drain().begin(responsesDue);
+    ledger_.setLatestDeadline(responsesDue + reportTime);
+    for (const auto &caller : connections_) {
+        caller->closeWhenQuiet();
+    }
     announceReadinessChange();
 }
 
 void EntryServer::stopAccepting()
 {
-    boost::system::error_code ignored;
-    acceptor_.close(ignored);
-    for (const auto &caller : std::exchange(idle_, {})) {
-        caller->stream().cancel();
+    boost::system::error_code error;
+    if (acceptor_.is_open()) {
+        // Connections that callers consider open already.
+        acceptor_.non_blocking(true, error);
+        while (!error) {
+            asio::ip::tcp::socket socket(parts_.io);
+            acceptor_.accept(socket, error);
+            if (!error) {
+                startServing(std::move(socket));
+            }
+        }
+        acceptor_.close(error);
+    }
+    for (const auto &caller : connections_) {
+        if (caller->phase() == ConnectionPhase::Idle && !caller->hasInput()) {
+            caller->stream().cancel();
+        }
     }
 }
 
+void EntryServer::giveUp()
+{
+    hasGivenUp_ = true;
+    forwarder_.drain().giveUp();
+    for (const auto &caller : connections_) {
+        if (caller->phase() == ConnectionPhase::Reading) {
+            caller->stream().cancel();
+        }
+    }
+}
+
+std::size_t EntryServer::countPhase(ConnectionPhase phase) const
+{
+    return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(),
+                                                  [&](const auto &caller) { return caller->phase() == phase; }));
+}
+
 void EntryServer::logStopped() const
 {
     forwarder_.logUnfinished();
     parts_.log.info("process.stopped",
-                    {{"idle", isIdle()}, {"in_flight", forwarder_.inFlight()}, {"arriving", arriving_}});
+                    {{"idle", isIdle()},
+                     {"connections", connections_.size()},
+                     {"in_flight", forwarder_.inFlight()},
+                     {"arriving", countPhase(ConnectionPhase::Reading)},
+                     {"reports", ledger_.pendingRequests()}});
 }
 
 asio::awaitable<void> EntryServer::onReadinessRequest(HttpRequest &request, IHttpResponder &responder)
@@ -178,35 +221,52 @@
             co_await pause.async_wait(asTuple);
             continue;
         }
-        boost::system::error_code ignored;
-        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-        auto caller = std::make_shared<CallerConnection>(std::move(socket));
-        asio::co_spawn(parts_.io, serve(std::move(caller)), asio::detached);
+        startServing(std::move(socket));
+    }
+}
+
+void EntryServer::startServing(asio::ip::tcp::socket socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    auto caller = std::make_shared<CallerConnection>(std::move(socket));
+    if (isDraining_) {
+        caller->closeWhenQuiet();
     }
+    connections_.insert(caller);
+    asio::co_spawn(parts_.io, serve(std::move(caller)), asio::detached);
 }
 
 asio::awaitable<void> EntryServer::serve(std::shared_ptr<CallerConnection> caller)
+{
+    co_await serveRequests(caller);
+    caller->setPhase(ConnectionPhase::Closing);
+    co_await caller->closeAfterWrite();
+    connections_.erase(caller);
+}
+
+asio::awaitable<void> EntryServer::serveRequests(std::shared_ptr<CallerConnection> caller)
 {
     beast::tcp_stream &stream = caller->stream();
     beast::flat_buffer &buffer = caller->buffer();
     while (caller->keepsOpen()) {
         const CallerBounds bounds = forwarder_.table() ? forwarder_.table()->bounds() : CallerBounds {};
+        caller->setPhase(ConnectionPhase::Idle);
         if (buffer.size() == 0) {
             stream.expires_after(bounds.idleTimeout);
-            idle_.insert(caller);
             const auto [error, bytesRead] = co_await stream.async_read_some(buffer.prepare(firstReadBytes), asTuple);
-            idle_.erase(caller);
             if (error) {
+                caller->closeIdle();
                 break;
             }
             buffer.commit(bytesRead);
         }
+        caller->setPhase(ConnectionPhase::Reading);
         http::request_parser<http::string_body> parser;
         parser.header_limit(bounds.headerBytes);
         parser.body_limit(bounds.bodyBytes);
         parser.eager(true);
         stream.expires_after(bounds.headerTimeout);
-        ++arriving_;
         auto [error, bytesRead] = co_await http::async_read_header(stream, buffer, parser, asTuple);
         if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
             std::string interimResponse = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -216,10 +276,13 @@
             stream.expires_after(bounds.idleTimeout);
             std::tie(error, bytesRead) = co_await http::async_read(stream, buffer, parser, asTuple);
         }
-        --arriving_;
         stream.expires_never();
+        caller->setPhase(ConnectionPhase::Responding);
         if (error) {
-            const std::optional<LocalResponse> refusal = responseForReadError(error);
+            std::optional<LocalResponse> refusal = responseForReadError(error);
+            if (hasGivenUp_ && error == asio::error::operation_aborted) {
+                refusal = LocalResponse {statusUnavailable, "the entry is shutting down", retryElsewhereAfter};
+            }
             caller->closeAfterResponse();
             if (refusal) {
                 parts_.log.info("request.unreadable", {{"status", refusal->status}, {"error", error.message()}});
@@ -227,15 +290,10 @@
             }
             break;
         }
-        caller->setKeepsOpen(parser.get().keep_alive() && !isDraining_);
+        caller->setKeepsOpen(parser.get().keep_alive());
         CallerRequest request = parser.release();
         co_await forwarder_.forward(std::move(request), caller);
     }
-    boost::system::error_code ignored;
-    if (stream.socket().is_open()) {
-        stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-        stream.socket().close(ignored);
-    }
 }
 
 } // namespace cardamompost
--- a/src/gateway/cp_entry_server.hpp
+++ b/src/gateway/cp_entry_server.hpp
@@ -27,14 +27,18 @@
 
     //! Errors: InvalidConfiguration if an address can't be bound.
     Result<void> start();
-    //! Withdraws from the directory. New connections are still accepted until stopAccepting().
-    void drain();
-    //! Accepts no more connections, and closes idle ones.
+    //! Withdraws from the directory, and forwards only requests that end in time. New connections are still accepted
+    //! until stopAccepting().
+    //! \param responsesDue  when giveUp() is called at the latest
+    void drain(TimePoint responsesDue);
+    //! Accepts no more connections, and closes idle ones. To be repeated.
     void stopAccepting();
-    //! True if no request is in flight.
+    //! Responds to all requests, also to those of which only a part has arrived. To be repeated until idle.
+    void giveUp();
+    //! True if no caller is connected, and the ledger has all reports.
     [[nodiscard]] bool isIdle() const
     {
-        return forwarder_.inFlight() == 0;
+        return connections_.empty() && ledger_.pendingRequests() == 0;
     }
     //! Logs that the process ends, and what is unfinished then.
     void logStopped() const;
@@ -55,7 +59,11 @@
     //! Sends a heartbeat at once if the readiness has changed.
     void announceReadinessChange();
     boost::asio::awaitable<void> accept();
+    void startServing(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> serve(std::shared_ptr<CallerConnection> caller);
+    //! Serves requests until the connection is to be closed.
+    boost::asio::awaitable<void> serveRequests(std::shared_ptr<CallerConnection> caller);
+    [[nodiscard]] std::size_t countPhase(ConnectionPhase phase) const;
     boost::asio::awaitable<void> onReadinessRequest(HttpRequest &request, IHttpResponder &responder);
 
     Parts parts_;
@@ -67,11 +75,9 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer timer_;
     LoadMeter load_;
-    //! Connections waiting for their next request.
-    std::set<std::shared_ptr<CallerConnection>> idle_;
-    //! Number of requests of which a part has arrived.
-    std::size_t arriving_ = 0;
+    std::set<std::shared_ptr<CallerConnection>> connections_;
     bool isDraining_ = false;
+    bool hasGivenUp_ = false;
     bool wasReady_ = false;
 };
 
--- a/src/gateway/cp_forwarded_request.cpp
+++ b/src/gateway/cp_forwarded_request.cpp
@@ -13,6 +13,17 @@
 
 } // namespace
 
+void ForwardedRequest::stopWaiting(BeginFailure reason)
+{
+    if (begin) {
+        begin->fail(reason);
+    }
+    versionRecord.stopWaiting();
+    if (connection) {
+        connection->stream.cancel();
+    }
+}
+
 TurnFinish ForwardedRequest::makeFinish(TurnEnding ending)
 {
     TurnFinish finish;
--- a/src/gateway/cp_forwarded_request.hpp
+++ b/src/gateway/cp_forwarded_request.hpp
@@ -33,20 +33,18 @@
     NotGranted,
     //! The end of the turn was not made durable in time.
     NotDurable,
+    //! This process ends before the server has responded.
+    ShuttingDown,
     CallerDisconnected,
     TimedOut,
 };
 
 inline constexpr std::array exchangeEndNames {
-    Named {ExchangeEnd::Completed, "answered"},
-    Named {ExchangeEnd::NotExecuted, "not-run"},
-    Named {ExchangeEnd::NoResponse, "unanswered"},
-    Named {ExchangeEnd::ResponseOverdue, "silent"},
-    Named {ExchangeEnd::Interrupted, "broke-off"},
-    Named {ExchangeEnd::FalsePromise, "false-promise"},
-    Named {ExchangeEnd::NotGranted, "not-granted"},
-    Named {ExchangeEnd::NotDurable, "not-durable"},
-    Named {ExchangeEnd::CallerDisconnected, "caller-gone"},
+    Named {ExchangeEnd::Completed, "answered"},         Named {ExchangeEnd::NotExecuted, "not-run"},
+    Named {ExchangeEnd::NoResponse, "unanswered"},      Named {ExchangeEnd::ResponseOverdue, "silent"},
+    Named {ExchangeEnd::Interrupted, "broke-off"},      Named {ExchangeEnd::FalsePromise, "false-promise"},
+    Named {ExchangeEnd::NotGranted, "not-granted"},     Named {ExchangeEnd::NotDurable, "not-durable"},
+    Named {ExchangeEnd::ShuttingDown, "shutting-down"}, Named {ExchangeEnd::CallerDisconnected, "caller-gone"},
     Named {ExchangeEnd::TimedOut, "timed-out"},
 };
 
@@ -86,7 +84,11 @@
     //! Identifies this arrival of the request at the ledger, if the account has a limit; callers may repeat their ids.
     std::string admissionId;
     //! Arrival plus the shorter of the caller's and the route's timeout.
+    TimePoint callerDeadline {};
+    //! When the request has to have its final response: the caller's deadline, or earlier if the process ends before.
     TimePoint deadline {};
+    //! The process is about to end, and the request gets its final response at once.
+    bool isGivenUp = false;
 
     //! Set for a turn, which needs admission by the ledger.
     std::shared_ptr<PendingBegin> begin;
@@ -200,6 +202,8 @@
     {
         return static_cast<std::int64_t>(eventScanner.eventCount()) * service->engine.tokensPerEvent;
     }
+    //! Ends all waits for the ledger and a server.
+    void stopWaiting(BeginFailure reason);
     //! The message that reports the turn's end to the ledger.
     [[nodiscard]] TurnFinish makeFinish(TurnEnding ending);
     //! How long the complete stream took.
--- a/src/gateway/cp_forwarder.cpp
+++ b/src/gateway/cp_forwarder.cpp
@@ -71,6 +71,7 @@
 Forwarder::Forwarder(Parts parts)
     : parts_(parts)
     , report_({parts.pool, parts.ledger, parts.log, parts.metrics})
+    , drain_({parts.settings, parts.log, parts.metrics})
     , access_({parts.adapter, parts.settings, parts.ledger, parts.metrics})
     , incarnationCheck_({parts.adapter, parts.pool, parts.log, parts.metrics})
     , heldBytes_(std::max(minHeldBytes, parts.settings.memoryBytes / heldBytesDivisor))
@@ -93,6 +94,7 @@
 {
     table_ = std::move(table);
     std::erase_if(retryStates_, [&](const auto &item) { return !table_->hasRoute(item.first); });
+    drain_.forgetRoutesExcept(*table_);
 }
 
 Forwarder::RetryState *Forwarder::retryStateFor(const ForwardedRequest &request)
@@ -108,25 +110,17 @@
     request.message = std::move(message);
     request.caller = std::move(caller);
     request.table = table_;
-    inFlight_.insert(&request);
-    request.caller->watchForDisconnect([&request] {
-        if (request.begin) {
-            request.begin->fail(BeginFailure::CallerDisconnected);
-        }
-        request.versionRecord.stopWaiting();
-        if (request.connection) {
-            request.connection->stream.cancel();
-        }
-    });
+    drain_.add(request);
+    request.caller->watchForDisconnect([&request] { request.stopWaiting(BeginFailure::CallerDisconnected); });
     co_await run(request);
     request.caller->watchForDisconnect({});
-    inFlight_.erase(&request);
+    drain_.remove(request);
     report_.end(request);
 }
 
 void Forwarder::logUnfinished() const
 {
-    for (const ForwardedRequest *request : inFlight_) {
+    for (const ForwardedRequest *request : drain_.inFlight()) {
         report_.unfinished(*request);
     }
 }
@@ -145,7 +139,8 @@
     const std::string &splitKey = request.metadata.program.empty() ? streamId : request.metadata.program;
     request.service = request.table->service(RouteTable::pickService(*request.route, stableHash(splitKey)));
     const Milliseconds callerTimeout = request.metadata.callerTimeout.value_or(request.route->timeout);
-    request.deadline = request.arrived + std::min(callerTimeout, request.route->timeout);
+    request.callerDeadline = request.arrived + std::min(callerTimeout, request.route->timeout);
+    request.deadline = request.callerDeadline;
     return true;
 }
 
@@ -171,6 +166,8 @@
         refusal = {statusUnavailable, "no configuration loaded yet", retryAfterLong};
     } else if (!findRoute(request)) {
         refusal = noRouteResponse();
+    } else if (const std::optional<LocalResponse> shuttingDown = drain_.check(request)) {
+        refusal = *shuttingDown;
     } else if (const std::optional<LocalResponse> denied = access_.identify(request)) {
         refusal = *denied;
     } else if (!parts_.pool.hasService(request.service->name)) {
@@ -327,7 +324,9 @@
         request.detail = nameOf(beginFailureNames, request.begin->failure());
     }
     LocalResponse refusal {statusUnavailable, "the ledger can't be reached", retryAfterShort};
-    if (request.begin->status() == TurnBeginStatus::BudgetExhausted) {
+    if (request.isGivenUp) {
+        refusal.reason = "the entry is shutting down";
+    } else if (request.begin->status() == TurnBeginStatus::BudgetExhausted) {
         refusal = {statusPaymentRequired, "the turn exceeds the program's remaining budget", Milliseconds(0)};
     } else if (request.begin->status() == TurnBeginStatus::NoSuchTurn) {
         refusal = {statusNotFound, "the previous turn does not exist", Milliseconds(0)};
@@ -385,11 +384,9 @@
             request.cause = "the caller left";
             co_return;
         }
-        if (!request.hasResponseStarted) {
-            if (const std::optional<LocalResponse> denied = access_.recheck(request, *table_)) {
-                co_await refuse(request, *denied);
-                co_return;
-            }
+        if (const std::optional<LocalResponse> denied = recheck(request)) {
+            co_await refuse(request, *denied);
+            co_return;
         }
         const std::shared_ptr<BackendState> backend = chooseBackend(request);
         if (!backend) {
@@ -444,6 +441,17 @@
     }
 }
 
+std::optional<LocalResponse> Forwarder::recheck(ForwardedRequest &request)
+{
+    if (request.hasResponseStarted) {
+        return std::nullopt;
+    }
+    if (const std::optional<LocalResponse> denied = access_.recheck(request, *table_)) {
+        return denied;
+    }
+    return request.runs == 0 ? drain_.check(request) : std::nullopt;
+}
+
 asio::awaitable<bool> Forwarder::finishWithoutBackend(ForwardedRequest &request)
 {
     request.isQuarantined = !request.excludedVersions.empty() && timeNow() < request.deadline;
@@ -527,6 +535,10 @@
     case ExchangeEnd::FalsePromise:
         final.reason = "the backend server may have run the request, and answers that it has not";
         break;
+    case ExchangeEnd::ShuttingDown:
+        final = {statusGatewayTimeout, "the entry is shutting down, and the backend server has not responded",
+                 Milliseconds(0)};
+        break;
     case ExchangeEnd::NotGranted:
     case ExchangeEnd::NotDurable:
         final.reason = "the ledger did not confirm the turn";
--- a/src/gateway/cp_forwarder.hpp
+++ b/src/gateway/cp_forwarder.hpp
@@ -8,13 +8,12 @@
 #include "cp_incarnation_check.hpp"
 #include "cp_ledger_client.hpp"
 #include "cp_quarantine_check.hpp"
+#include "cp_request_drain.hpp"
 #include "cp_request_report.hpp"
 
 #include <cardamompost/limits/cp_retry_budget.hpp>
 #include <cardamompost/policy/cp_response_time_tracker.hpp>
 
-#include <unordered_set>
-
 namespace cardamompost
 {
 
@@ -55,7 +54,11 @@
     boost::asio::awaitable<void> forward(CallerRequest message, std::shared_ptr<CallerConnection> caller);
     [[nodiscard]] std::size_t inFlight() const
     {
-        return inFlight_.size();
+        return drain_.inFlight().size();
+    }
+    [[nodiscard]] RequestDrain &drain()
+    {
+        return drain_;
     }
     //! Logs the requests in flight, which get no response because the process ends.
     void logUnfinished() const;
@@ -87,6 +90,8 @@
     //! \returns true if the request may be forwarded
     boost::asio::awaitable<bool> beginTurn(ForwardedRequest &request);
     boost::asio::awaitable<void> tryBackends(ForwardedRequest &request);
+    //! The response to a request that must not be forwarded any more; nothing if it may be.
+    [[nodiscard]] std::optional<LocalResponse> recheck(ForwardedRequest &request);
     //! Handles a request for which there is no server to try. \returns true if it should be tried again
     boost::asio::awaitable<bool> finishWithoutBackend(ForwardedRequest &request);
     //! An idle or new connection; null if the server can't be reached, which ejects it.
@@ -109,6 +114,7 @@
 
     Parts parts_;
     RequestReport report_;
+    RequestDrain drain_;
     AccessCheck access_;
     IncarnationCheck incarnationCheck_;
     HeldBytes heldBytes_;
@@ -116,7 +122,6 @@
     std::shared_ptr<const RouteTable> table_;
     //! Keyed by route name.
     std::unordered_map<std::string, RetryState> retryStates_;
-    std::unordered_set<const ForwardedRequest *> inFlight_;
     Counter &responseTimeouts_;
     Counter &lostRequests_;
     Counter &retries_;
--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -1,6 +1,7 @@
 #include "cp_gateway.hpp"
 
 #include <cardamompost/net/cp_await.hpp>
+#include <cardamompost/policy/cp_drain_schedule.hpp>
 #include <cardamompost/storage/cp_posix_files.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -20,11 +21,6 @@
 {
 
 constexpr Milliseconds drainPollInterval {50};
-// Time for which a draining entry accepts connections if its grace period is long enough, because callers may have
-// cached a directory response that lists it.
-constexpr Milliseconds minDrainTime {4200};
-// The process exits this long before the end of the grace period, even with requests in flight.
-constexpr Milliseconds shutdownMargin {600};
 constexpr Milliseconds leadershipTransferTime {300};
 constexpr Milliseconds diskRetryInterval {300};
 constexpr Milliseconds periodicInterval {200};
@@ -349,17 +345,20 @@
 asio::awaitable<void> Gateway::drainEntry()
 {
     const auto startedAt = std::chrono::steady_clock::now();
-    entry_->drain();
+    const DrainSchedule schedule = DrainSchedule::forGrace(settings_.grace);
+    entry_->drain(startedAt + schedule.responseTime);
     bool isDone = false;
     while (!isDone) {
         co_await sleepFor(drainPollInterval);
         const auto elapsed = std::chrono::steady_clock::now() - startedAt;
-        if (elapsed >= std::min(minDrainTime, (settings_.grace - shutdownMargin) / 2)) {
-            // Requests that arrive just before the end of the grace period would be cut off. Callers whose directory
-            // response is cached for longer retry elsewhere when their connection is refused.
+        if (elapsed >= schedule.acceptTime) {
+            // Callers whose directory response is cached for longer retry elsewhere when their connection is refused.
             entry_->stopAccepting();
         }
-        isDone = (elapsed >= minDrainTime && entry_->isIdle()) || elapsed >= settings_.grace - shutdownMargin;
+        if (elapsed >= schedule.responseTime) {
+            entry_->giveUp();
+        }
+        isDone = (elapsed >= schedule.earliestExitTime && entry_->isIdle()) || elapsed >= schedule.exitTime;
     }
     entry_->logStopped();
     io_.stop();
--- a/src/gateway/cp_gateway_settings.cpp
+++ b/src/gateway/cp_gateway_settings.cpp
@@ -63,6 +63,12 @@
         = static_cast<std::size_t>(reader.integer("memory_mb", defaultMemoryMb, minMemoryMb, maxMemoryMb)) << 20U;
     settings.processorShare = reader.number("processor_share", 1, minProcessorShare, maxProcessorShare);
     settings.grace = duration("grace_ms", defaultGraceMs);
+    const std::string drainForwarding = reader.text("drain_forwarding", "expected");
+    const std::optional<DrainForwarding> parsedForwarding = valueOf(drainForwardingNames, drainForwarding);
+    if (!parsedForwarding) {
+        reader.addError("drain_forwarding", fmt::format("'{}' is neither 'expected' nor 'certain'", drainForwarding));
+    }
+    settings.drainForwarding = parsedForwarding.value_or(DrainForwarding::Expected);
     settings.directoryLifetime = duration("directory_lifetime_ms", defaultDirectoryLifetimeMs);
     settings.directoryLifetimeUnreachable = duration("directory_lifetime_dark_ms", defaultLifetimeUnreachableMs);
     settings.nearEntriesMin = static_cast<std::size_t>(reader.integer("near_entries_min", 0, 0, maxNearEntries));
--- a/src/gateway/cp_gateway_settings.hpp
+++ b/src/gateway/cp_gateway_settings.hpp
@@ -24,6 +24,19 @@
     Named {GatewayRole::Ledger, "ledger"},
 };
 
+//! Which requests an entry that is told to stop still forwards.
+enum class DrainForwarding {
+    //! Those that usually end in time, by the times of recent requests.
+    Expected,
+    //! Those whose deadline passes in time.
+    Certain,
+};
+
+inline constexpr std::array drainForwardingNames {
+    Named {DrainForwarding::Expected, "expected"},
+    Named {DrainForwarding::Certain, "certain"},
+};
+
 //! Local settings of a gateway process.
 struct GatewaySettings {
     VmName vm;
@@ -53,6 +66,7 @@
     unsigned toleratedLosses = 1;
     //! Time from SIGTERM until the process is killed.
     Milliseconds grace {0};
+    DrainForwarding drainForwarding = DrainForwarding::Expected;
     //! Minimum number of entries that callers are told of; beyond it they are told of those in their failure domain,
     //! and of others by load. 0 to tell all.
     std::size_t nearEntriesMin = 0;
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -185,7 +185,7 @@
     const TimePoint now = timeNow();
     const bool isTentative = attempt->pending->isTentative();
     const bool hasLeader = isTentative || now - attempt->answeredAt < attempt->leaderTimeout;
-    if (now + retryInterval >= attempt->deadline || !hasLeader || isStopped_) {
+    if (now + retryInterval >= std::min(attempt->deadline, latestDeadline_) || !hasLeader || isStopped_) {
         attempt->pending->fail(isTentative ? BeginFailure::NotCommitted : BeginFailure::NoLeader);
         return;
     }
@@ -203,8 +203,9 @@
 asio::awaitable<std::optional<Reply>> LedgerClient::requestFromLeader(FrameBody request, TimePoint deadline,
                                                                       RetryPolicy<Reply> policy)
 {
+    const std::shared_ptr<const bool> pending = pendingRequests_;
     const TimePoint startedAt = timeNow();
-    while (timeNow() < deadline) {
+    while (timeNow() < std::min(deadline, latestDeadline_)) {
         const VmName peer = leader_;
         const auto client = peer.empty() ? nullptr : parts_.peers.client(peer);
         if (!client) {
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -26,6 +26,7 @@
     //! The turn may have run, and no quorum confirmed its reservation before the caller's deadline.
     NotCommitted,
     CallerDisconnected,
+    ShuttingDown,
 };
 
 inline constexpr std::array beginFailureNames {
@@ -33,6 +34,7 @@
     Named {BeginFailure::NoLeader, "no leader answered"},
     Named {BeginFailure::NotCommitted, "no quorum before the deadline"},
     Named {BeginFailure::CallerDisconnected, "the caller left"},
+    Named {BeginFailure::ShuttingDown, "the entry is shutting down"},
 };
 
 //! The begin of a turn at the ledger, from the first attempt to the quorum's decision.
@@ -153,6 +155,16 @@
     //! Reports or asks about a request under which servers have ended; nothing when no leader has answered before the
     //! deadline.
     boost::asio::awaitable<std::optional<SuspectReply>> requestSuspect(SuspectRequest request, TimePoint deadline);
+    //! No request waits for the leader beyond this time.
+    void setLatestDeadline(TimePoint deadline)
+    {
+        latestDeadline_ = deadline;
+    }
+    //! Number of requests, apart from begins, that wait for the leader. Some report what callers don't wait for.
+    [[nodiscard]] std::size_t pendingRequests() const
+    {
+        return static_cast<std::size_t>(pendingRequests_.use_count() - 1);
+    }
     //! Announces to some ledger VMs whether this entry accepts requests.
     void announcePresence(bool isReady, std::uint16_t loadPermille);
 
@@ -260,6 +272,9 @@
     std::optional<TimePoint> staleSince_;
     UpdateHandler onUpdate_;
     TimePoint lastUpdateAt_ {};
+    TimePoint latestDeadline_ = TimePoint::max();
+    //! Each pending request holds a copy.
+    std::shared_ptr<const bool> pendingRequests_ = std::make_shared<const bool>();
     bool isStopped_ = false;
     bool hasLeader_ = false;
     Counter &beginRetries_;
--- a/src/gateway/cp_quarantine_check.cpp
+++ b/src/gateway/cp_quarantine_check.cpp
@@ -152,6 +152,7 @@
         break;
     case ExchangeEnd::ResponseOverdue:
     case ExchangeEnd::TimedOut:
+    case ExchangeEnd::ShuttingDown:
     case ExchangeEnd::CallerDisconnected:
         rememberLostRun(request, backend->server());
         break;
--- a/tests/support/cp_raw_caller.hpp
+++ b/tests/support/cp_raw_caller.hpp
@@ -6,11 +6,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
-#include <sys/socket.h>
-
 namespace cardamompost::tests
 {
 
@@ -29,13 +29,11 @@
 {
 public:
     explicit RawCaller(const Address &address)
-        : socket_(io_)
+        : stream_(io_)
     {
         boost::system::error_code ignored;
-        socket_.connect({boost::asio::ip::make_address(address.host), address.port}, ignored);
-        socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-        const timeval limit {timeoutS, 0};
-        ::setsockopt(socket_.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+        stream_.socket().connect({boost::asio::ip::make_address(address.host), address.port}, ignored);
+        stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     }
 
     ReceivedResponse call(const std::string &method, const std::string &target, const HttpHeaders &headers,
@@ -48,11 +46,28 @@
         }
         request.body() = body;
         request.prepare_payload();
+        boost::system::error_code ignored;
+        http::write(stream_.socket(), request, ignored);
+        return receive(method == "HEAD");
+    }
+    //! Sends bytes, whether or not they are a complete request.
+    void send(const std::string &bytes)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(stream_.socket(), boost::asio::buffer(bytes), ignored);
+    }
+    //! Receives the next response. Gives up after a timeout.
+    ReceivedResponse receive(bool isHeadRequest = false)
+    {
+        namespace http = boost::beast::http;
         boost::system::error_code error;
-        http::write(socket_, request, error);
         http::response_parser<http::string_body> parser;
-        parser.skip(method == "HEAD");
-        http::read(socket_, buffer_, parser, error);
+        parser.skip(isHeadRequest);
+        stream_.expires_after(timeout);
+        http::async_read(stream_, buffer_, parser,
+                         [&](const boost::system::error_code &result, std::size_t) { error = result; });
+        io_.restart();
+        io_.run();
         ReceivedResponse received;
         received.isComplete = !error && parser.is_done();
         if (parser.is_header_done()) {
@@ -66,10 +81,10 @@
     }
 
 private:
-    static constexpr int timeoutS = 6;
+    static constexpr Milliseconds timeout {6000};
 
     boost::asio::io_context io_;
-    boost::asio::ip::tcp::socket socket_;
+    boost::beast::tcp_stream stream_;
     boost::beast::flat_buffer buffer_;
 };
 
