Explain requests that meet the end of their entry

What operators saw: an explanation without a cause for a request that its entry cut, and 'shutting-down (status 504)' for one that it gave up.

Cause: the explainer knew none of the lines of a shutdown.

Waits for the ledger's leader are cut at the last deadline, also within an attempt.

Ruled out: a change to lines of other requests.

--- a/src/cardamompost/observe/cp_log_explainer.cpp
+++ b/src/cardamompost/observe/cp_log_explainer.cpp
@@ -22,10 +22,10 @@
 constexpr std::int64_t contextAfterMs = 1500;
 
 //! Events that record a change of a process's state, independent of any request.
-constexpr std::array<std::string_view, 16> stateEvents {
-    "ledger.lost", "ledger.found",     "ledger.leader",     "members.change",  "process.start", "process.stopping",
-    "list.lost",   "list.regained",    "document.in_force", "entry.readiness", "disk.failed",   "ledger.started",
-    "log.dropped", "backend.left_out", "process.stalled",   "backend.gone",
+constexpr std::array<std::string_view, 17> stateEvents {
+    "ledger.lost", "ledger.found",     "ledger.leader",     "members.change",  "process.start",   "process.stopping",
+    "list.lost",   "list.regained",    "document.in_force", "entry.readiness", "disk.failed",     "ledger.started",
+    "log.dropped", "backend.left_out", "process.stalled",   "backend.gone",    "process.stopped",
 };
 
 std::int64_t parseTime(const std::string &text)
@@ -97,6 +97,14 @@
     if (cause == "timed-out") {
         return fmt::format("its time was over after {} ms at the backend server '{}'", number(end, "ms"), backend);
     }
+    if (cause == "shutting-down") {
+        return fmt::format(
+            "the entry ended before the backend server '{}' answered; it may have run, and waited for {} ms", backend,
+            number(end, "ms"));
+    }
+    if (cause == "the entry is shutting down") {
+        return "the entry was told to stop and would have ended before the request; it has not run";
+    }
     if (cause == "false-promise") {
         return fmt::format("the backend server '{}' refused the request without stating that it has not run{}", backend,
                            detail);
@@ -164,9 +172,19 @@
                        number(end, "document"), number(end, "news_age_ms"));
 }
 
+std::string causeOfCut(const json::object &unfinished)
+{
+    return fmt::format("its entry ended {} ms after it arrived, and its caller got no answer; {}",
+                       number(unfinished, "ms"),
+                       text(unfinished, "backend").empty()
+                           ? "it has not run"
+                           : fmt::format("the backend server '{}' may have run it", text(unfinished, "backend")));
+}
+
 //! Log events of the end of one request; empty objects for events that are missing.
 struct RequestEvents {
     const json::object &end;
+    const json::object &unfinished;
     const json::object &refusal;
     const json::object &limited;
     const json::object &admission;
@@ -179,6 +197,9 @@
 
 std::string causeOf(const RequestEvents &lines)
 {
+    if (lines.end.empty() && !lines.unfinished.empty()) {
+        return causeOfCut(lines.unfinished);
+    }
     const std::int64_t status = number(lines.end, "status");
     if (status == budgetExhaustedStatus && !lines.refusal.empty()) {
         return causeOfBudgetRefusal(lines.refusal);
@@ -202,8 +223,9 @@
     if (status == budgetExhaustedStatus && lines.refusal.empty()) {
         return "the ledger VMs' logs, which have what was spent";
     }
-    return lines.end.empty() ? "the entry's line of its end; without it only the ledger's part is known"
-                             : std::string();
+    return lines.end.empty() && lines.unfinished.empty()
+        ? "the entry's line of its end; without it only the ledger's part is known"
+        : std::string();
 }
 
 //! Suffix for the cause when the request's VM stalled around its end; empty otherwise.
@@ -263,6 +285,7 @@
 {
     Explanation result;
     json::object end;
+    json::object unfinished;
     json::object refusal;
     json::object limited;
     json::object admission;
@@ -278,6 +301,8 @@
         result.lines.push_back(line);
         if (line.event == "request.end") {
             end = std::move(parsed);
+        } else if (line.event == "request.unfinished") {
+            unfinished = std::move(parsed);
         } else if (line.event == "turn.refused") {
             refusal = std::move(parsed);
         } else if (line.event == "request.limited") {
@@ -304,8 +329,8 @@
         }
     }
     std::stable_sort(result.contextLines.begin(), result.contextLines.end(), byTime);
-    result.missing = missingLogs({end, refusal, limited, admission});
-    result.cause = causeOf({end, refusal, limited, admission});
+    result.missing = missingLogs({end, unfinished, refusal, limited, admission});
+    result.cause = causeOf({end, unfinished, refusal, limited, admission});
     result.cause += stallSuffix(text(end, "vm"), result.contextLines);
     return result;
 }
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -213,7 +213,8 @@
             continue;
         }
         FrameBody body = request;
-        const Result<FrameBody> reply = co_await client->call(std::move(body), attemptTimeout);
+        const auto timeLeft = std::chrono::ceil<Milliseconds>(latestDeadline_ - timeNow());
+        const Result<FrameBody> reply = co_await client->call(std::move(body), std::min(attemptTimeout, timeLeft));
         const Reply *answer = reply ? std::get_if<Reply>(&reply.value()) : nullptr;
         if (answer != nullptr && policy.isFinal(*answer)) {
             co_return *answer;
--- a/tests/observe/cp_log_explainer.tests.cpp
+++ b/tests/observe/cp_log_explainer.tests.cpp
@@ -58,4 +58,25 @@
     BOOST_TEST(explanation.lines.front().event == "backend.ended");
 }
 
+// Guards against a cut at the end of an entry of which the logs do not tell whether the request may have run.
+BOOST_AUTO_TEST_CASE(requests_that_meet_the_end_of_their_entry_are_explained)
+{
+    LogExplainer explainer;
+    explainer.add(R"({"time":"2026-08-22T07:52:20.002Z","vm":"entry-1","event":"request.unfinished","id":"a1",)"
+                  R"("ms":3741,"backend":"i-1","is_sent":true})");
+    explainer.add(R"({"time":"2026-08-22T07:52:20.003Z","vm":"entry-1","event":"request.unfinished","id":"a2",)"
+                  R"("ms":12,"backend":"","is_sent":false})");
+    explainer.add(R"({"time":"2026-08-22T07:52:20.004Z","vm":"entry-1","event":"request.end","id":"a3","status":504,)"
+                  R"("cause":"shutting-down","ms":3000,"backend":"i-1"})");
+    explainer.add(R"({"time":"2026-08-22T07:52:20.005Z","vm":"entry-1","event":"request.end","id":"a4","status":503,)"
+                  R"("cause":"the entry is shutting down","ms":0})");
+    BOOST_TEST(explainer.explain("a1").cause
+               == "its entry ended 3741 ms after it arrived, and its caller got no answer; the backend server 'i-1' "
+                  "may have run it");
+    BOOST_TEST(explainer.explain("a1").missing.empty());
+    BOOST_TEST(explainer.explain("a2").cause.ends_with("it has not run"));
+    BOOST_TEST(explainer.explain("a3").cause.find("may have run") != std::string::npos);
+    BOOST_TEST(explainer.explain("a4").cause.ends_with("it has not run"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
