Let go of a server's connection that other requests can use

What callers saw: rarely, a request that may not be repeated answered 502 because the caller of another request had left.

Cause: a response was read whole, its connection returned to the pool, and the request still pointed to it while its end was stored and written. If its caller left then, or it was given up at a shutdown, the connection was cancelled under the request that used it next.

Ruled out: that the end of an exchange takes the pointer back in time; it does so only after the last write.

Change: the pointer is reset where the connection is released.

No test lands, as the trial is not deterministic; suspected rather than shown.

--- a/src/gateway/cp_backend_exchange.cpp
+++ b/src/gateway/cp_backend_exchange.cpp
@@ -306,6 +306,9 @@
 void BackendExchange::releaseConnection()
 {
     isConnectionReleased_ = tryRelease(parts_.pool, *backend_, *reader_, connection_);
+    if (isConnectionReleased_) {
+        request_.connection.reset();
+    }
 }
 
 void BackendExchange::releaseAfterRest()
@@ -324,6 +327,7 @@
     };
     asio::co_spawn(parts_.io, discard(parts_.pool, reader_, backend_, connection_), asio::detached);
     isConnectionReleased_ = true;
+    request_.connection.reset();
 }
 
 asio::awaitable<ExchangeEnd> BackendExchange::relayBuffered()
