End the wait for a server's recorded end when a request is given up

What callers saw: nothing yet; by reading, a request whose server had ended waited up to 1.75 s for the ledger to record it, also when its entry ended before that.

Cause: that wait has a timer of its own, which neither the caller's leaving nor the shutdown reached.

Ruled out: the begin of a turn and the record of a stream's version, which are ended already.

Change: the request knows the timer while it waits, and stopWaiting() cancels it.

Conclusion: a precaution.

--- a/src/gateway/cp_forwarded_request.cpp
+++ b/src/gateway/cp_forwarded_request.cpp
@@ -22,6 +22,9 @@
     if (connection) {
         connection->stream.cancel();
     }
+    if (recordWait) {
+        recordWait->cancel();
+    }
 }
 
 TurnFinish ForwardedRequest::makeFinish(TurnEnding ending)
--- a/src/gateway/cp_forwarded_request.hpp
+++ b/src/gateway/cp_forwarded_request.hpp
@@ -125,6 +125,9 @@
     bool isQuarantined = false;
     //! A server has ended under the request, and the ledger has not recorded it yet.
     bool hasUnrecordedEnd = false;
+    //! Set while the request waits for that record.
+    std::shared_ptr<boost::asio::steady_timer> recordWait;
+    //! Null once it is available to other requests.
     std::shared_ptr<BackendConnection> connection;
     std::string lastBackend;
     //! Software version of that server.
--- a/src/gateway/cp_quarantine_check.cpp
+++ b/src/gateway/cp_quarantine_check.cpp
@@ -206,7 +206,9 @@
                    asio::detached);
     request.suspectRun = 0;
     if (!pending->hasEnded) {
+        request.recordWait = {pending, &pending->ended};
         co_await pending->ended.async_wait(asTuple);
+        request.recordWait.reset();
     }
     request.hasUnrecordedEnd = !pending->reply;
     if (pending->reply && pending->reply->status == SuspectStatus::Quarantined) {
