Write the final responses before an entry that was suspended ends

What callers saw: connections without an answer, from an entry that was suspended while its answers were due, and from one with a grace period under 0.2 s.

Cause: requests were given up and the event loop was stopped in the same step, if the time for the end had passed by then. Giving up only starts the responses.

Ruled out: the times of the schedule; a long step of the loop is enough.

Change: the loop runs on for the time between the two after the first give-up, and is polled often enough for it in short grace periods.

--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -21,6 +21,7 @@
 {
 
 constexpr Milliseconds drainPollInterval {50};
+constexpr int minPollsBeforeExit = 4;
 constexpr Milliseconds leadershipTransferTime {300};
 constexpr Milliseconds diskRetryInterval {300};
 constexpr Milliseconds periodicInterval {200};
@@ -346,19 +347,26 @@
 {
     const auto startedAt = std::chrono::steady_clock::now();
     const DrainSchedule schedule = DrainSchedule::forGrace(settings_.grace);
-    entry_->drain(startedAt + schedule.responseTime);
+    entry_->drain(startedAt, schedule);
+    const Milliseconds pollInterval
+        = std::min(drainPollInterval, (schedule.exitTime - schedule.responseTime) / minPollsBeforeExit);
+    std::optional<TimePoint> gaveUpAt;
     bool isDone = false;
     while (!isDone) {
-        co_await sleepFor(drainPollInterval);
-        const auto elapsed = std::chrono::steady_clock::now() - startedAt;
+        co_await sleepFor(pollInterval);
+        const TimePoint now = std::chrono::steady_clock::now();
+        const auto elapsed = now - startedAt;
         if (elapsed >= schedule.acceptTime) {
             // Callers whose directory response is cached for longer retry elsewhere when their connection is refused.
             entry_->stopAccepting();
         }
         if (elapsed >= schedule.responseTime) {
             entry_->giveUp();
+            gaveUpAt = gaveUpAt.value_or(now);
         }
-        isDone = (elapsed >= schedule.earliestExitTime && entry_->isIdle()) || elapsed >= schedule.exitTime;
+        // Counted from when the responses were begun, because the process may have been suspended until then.
+        const bool isOutOfTime = gaveUpAt && now - *gaveUpAt >= schedule.exitTime - schedule.responseTime;
+        isDone = (elapsed >= schedule.earliestExitTime && entry_->isIdle()) || isOutOfTime;
     }
     entry_->logStopped();
     io_.stop();
