Reset no stream before the last sixth of the grace period, and forward late ones only for sure

Cause: the margin for final responses was a quarter of short grace periods, and a stream was forwarded on an estimate at any time, although one that has begun can't get another answer.

Change: margins of an eighth and a twenty-fourth; from 2.9 s after the signal on a stream is forwarded only if its deadline passes in time. Reports to the ledger have until the middle of the last stage. An idle connection on which bytes have arrived since its wait was cancelled is served.

--- a/include/cardamompost/policy/cp_drain_schedule.hpp
+++ b/include/cardamompost/policy/cp_drain_schedule.hpp
@@ -10,6 +10,9 @@
 
 //! The stages of a process's shutdown, as times from the signal on. They fit into any grace period.
 struct DrainSchedule {
+    //! Streams are forwarded on an estimate of their time until then, and later only if their deadline passes in time:
+    //! a stream that has begun can't get another final response.
+    Milliseconds streamEstimateTime;
     //! Connections are accepted until then, from callers whose cached directory response lists the process.
     Milliseconds acceptTime;
     //! The process ends from then on, once it is idle.
@@ -19,6 +22,7 @@
     //! The process ends then, even if a caller has not taken its response.
     Milliseconds exitTime;
 
+    static constexpr Milliseconds maxStreamEstimateTime {2900};
     static constexpr Milliseconds maxAcceptTime {3700};
     //! For responses and closed connections in transit.
     static constexpr Milliseconds closeTime {500};
@@ -27,8 +31,8 @@
     //! Reserved for the end of the process, which may get little processor time.
     static constexpr Milliseconds maxExitMargin {200};
     //! Largest share of the grace period that a margin takes.
-    static constexpr int responseMarginDivisor = 4;
-    static constexpr int exitMarginDivisor = 12;
+    static constexpr int responseMarginDivisor = 8;
+    static constexpr int exitMarginDivisor = 24;
 
     //! \param grace  time from the signal until the process is killed
     static constexpr DrainSchedule forGrace(Milliseconds grace)
@@ -36,7 +40,8 @@
         const Milliseconds responseTime = grace - std::min(maxResponseMargin, grace / responseMarginDivisor);
         const Milliseconds exitTime = grace - std::min(maxExitMargin, grace / exitMarginDivisor);
         const Milliseconds acceptTime = std::min(maxAcceptTime, responseTime / 2);
-        return {acceptTime, std::min(acceptTime + closeTime, responseTime), responseTime, exitTime};
+        const Milliseconds streamEstimateTime = std::min(maxStreamEstimateTime, acceptTime);
+        return {streamEstimateTime, acceptTime, std::min(acceptTime + closeTime, responseTime), responseTime, exitTime};
     }
 };
 
--- a/src/gateway/cp_entry_server.cpp
+++ b/src/gateway/cp_entry_server.cpp
@@ -29,8 +29,6 @@
 constexpr Milliseconds minHeartbeatInterval {100};
 constexpr Milliseconds maxHeartbeatInterval {300};
 constexpr Milliseconds acceptRetryDelay {20};
-// For reports to the ledger after the last responses.
-constexpr Milliseconds reportTime {200};
 constexpr Milliseconds retryElsewhereAfter {20};
 constexpr std::size_t firstReadBytes = 8U << 10U;
 constexpr unsigned statusOk = 200;
@@ -139,11 +137,12 @@
     });
 }
 
-void EntryServer::drain(TimePoint responsesDue)
+void EntryServer::drain(TimePoint now, const DrainSchedule &schedule)
 {
     isDraining_ = true;
-    forwarder_.drain().begin(responsesDue);
-    ledger_.setLatestDeadline(responsesDue + reportTime);
+    forwarder_.drain().begin(now, schedule);
+    // The last responses are reported before the process ends.
+    ledger_.setLatestDeadline(now + (schedule.responseTime + schedule.exitTime) / 2);
     for (const auto &caller : connections_) {
         caller->closeWhenQuiet();
     }
@@ -255,7 +254,9 @@
         if (buffer.size() == 0) {
             stream.expires_after(bounds.idleTimeout);
             const auto [error, bytesRead] = co_await stream.async_read_some(buffer.prepare(firstReadBytes), asTuple);
-            if (error) {
+            // Bytes may have arrived since the wait was cancelled.
+            const bool hasInput = error == asio::error::operation_aborted && caller->hasInput();
+            if (error && !hasInput) {
                 caller->closeIdle();
                 break;
             }
--- a/src/gateway/cp_entry_server.hpp
+++ b/src/gateway/cp_entry_server.hpp
@@ -29,8 +29,7 @@
     Result<void> start();
     //! Withdraws from the directory, and forwards only requests that end in time. New connections are still accepted
     //! until stopAccepting().
-    //! \param responsesDue  when giveUp() is called at the latest
-    void drain(TimePoint responsesDue);
+    void drain(TimePoint now, const DrainSchedule &schedule);
     //! Accepts no more connections, and closes idle ones. To be repeated.
     void stopAccepting();
     //! Responds to all requests, also to those of which only a part has arrived. To be repeated until idle.
--- a/src/gateway/cp_request_drain.cpp
+++ b/src/gateway/cp_request_drain.cpp
@@ -47,18 +47,20 @@
     std::erase_if(completionTimes_, [&](const auto &item) { return !table.hasRoute(item.first); });
 }
 
-void RequestDrain::begin(TimePoint responsesDue)
+void RequestDrain::begin(TimePoint now, const DrainSchedule &schedule)
 {
-    responsesDue_ = responsesDue;
+    responsesDue_ = now + schedule.responseTime;
+    streamEstimatesUntil_ = now + schedule.streamEstimateTime;
     for (ForwardedRequest *request : inFlight_) {
-        request->deadline = std::min(request->deadline, responsesDue);
+        request->deadline = std::min(request->deadline, *responsesDue_);
     }
 }
 
 Milliseconds RequestDrain::expectedTime(const ForwardedRequest &request, TimePoint now) const
 {
     const Milliseconds timeLeft = toMilliseconds(request.callerDeadline - now);
-    if (parts_.settings.drainForwarding == DrainForwarding::Certain) {
+    const bool isLateStream = request.route->kind == RouteKind::Streaming && now >= streamEstimatesUntil_;
+    if (isLateStream || parts_.settings.drainForwarding == DrainForwarding::Certain) {
         return timeLeft;
     }
     const auto found = completionTimes_.find(request.route->name);
--- a/src/gateway/cp_request_drain.hpp
+++ b/src/gateway/cp_request_drain.hpp
@@ -6,6 +6,7 @@
 
 #include <cardamompost/observe/cp_event_log.hpp>
 #include <cardamompost/policy/cp_completion_times.hpp>
+#include <cardamompost/policy/cp_drain_schedule.hpp>
 
 #include <unordered_set>
 
@@ -39,8 +40,8 @@
     }
     void forgetRoutesExcept(const RouteTable &table);
 
-    //! Starts the drain. \param responsesDue  when all requests get their final response
-    void begin(TimePoint responsesDue);
+    //! Starts the drain.
+    void begin(TimePoint now, const DrainSchedule &schedule);
     //! The response to a request that must not be forwarded; nothing if it may be. Shortens the deadline of one that
     //! is forwarded during a drain.
     [[nodiscard]] std::optional<LocalResponse> check(ForwardedRequest &request);
@@ -55,8 +56,9 @@
     std::unordered_set<ForwardedRequest *> inFlight_;
     //! Keyed by route name.
     std::unordered_map<std::string, CompletionTimes> completionTimes_;
-    //! Set during a drain.
+    //! When all requests get their final response; set during a drain.
     std::optional<TimePoint> responsesDue_;
+    TimePoint streamEstimatesUntil_ = TimePoint::max();
     Counter &refused_;
     Counter &givenUp_;
 };
--- a/tests/policy/cp_drain_schedule.tests.cpp
+++ b/tests/policy/cp_drain_schedule.tests.cpp
@@ -14,11 +14,13 @@
     const Milliseconds grace(graceMs);
     const DrainSchedule schedule = DrainSchedule::forGrace(grace);
     BOOST_TEST(schedule.acceptTime.count() >= 0);
+    BOOST_TEST((schedule.streamEstimateTime <= schedule.acceptTime));
     BOOST_TEST((schedule.acceptTime <= schedule.earliestExitTime));
     BOOST_TEST((schedule.earliestExitTime <= schedule.responseTime));
     BOOST_TEST((schedule.responseTime <= schedule.exitTime));
     BOOST_TEST((schedule.exitTime <= grace));
-    BOOST_TEST((schedule.responseTime >= grace - grace / 4));
+    // Streams are not reset before the last sixth of the grace period.
+    BOOST_TEST((6 * schedule.responseTime >= 5 * grace));
 }
 
 BOOST_AUTO_TEST_CASE(a_longer_grace_period_gives_requests_more_time)
