Answer what has arrived before a ledger VM ends

What callers saw: an operator's order or a look-up on an open connection ended without an answer when its rest arrived while the ledger VM stopped, or when only a part of it had come.

Cause: Gateway::drainLedger stopped the servers and the event loop 0.35 s after SIGTERM, whatever was open.

Ruled out: orders that wait for their quorum as a cause of missing answers: they got 503, at 0.3 s.

Change: the open connections decide, until the times of DrainSchedule. Responses close their connections from the signal on, unless another request has arrived on them; after 0.3 s the listeners close, after their backlog, and so do connections on which nothing has arrived. At the response time all waits end, also for the rest of a request (503). Leadership is handed over as soon as a successor is up to date, not only at the first moment. HttpServer knows its connections.

Conclusion: a request that has arrived at a ledger VM gets an answer. Not shown by a test that landed: that an order whose quorum comes back late is acknowledged.

--- a/include/cardamompost/net/cp_http_server.hpp
+++ b/include/cardamompost/net/cp_http_server.hpp
@@ -12,6 +12,7 @@
 
 #include <atomic>
 #include <functional>
+#include <memory>
 
 namespace cardamompost
 {
@@ -55,25 +56,34 @@
 
     //! Errors: InvalidConfiguration when the address cannot be bound.
     Result<void> listen(const Address &address);
-    //! Stops accepting connections. Open ones are closed after their current request, idle ones after their next
-    //! request or the idle timeout.
+    //! From now on, responses close their connections, unless bytes of another request have arrived on them.
+    void closeWhenQuiet();
+    //! As closeWhenQuiet(), and stops accepting connections, after those that clients consider open already. Idle
+    //! connections are closed after their next request or the idle timeout.
     void stopAccepting();
-    [[nodiscard]] int openConnections() const
-    {
-        return *openConnections_;
-    }
+    //! Closes the connections on which no bytes have arrived since their last response.
+    void closeIdle();
+    //! Responds to the requests of which only a part has arrived.
+    void giveUp();
+    [[nodiscard]] int openConnections() const;
 
 private:
+    class Connection;
+    class OpenConnections;
+
     boost::asio::awaitable<void> accept();
-    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    void startServing(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<void> serve(std::shared_ptr<Connection> connection);
+    boost::asio::awaitable<void> serveRequests(Connection &connection);
 
     boost::asio::any_io_executor executor_;
     HttpLimits limits_;
     Handler handler_;
     ErrorHandler errorHandler_;
     boost::asio::ip::tcp::acceptor acceptor_;
-    std::shared_ptr<std::atomic<int>> openConnections_ = std::make_shared<std::atomic<int>>(0);
-    std::atomic<bool> isStopping_ {false};
+    //! Shared because a connection can outlive its server until the io_context is destroyed.
+    std::shared_ptr<OpenConnections> openConnections_;
+    std::atomic<bool> closesWhenQuiet_ {false};
 };
 
 } // namespace cardamompost
--- a/src/cardamompost/net/cp_http_server.cpp
+++ b/src/cardamompost/net/cp_http_server.cpp
@@ -12,6 +12,9 @@
 #include <boost/beast/http.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 
+#include <mutex>
+#include <unordered_map>
+
 namespace cardamompost
 {
 
@@ -24,6 +27,7 @@
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 constexpr Milliseconds acceptRetryDelay {20};
+constexpr std::size_t firstReadBytes = 8U << 10U;
 
 Error readError(const boost::system::error_code &error)
 {
@@ -49,10 +53,11 @@
 class BeastResponder : public IHttpResponder
 {
 public:
-    BeastResponder(beast::tcp_stream &stream, Milliseconds timeout, bool isKeepAlive)
+    //! \param keepsOpen  asked when a response begins
+    BeastResponder(beast::tcp_stream &stream, Milliseconds timeout, std::function<bool()> keepsOpen)
         : stream_(stream)
         , timeout_(timeout)
-        , isKeepAlive_(isKeepAlive)
+        , keepsOpen_(std::move(keepsOpen))
     {
     }
 
@@ -63,6 +68,7 @@
             message.set(name, value);
         }
         message.body() = std::move(response.body);
+        isKeepAlive_ = keepsOpen_();
         message.keep_alive(isKeepAlive_);
         message.prepare_payload();
         stream_.expires_after(timeout_);
@@ -77,6 +83,7 @@
         for (const auto &[name, value] : headers) {
             message.set(name, value);
         }
+        isKeepAlive_ = keepsOpen_();
         message.keep_alive(isKeepAlive_);
         message.chunked(true);
         http::response_serializer<http::empty_body> serializer(message);
@@ -127,7 +134,8 @@
 private:
     beast::tcp_stream &stream_;
     Milliseconds timeout_;
-    bool isKeepAlive_;
+    std::function<bool()> keepsOpen_;
+    bool isKeepAlive_ = false;
     bool isBroken_ = false;
     bool hasResponded_ = false;
 };
@@ -144,28 +152,125 @@
     return request;
 }
 
-//! Counts a connection while it is open. The count is shared because a connection can outlive its server until the
-//! io_context is destroyed.
-class ConnectionCountGuard
+} // namespace
+
+//! A client's connection. Thread-safety: runs on its strand, apart from the functions that say otherwise.
+class HttpServer::Connection : public std::enable_shared_from_this<HttpServer::Connection>
 {
 public:
-    explicit ConnectionCountGuard(std::shared_ptr<std::atomic<int>> count)
-        : count_(std::move(count))
+    Connection(asio::ip::tcp::socket socket, const HttpLimits &limits)
+        : executor_(socket.get_executor())
+        , stream_(std::move(socket))
+        // The remainder holds body data that arrives together with the headers.
+        , buffer_(limits.headerBytes + (64U << 10U))
+    {
+        boost::system::error_code ignored;
+        stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    }
+
+    [[nodiscard]] beast::tcp_stream &stream()
+    {
+        return stream_;
+    }
+    [[nodiscard]] beast::flat_buffer &buffer()
     {
-        ++*count_;
+        return buffer_;
     }
-    ~ConnectionCountGuard()
+    //! True if bytes of the next request have arrived.
+    [[nodiscard]] bool hasInput()
     {
-        --*count_;
+        boost::system::error_code error;
+        return buffer_.size() > 0 || (stream_.socket().available(error) > 0 && !error);
+    }
+    //! Waits for the first bytes of the next request. \returns false if there are none
+    asio::awaitable<bool> waitForInput()
+    {
+        if (buffer_.size() > 0) {
+            co_return true;
+        }
+        isIdle_ = true;
+        const auto [error, bytesRead] = co_await stream_.async_read_some(buffer_.prepare(firstReadBytes), asTuple);
+        isIdle_ = false;
+        buffer_.commit(bytesRead);
+        co_return !error;
+    }
+    void setReading(bool isReading)
+    {
+        isReading_ = isReading;
+    }
+    [[nodiscard]] bool hasGivenUp() const
+    {
+        return hasGivenUp_;
+    }
+
+    //! Ends the wait for a request of which nothing has arrived. Callable from any thread.
+    void closeIdle()
+    {
+        asio::post(executor_, [self = shared_from_this()] {
+            if (self->isIdle_ && !self->hasInput()) {
+                self->stream_.cancel();
+            }
+        });
+    }
+    //! Ends the wait for the rest of a request. Callable from any thread.
+    void giveUp()
+    {
+        asio::post(executor_, [self = shared_from_this()] {
+            self->hasGivenUp_ = true;
+            if (self->isReading_) {
+                self->stream_.cancel();
+            }
+        });
     }
-    ConnectionCountGuard(const ConnectionCountGuard &) = delete;
-    ConnectionCountGuard &operator=(const ConnectionCountGuard &) = delete;
 
 private:
-    std::shared_ptr<std::atomic<int>> count_;
+    asio::any_io_executor executor_;
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    bool isIdle_ = false;
+    bool isReading_ = false;
+    bool hasGivenUp_ = false;
 };
 
-} // namespace
+//! Thread-safe.
+class HttpServer::OpenConnections
+{
+public:
+    void add(const std::shared_ptr<Connection> &connection)
+    {
+        const std::lock_guard lock(mutex_);
+        connections_.emplace(connection.get(), connection);
+    }
+    void remove(Connection *connection)
+    {
+        const std::lock_guard lock(mutex_);
+        connections_.erase(connection);
+    }
+    [[nodiscard]] int count() const
+    {
+        const std::lock_guard lock(mutex_);
+        return static_cast<int>(connections_.size());
+    }
+    void forEach(void (Connection::*function)())
+    {
+        std::vector<std::shared_ptr<Connection>> open;
+        {
+            const std::lock_guard lock(mutex_);
+            for (const auto &[key, connection] : connections_) {
+                open.push_back(connection.lock());
+            }
+        }
+        for (const auto &connection : open) {
+            if (connection) {
+                (connection.get()->*function)();
+            }
+        }
+    }
+
+private:
+    mutable std::mutex mutex_;
+    std::unordered_map<Connection *, std::weak_ptr<Connection>> connections_;
+};
 
 HttpServer::HttpServer(asio::any_io_executor executor, HttpLimits limits, Handler handler, ErrorHandler errorHandler)
     : executor_(executor)
@@ -173,6 +278,7 @@
     , handler_(std::move(handler))
     , errorHandler_(std::move(errorHandler))
     , acceptor_(asio::make_strand(executor))
+    , openConnections_(std::make_shared<OpenConnections>())
 {
 }
 
@@ -184,23 +290,50 @@
     return boost::outcome_v2::success();
 }
 
+int HttpServer::openConnections() const
+{
+    return openConnections_->count();
+}
+
+void HttpServer::closeWhenQuiet()
+{
+    closesWhenQuiet_ = true;
+}
+
 void HttpServer::stopAccepting()
 {
-    isStopping_ = true;
+    closeWhenQuiet();
     asio::post(acceptor_.get_executor(), [this] {
-        boost::system::error_code ignored;
-        acceptor_.close(ignored);
+        boost::system::error_code error;
+        acceptor_.non_blocking(true, error);
+        while (!error && acceptor_.is_open()) {
+            asio::ip::tcp::socket socket(asio::make_strand(executor_));
+            acceptor_.accept(socket, error);
+            if (!error && openConnections() < limits_.connections) {
+                startServing(std::move(socket));
+            }
+        }
+        acceptor_.close(error);
     });
 }
 
+void HttpServer::closeIdle()
+{
+    openConnections_->forEach(&Connection::closeIdle);
+}
+
+void HttpServer::giveUp()
+{
+    openConnections_->forEach(&Connection::giveUp);
+}
+
 asio::awaitable<void> HttpServer::accept()
 {
     while (acceptor_.is_open()) {
         auto [error, socket] = co_await acceptor_.async_accept(asio::make_strand(executor_), asTuple);
         // Above the limit a connection is closed at once, so that the client can try another VM.
-        if (!error && *openConnections_ < limits_.connections) {
-            const auto executor = socket.get_executor();
-            asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
+        if (!error && openConnections() < limits_.connections) {
+            startServing(std::move(socket));
             continue;
         }
         asio::steady_timer pause(acceptor_.get_executor(), acceptRetryDelay);
@@ -208,31 +341,54 @@
     }
 }
 
-asio::awaitable<void> HttpServer::serve(asio::ip::tcp::socket socket)
+void HttpServer::startServing(asio::ip::tcp::socket socket)
+{
+    const auto executor = socket.get_executor();
+    auto connection = std::make_shared<Connection>(std::move(socket), limits_);
+    openConnections_->add(connection);
+    asio::co_spawn(executor, serve(std::move(connection)), asio::detached);
+}
+
+asio::awaitable<void> HttpServer::serve(std::shared_ptr<Connection> connection)
 {
-    const ConnectionCountGuard guard(openConnections_);
-    beast::tcp_stream stream(std::move(socket));
+    const auto remove = [open = openConnections_](Connection *served) { open->remove(served); };
+    const std::unique_ptr<Connection, decltype(remove)> guard(connection.get(), remove);
+    co_await serveRequests(*connection);
     boost::system::error_code ignored;
-    stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-    // The remainder holds body data that arrives together with the headers.
-    beast::flat_buffer buffer(limits_.headerBytes + (64U << 10U));
-    bool isFirst = true;
-    while (!isStopping_ || isFirst) {
-        isFirst = false;
+    connection->stream().socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+asio::awaitable<void> HttpServer::serveRequests(Connection &connection)
+{
+    beast::tcp_stream &stream = connection.stream();
+    beast::flat_buffer &buffer = connection.buffer();
+    for (;;) {
         http::request_parser<http::string_body> parser;
         parser.header_limit(limits_.headerBytes);
         parser.body_limit(limits_.bodyBytes);
         stream.expires_after(buffer.size() == 0 ? limits_.idleTimeout : limits_.headerTimeout);
+        const bool hasInput = co_await connection.waitForInput();
+        if (!hasInput) {
+            break;
+        }
+        connection.setReading(true);
         auto [error, bytesRead] = co_await http::async_read_header(stream, buffer, parser, asTuple);
         if (!error && !parser.is_done()) {
             // Bounds the time for which a slow sender holds a connection and its buffer.
             stream.expires_after(limits_.bodyTimeout);
             std::tie(error, bytesRead) = co_await http::async_read(stream, buffer, parser, asTuple);
         }
-        BeastResponder responder(stream, limits_.writeTimeout, !error && parser.get().keep_alive());
+        connection.setReading(false);
+        BeastResponder responder(stream, limits_.writeTimeout, [&, isKeepAlive = !error && parser.get().keep_alive()] {
+            return isKeepAlive && (!closesWhenQuiet_ || connection.hasInput());
+        });
+        if (error && connection.hasGivenUp() && error == asio::error::operation_aborted) {
+            co_await responder.respond(
+                errorHandler_(makeError(ErrorKind::NotReady, "the process ends before the request has arrived")));
+            break;
+        }
         if (error) {
-            const bool isIdle = error == beast::error::timeout && buffer.size() == 0 && !parser.got_some();
-            if (!isDisconnect(error) && !isIdle) {
+            if (!isDisconnect(error)) {
                 co_await responder.respond(errorHandler_(readError(error)));
             }
             break;
@@ -243,7 +399,6 @@
             break;
         }
     }
-    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
 } // namespace cardamompost
--- a/src/gateway/cp_consensus_driver.cpp
+++ b/src/gateway/cp_consensus_driver.cpp
@@ -442,10 +442,10 @@
     return boost::outcome_v2::success();
 }
 
-void ConsensusDriver::transferLeadership()
+bool ConsensusDriver::transferLeadership()
 {
     if (!isRunning() || node_->role() != RaftRole::Leader) {
-        return;
+        return false;
     }
     VmName best;
     for (const VmName &voter : node_->membership().voters) {
@@ -454,10 +454,12 @@
             best = voter;
         }
     }
-    if (!best.empty()) {
-        node_->transferLeadership(best);
-        processReady();
+    if (best.empty()) {
+        return false;
     }
+    node_->transferLeadership(best);
+    processReady();
+    return true;
 }
 
 void ConsensusDriver::failPending()
--- a/src/gateway/cp_consensus_driver.hpp
+++ b/src/gateway/cp_consensus_driver.hpp
@@ -65,8 +65,8 @@
     void confirmRead(std::function<void(bool)> done);
     //! Errors: as RaftNode::proposeMembership().
     Result<void> proposeMembership(const Membership &next);
-    //! Transfers leadership to the up-to-date voter with the most recent message.
-    void transferLeadership();
+    //! Transfers leadership to the up-to-date voter with the most recent message. \returns whether there is one
+    bool transferLeadership();
 
     [[nodiscard]] bool isStarted() const
     {
--- a/src/gateway/cp_directory_server.cpp
+++ b/src/gateway/cp_directory_server.cpp
@@ -31,11 +31,6 @@
     return server_.listen(parts_.settings.directory);
 }
 
-void DirectoryServer::stop()
-{
-    server_.stopAccepting();
-}
-
 HttpResponse DirectoryServer::directoryResponse(const HttpRequest &request)
 {
     const TimePoint now = std::chrono::steady_clock::now();
--- a/src/gateway/cp_directory_server.hpp
+++ b/src/gateway/cp_directory_server.hpp
@@ -28,7 +28,10 @@
 
     //! Errors: InvalidConfiguration if the address can't be bound.
     Result<void> listen();
-    void stop();
+    [[nodiscard]] HttpServer &server()
+    {
+        return server_;
+    }
 
 private:
     boost::asio::awaitable<void> onRequest(HttpRequest &request, IHttpResponder &responder);
--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/post.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <array>
 #include <csignal>
 #include <ctime>
 
@@ -371,13 +373,32 @@
         io_.stop();
         co_return;
     }
-    ledger_->transferLeadership();
-    co_await sleepFor(leadershipTransferTime);
-    api_->stop();
-    directory_->stop();
+    const auto startedAt = std::chrono::steady_clock::now();
+    const DrainSchedule schedule = DrainSchedule::forGrace(settings_.grace);
+    const std::array servers {&api_->server(), &directory_->server()};
+    std::ranges::for_each(servers, &HttpServer::closeWhenQuiet);
+    bool isHandedOver = ledger_->transferLeadership();
+    co_await sleepFor(std::min(leadershipTransferTime, schedule.earliestExitTime));
+    std::ranges::for_each(servers, &HttpServer::stopAccepting);
+    int connections = 0;
+    bool isDone = false;
+    while (!isDone) {
+        std::ranges::for_each(servers, &HttpServer::closeIdle);
+        co_await sleepFor(drainPollInterval);
+        const auto elapsed = std::chrono::steady_clock::now() - startedAt;
+        // No successor may have been up to date yet.
+        isHandedOver = isHandedOver || ledger_->transferLeadership();
+        if (elapsed >= schedule.responseTime) {
+            // Ends the waits of requests.
+            ledger_->stop();
+            std::ranges::for_each(servers, &HttpServer::giveUp);
+        }
+        connections = api_->server().openConnections() + directory_->server().openConnections();
+        isDone = connections == 0 || elapsed >= schedule.exitTime;
+    }
     listReader_->stop();
     ledger_->stop();
-    log_.info("process.stopped", {{"idle", true}});
+    log_.info("process.stopped", {{"idle", connections == 0}, {"connections", connections}});
     co_await sleepFor(drainPollInterval);
     io_.stop();
 }
--- a/src/gateway/cp_ledger_api.cpp
+++ b/src/gateway/cp_ledger_api.cpp
@@ -46,11 +46,6 @@
     return control_.listen(parts_.settings.control);
 }
 
-void LedgerApi::stop()
-{
-    control_.stopAccepting();
-}
-
 asio::awaitable<void> LedgerApi::onControl(HttpRequest &request, IHttpResponder &responder)
 {
     const PathNames &paths = parts_.adapter.paths();
--- a/src/gateway/cp_ledger_api.hpp
+++ b/src/gateway/cp_ledger_api.hpp
@@ -26,7 +26,10 @@
 
     //! Errors: InvalidConfiguration when the control address can't be used.
     Result<void> listen();
-    void stop();
+    [[nodiscard]] HttpServer &server()
+    {
+        return control_;
+    }
 
 private:
     boost::asio::awaitable<void> onControl(HttpRequest &request, IHttpResponder &responder);
--- a/src/gateway/cp_ledger_service.hpp
+++ b/src/gateway/cp_ledger_service.hpp
@@ -109,9 +109,10 @@
     {
         return driver_.leader().empty() && discovery_.leader() != self_ ? discovery_.leader() : driver_.leader();
     }
-    void transferLeadership()
+    //! \returns whether a successor was asked to take over
+    bool transferLeadership()
     {
-        driver_.transferLeadership();
+        return driver_.transferLeadership();
     }
 
     void apply(const LogEntry &entry) override;
--- a/tests/platform/cp_platform_shutdown.tests.cpp
+++ b/tests/platform/cp_platform_shutdown.tests.cpp
@@ -9,12 +9,26 @@
 namespace
 {
 
+//! Suspends all ledger VMs but one until GatewayThread::thaw().
+void freezeFollowers(const GatewayCluster &cluster, std::size_t leader)
+{
+    for (std::size_t i = 0; i < cluster.ledgerThreads.size(); ++i) {
+        if (i != leader) {
+            cluster.ledgerThreads[i]->freeze();
+        }
+    }
+}
+
 //! A cluster with one entry.
 struct ShutdownCluster : GatewayCluster {
     ShutdownCluster()
+        : leader(putDocument(3))
+        , entry(addEntry(seeds()))
     {
-        putDocument(3);
-        entry = addEntry(seeds());
+    }
+    ~ShutdownCluster()
+    {
+        GatewayThread::thaw();
     }
 
     //! Sends a request to whose server it is given, and waits until that has it.
@@ -34,9 +48,43 @@
         return eventually([&] { return entryThreads.front()->hasEnded(); });
     }
 
+    std::size_t leader;
     Address entry;
 };
 
+//! Ledger VMs without an entry.
+struct LedgerShutdownCluster : GatewayCluster {
+    LedgerShutdownCluster()
+        : leader(putDocument(3))
+    {
+    }
+    ~LedgerShutdownCluster()
+    {
+        GatewayThread::thaw();
+    }
+    std::future<HttpResponse> beginPut(int version)
+    {
+        return platform.begin(ledgerSettings[leader].control, "PUT", "/cardamompost/configuration", {},
+                              document(version));
+    }
+    void stop(std::size_t ledger)
+    {
+        ledgerThreads[ledger]->deliver(SIGTERM);
+    }
+    [[nodiscard]] bool hasEnded(std::size_t ledger) const
+    {
+        return eventually([&] { return ledgerThreads[ledger]->hasEnded(); });
+    }
+
+    std::size_t leader;
+};
+
+const std::string lookUp = "GET /cardamompost/resolution?name=h.example&zone=apapa HTTP/1.1\r\nHost: d\r\n\r\n";
+// Long after a ledger VM's handover, and well before the end of its grace period.
+constexpr Milliseconds lateInDrain {600};
+// For a request on its way to a server.
+constexpr Milliseconds transitTime {150};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(platform_shutdown)
@@ -106,4 +154,71 @@
     }
 }
 
+// Guards against an operator whose order is cut at the end of the grace period, as its quorum does not come back.
+BOOST_AUTO_TEST_CASE(a_configuration_without_a_quorum_gets_a_final_answer_before_its_leader_ends)
+{
+    LedgerShutdownCluster cluster;
+    freezeFollowers(cluster, cluster.leader);
+    std::future<HttpResponse> put = cluster.beginPut(4);
+    std::this_thread::sleep_for(transitTime);
+    cluster.stop(cluster.leader);
+    BOOST_TEST(put.get().status == 503U);
+    BOOST_TEST(cluster.hasEnded(cluster.leader));
+}
+
+// Guards against orders and look-ups that are cut because their rest arrives while a ledger VM stops.
+BOOST_AUTO_TEST_CASE(a_request_whose_rest_arrives_while_its_ledger_vm_stops_gets_its_answer)
+{
+    LedgerShutdownCluster cluster;
+    const std::size_t follower = (cluster.leader + 1) % cluster.ledgerThreads.size();
+    const std::string body = document(4);
+    const std::string order = "PUT /cardamompost/configuration HTTP/1.1\r\nHost: c\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body;
+    RawCaller operatorCall(cluster.ledgerSettings[follower].control);
+    operatorCall.send(order.substr(0, order.size() / 2));
+    RawCaller caller(cluster.ledgerSettings[follower].directory);
+    caller.send(lookUp + lookUp.substr(0, lookUp.size() / 2));
+    BOOST_TEST(caller.receive().status == 503U);
+    cluster.stop(follower);
+    std::this_thread::sleep_for(lateInDrain);
+    operatorCall.send(order.substr(order.size() / 2));
+    caller.send(lookUp.substr(lookUp.size() / 2));
+    const ReceivedResponse ordered = operatorCall.receive();
+    BOOST_TEST(ordered.isComplete);
+    BOOST_TEST(ordered.status == 307U);
+    const ReceivedResponse lookedUp = caller.receive();
+    BOOST_TEST(lookedUp.isComplete);
+    BOOST_TEST(lookedUp.status == 503U);
+    BOOST_TEST(lookedUp.headers.at("Connection") == "close");
+    BOOST_TEST(cluster.hasEnded(follower));
+}
+
+// Guards against an order that is cut because only a part of it has arrived when the process ends.
+BOOST_AUTO_TEST_CASE(an_order_that_has_arrived_in_part_gets_a_final_answer_from_its_ledger_vm)
+{
+    LedgerShutdownCluster cluster;
+    RawCaller operatorCall(cluster.ledgerSettings[cluster.leader].control);
+    operatorCall.send("PUT /cardamompost/configuration HTTP/1.1\r\nHost: c\r\nContent-Length: 100\r\n\r\nhalf");
+    std::this_thread::sleep_for(transitTime);
+    cluster.stop(cluster.leader);
+    const ReceivedResponse response = operatorCall.receive();
+    BOOST_TEST(response.isComplete);
+    BOOST_TEST(response.status == 503U);
+    BOOST_TEST(cluster.hasEnded(cluster.leader));
+}
+
+// Guards against an idle connection that keeps a stopping ledger VM for its whole grace period.
+BOOST_AUTO_TEST_CASE(a_ledger_vm_with_idle_connections_does_not_wait_for_its_grace_period)
+{
+    LedgerShutdownCluster cluster;
+    const std::size_t follower = (cluster.leader + 1) % cluster.ledgerThreads.size();
+    cluster.ledgerSettings[follower].grace = Milliseconds(60'000);
+    cluster.restartLedger(follower);
+    RawCaller idle(cluster.ledgerSettings[follower].directory);
+    idle.send(lookUp);
+    BOOST_TEST(idle.receive().status == 503U);
+    cluster.stop(follower);
+    BOOST_TEST(cluster.hasEnded(follower));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
