Name entries that drain while no other is ready

Cause: the directory named ready entries only, and a draining one is not ready.

Ruled out: a higher readiness of draining entries, which stays 503 for the platform. Naming them beside ready ones: their callers would have to move.

Change: a heartbeat says whether a stopping entry still accepts connections (Presence.isAccepting), from the signal until its listener closes. The directory names these while no entry is ready. Entries of older releases don't say it and aren't named.

Conclusion: what remains are look-ups between the closing of the last listener and the first entry that is ready again.

--- a/include/cardamompost/ledger/cp_ledger_message.hpp
+++ b/include/cardamompost/ledger/cp_ledger_message.hpp
@@ -359,6 +359,8 @@
     bool isDirectory = false;
     //! Share of the entry's processor share in use, in permille; 0 if unknown.
     std::uint16_t loadPermille = 0;
+    //! The entry still accepts requests although it is stopping; then it isn't ready.
+    bool isAccepting = false;
 };
 
 } // namespace cardamompost
--- a/schema/cardamompost.capnp
+++ b/schema/cardamompost.capnp
@@ -493,6 +493,7 @@
   isReady @3 :Bool;
   isDirectory @4 :Bool;
   loadPermille @5 :UInt16;
+  isAccepting @6 :Bool;
 }
 
 struct TurnText {
--- a/src/cardamompost/net/cp_frame_decoder.cpp
+++ b/src/cardamompost/net/cp_frame_decoder.cpp
@@ -195,7 +195,8 @@
         const auto presence = in.getPresence();
         return Presence {
             fromText(presence.getVm()), fromText(presence.getAddress()), fromText(presence.getFailureDomain()),
-            presence.getIsReady(),      presence.getIsDirectory(),       presence.getLoadPermille()};
+            presence.getIsReady(),      presence.getIsDirectory(),       presence.getLoadPermille(),
+            presence.getIsAccepting()};
     }
     case Body::TURN_TEXTS: {
         TurnTextsRequest request;
--- a/src/cardamompost/net/cp_frame_encoder.cpp
+++ b/src/cardamompost/net/cp_frame_encoder.cpp
@@ -364,6 +364,7 @@
         message.setIsReady(in.isReady);
         message.setIsDirectory(in.isDirectory);
         message.setLoadPermille(in.loadPermille);
+        message.setIsAccepting(in.isAccepting);
     }
 
     void operator()(const TurnTextsRequest &in)
--- a/src/gateway/cp_directory_server.cpp
+++ b/src/gateway/cp_directory_server.cpp
@@ -36,10 +36,10 @@
     const TimePoint now = std::chrono::steady_clock::now();
     const auto zone = request.query.find("zone");
     const std::string failureDomain = zone == request.query.end() ? std::string() : zone->second;
-    const EntryChoice choice = selection_.select(failureDomain, parts_.presence.ready(now), now);
+    const EntryChoice choice = selection_.select(failureDomain, parts_.presence.accepting(now), now);
     report(failureDomain, choice);
     if (choice.addresses.empty()) {
-        return unavailableResponse("no entry is ready");
+        return unavailableResponse("no entry accepts requests");
     }
     return jsonResponse(statusOk, parts_.adapter.writeDirectory(choice.addresses, lifetimeFor(failureDomain, now)));
 }
--- a/src/gateway/cp_directory_server.hpp
+++ b/src/gateway/cp_directory_server.hpp
@@ -12,7 +12,7 @@
 namespace cardamompost
 {
 
-//! Serves the list of ready entries to callers over HTTP.
+//! Serves the list of ready entries to callers over HTTP; while there are none, of those that still accept requests.
 class DirectoryServer
 {
 public:
--- a/src/gateway/cp_entry_server.cpp
+++ b/src/gateway/cp_entry_server.cpp
@@ -109,12 +109,22 @@
     return !isDraining_ && replica_.isComplete();
 }
 
+bool EntryServer::isAccepting() const
+{
+    return isDraining_ && acceptor_.is_open() && replica_.isComplete();
+}
+
+void EntryServer::announcePresence()
+{
+    ledger_.announcePresence(isReady(), isAccepting(), load_.permille());
+}
+
 void EntryServer::announceReadinessChange()
 {
     if (isReady() != wasReady_) {
         wasReady_ = isReady();
         parts_.log.info("entry.readiness", {{"ready", wasReady_}});
-        ledger_.announcePresence(wasReady_, load_.permille());
+        announcePresence();
     }
 }
 
@@ -128,7 +138,7 @@
 void EntryServer::sendHeartbeats()
 {
     measureLoad();
-    ledger_.announcePresence(isReady(), load_.permille());
+    announcePresence();
     pool_.closeIdle(std::chrono::steady_clock::now());
     const Milliseconds interval = heartbeatIntervalPerVm * static_cast<int>(ledger_.heartbeatTargetCount());
     timer_.expires_after(std::clamp(interval, minHeartbeatInterval, maxHeartbeatInterval));
@@ -164,6 +174,7 @@
             }
         }
         acceptor_.close(error);
+        announcePresence();
     }
     for (const auto &caller : connections_) {
         if (caller->phase() == ConnectionPhase::Idle && !caller->hasInput()) {
--- a/src/gateway/cp_entry_server.hpp
+++ b/src/gateway/cp_entry_server.hpp
@@ -53,6 +53,9 @@
 
 private:
     [[nodiscard]] bool isReady() const;
+    //! Draining, and still accepts connections.
+    [[nodiscard]] bool isAccepting() const;
+    void announcePresence();
     void measureLoad();
     //! Sends a heartbeat to the ledger VMs, closes expired idle connections, and schedules the next run.
     void sendHeartbeats();
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -366,12 +366,16 @@
     setPeers(ledgerVms_.list());
 }
 
-void LedgerClient::announcePresence(bool isReady, std::uint16_t loadPermille)
+void LedgerClient::announcePresence(bool isReady, bool isAccepting, std::uint16_t loadPermille)
 {
     watchStandby();
-    const Presence presence {
-        parts_.settings.vm, parts_.settings.front.toString(), parts_.settings.failureDomain, isReady, false,
-        loadPermille};
+    const Presence presence {parts_.settings.vm,
+                             parts_.settings.front.toString(),
+                             parts_.settings.failureDomain,
+                             isReady,
+                             false,
+                             loadPermille,
+                             isAccepting};
     for (const VmName &peer : heartbeatTargets_) {
         if (const auto client = parts_.peers.client(peer)) {
             client->notify(presence);
--- a/src/gateway/cp_ledger_client.hpp
+++ b/src/gateway/cp_ledger_client.hpp
@@ -165,8 +165,8 @@
     {
         return static_cast<std::size_t>(pendingRequests_.use_count() - 1);
     }
-    //! Announces to some ledger VMs whether this entry accepts requests.
-    void announcePresence(bool isReady, std::uint16_t loadPermille);
+    //! Announces to some ledger VMs whether this entry is ready, or else still accepts requests.
+    void announcePresence(bool isReady, bool isAccepting, std::uint16_t loadPermille);
 
     //! Sets the content that the next update request describes.
     void setHeldContent(const ContentReplica &content);
--- a/src/gateway/cp_ledger_updates.cpp
+++ b/src/gateway/cp_ledger_updates.cpp
@@ -6,7 +6,8 @@
 void LedgerService::onPresence(const Presence &presence)
 {
     if (presence_.record(presence, std::chrono::steady_clock::now())) {
-        parts_.log.info("entry.presence", {{"entry", presence.vm}, {"ready", presence.isReady}});
+        parts_.log.info("entry.presence",
+                        {{"entry", presence.vm}, {"ready", presence.isReady}, {"accepting", presence.isAccepting}});
     }
 }
 
--- a/src/gateway/cp_presence_table.cpp
+++ b/src/gateway/cp_presence_table.cpp
@@ -15,7 +15,8 @@
 bool PresenceTable::record(const Presence &presence, TimePoint now)
 {
     Member &member = members_[presence.vm];
-    const bool hasChanged = member.presence.address != presence.address || member.presence.isReady != presence.isReady;
+    const bool hasChanged = member.presence.address != presence.address || member.presence.isReady != presence.isReady
+        || member.presence.isAccepting != presence.isAccepting;
     member.presence = presence;
     if (hasChanged) {
         member.detector.restart(now);
@@ -36,10 +37,21 @@
 }
 
 std::vector<EntryEndpoint> PresenceTable::ready(TimePoint now) const
+{
+    return select(&Presence::isReady, now);
+}
+
+std::vector<EntryEndpoint> PresenceTable::accepting(TimePoint now) const
+{
+    std::vector<EntryEndpoint> endpoints = ready(now);
+    return endpoints.empty() ? select(&Presence::isAccepting, now) : endpoints;
+}
+
+std::vector<EntryEndpoint> PresenceTable::select(bool Presence::*property, TimePoint now) const
 {
     std::vector<EntryEndpoint> endpoints;
     for (const auto &[vm, member] : members_) {
-        if (member.presence.isReady && !isSuspected(member, now)) {
+        if (member.presence.*property && !isSuspected(member, now)) {
             endpoints.push_back({member.presence.address, member.presence.failureDomain,
                                  member.presence.loadPermille / permillePerUnit});
         }
--- a/src/gateway/cp_presence_table.hpp
+++ b/src/gateway/cp_presence_table.hpp
@@ -23,10 +23,12 @@
     //! Time without a heartbeat after which a directory is ignored.
     static constexpr Milliseconds ignoredAfter {20'000};
 
-    //! Records a heartbeat. \returns true if the sender is new, or its address or readiness has changed
+    //! Records a heartbeat. \returns true if the sender is new, or its address or state has changed
     bool record(const Presence &presence, TimePoint now);
     //! Entries that are ready and not suspected, sorted by address.
     [[nodiscard]] std::vector<EntryEndpoint> ready(TimePoint now) const;
+    //! The same, or if there are none, the entries that are stopping and still accept requests.
+    [[nodiscard]] std::vector<EntryEndpoint> accepting(TimePoint now) const;
     //! Share of a failure domain's directories that are unreachable, 0 to 1.
     [[nodiscard]] double unreachableShare(std::string_view failureDomain, TimePoint now) const;
 
@@ -37,6 +39,8 @@
         FailureDetector detector {entrySuspicion};
     };
 
+    //! Entries with a property that are not suspected, sorted by address.
+    [[nodiscard]] std::vector<EntryEndpoint> select(bool Presence::*property, TimePoint now) const;
     [[nodiscard]] bool isSuspected(const Member &member, TimePoint now) const;
 
     std::map<VmName, Member> members_;
--- a/tests/gateway/cp_presence_table.tests.cpp
+++ b/tests/gateway/cp_presence_table.tests.cpp
@@ -64,6 +64,27 @@
     BOOST_TEST(table.ready(now + PresenceTable::entrySuspicion.ceiling).empty());
 }
 
+// Guards against failed look-ups while all entries drain, and against callers that are sent to one that closes.
+BOOST_AUTO_TEST_CASE(draining_entries_are_listed_while_they_accept_connections_and_no_entry_is_ready)
+{
+    const auto addresses = [](const PresenceTable &table, TimePoint time) {
+        return addressesFor("apapa", table.accepting(time), maxCount, seed);
+    };
+    PresenceTable table;
+    Presence draining = presence("a", "apapa", false);
+    draining.isAccepting = true;
+    table.record(presence("b", "apapa"), now);
+    table.record(draining, now);
+    BOOST_TEST((addresses(table, now) == std::vector<std::string> {"b:80"}));
+    BOOST_TEST(table.record(presence("b", "apapa", false), now));
+    BOOST_TEST((addresses(table, now) == std::vector<std::string> {"a:80"}));
+    BOOST_TEST(table.ready(now).empty());
+    BOOST_TEST(addresses(table, now + PresenceTable::entrySuspicion.ceiling).empty());
+    // The listener closes. An older release says nothing about it.
+    BOOST_TEST(table.record(presence("a", "apapa", false), now));
+    BOOST_TEST(addresses(table, now).empty());
+}
+
 // A frozen entry costs callers their whole timeout, so it has to be detected quickly. A directory that was suspended
 // itself must not suspect all entries.
 BOOST_AUTO_TEST_CASE(an_entry_that_stops_its_heartbeats_while_others_continue_is_not_listed)
--- a/tests/net/cp_frame.tests.cpp
+++ b/tests/net/cp_frame.tests.cpp
@@ -63,8 +63,9 @@
     BOOST_TEST(joined.isConfirmed);
     BOOST_TEST((joined.group == group));
     BOOST_TEST((roundTrip(LeaderNotice {group}).group == group));
-    const Presence presence {"vm-1", "10.0.0.1:80", "apapa", true, false, 730};
+    const Presence presence {"vm-1", "10.0.0.1:80", "apapa", true, false, 730, true};
     BOOST_TEST(roundTrip(presence).loadPermille == 730U);
+    BOOST_TEST(roundTrip(presence).isAccepting);
     TurnFinish finish;
     finish.backend = "i-7";
     BOOST_TEST(roundTrip(finish).backend == "i-7");
--- a/tests/platform/cp_platform_shutdown.tests.cpp
+++ b/tests/platform/cp_platform_shutdown.tests.cpp
@@ -154,6 +154,42 @@
     }
 }
 
+// Guards against callers whose look-ups fail while all entries stop, though each still accepts their requests.
+BOOST_AUTO_TEST_CASE(entries_that_stop_are_named_while_they_accept_connections_and_none_is_ready)
+{
+    ShutdownCluster cluster;
+    // Of a longer grace period, as its beginning is observed.
+    cluster.commonGrace = Milliseconds(8000);
+    const Address second = cluster.addEntry(cluster.seeds());
+    const std::string address = second.toString();
+    BOOST_REQUIRE(GatewayCluster::eventually([&] { return cluster.directory().find(address) != std::string::npos; }));
+    // An entry is not ready at first either.
+    const std::size_t directories = cluster.ledgerSettings.size();
+    const auto presences = [&](const std::string &vm, const std::string &state) {
+        return cluster.matchingLogCount("entry.presence", "\"entry\":\"" + vm + "\",\"ready\":" + state);
+    };
+    std::map<std::string, std::size_t> starts;
+    for (const std::string vm : {"entry-0", "entry-1"}) {
+        BOOST_REQUIRE(GatewayCluster::eventually([&] { return presences(vm, "true") >= directories; }));
+        starts[vm] = presences(vm, "false");
+    }
+    const auto isAnnounced = [&](const std::string &vm) {
+        return GatewayCluster::eventually([&] { return presences(vm, "false") >= starts[vm] + directories; });
+    };
+    cluster.entryThreads[1]->deliver(SIGTERM);
+    BOOST_REQUIRE(isAnnounced("entry-1"));
+    // The first entry is ready.
+    BOOST_TEST(cluster.directory().find(address) == std::string::npos);
+    BOOST_TEST(cluster.directory().find(cluster.entry.toString()) != std::string::npos);
+    cluster.stopEntry();
+    BOOST_REQUIRE(isAnnounced("entry-0"));
+    BOOST_TEST(cluster.directory().find(address) != std::string::npos);
+    BOOST_TEST(cluster.readiness(1) == 503U);
+    BOOST_TEST(RawCaller(second).call("POST", "/reads/x", GatewayCluster::headers("r1"), "x").status == 200U);
+    // Its listener closes.
+    BOOST_TEST(GatewayCluster::eventually([&] { return cluster.directory().find(address) == std::string::npos; }));
+}
+
 // Guards against an operator whose order is cut at the end of the grace period, as its quorum does not come back.
 BOOST_AUTO_TEST_CASE(a_configuration_without_a_quorum_gets_a_final_answer_before_its_leader_ends)
 {
--- a/tests/support/cp_gateway_cluster.hpp
+++ b/tests/support/cp_gateway_cluster.hpp
@@ -93,7 +93,7 @@
         settings.peer = local(freePort());
         settings.peerListen = settings.peer;
         settings.listInterval = Milliseconds(200);
-        settings.grace = Milliseconds(2500);
+        settings.grace = commonGrace;
         settings.directoryLifetime = Milliseconds(2000);
         settings.logLevel = "info";
         settings.logFile = (folder_ / (vm + ".log")).string();
@@ -362,6 +362,8 @@
         return count;
     }
 
+    //! Grace period of processes that are started from now on.
+    Milliseconds commonGrace {2500};
     //! How long callers wait for their turns.
     int turnTimeoutMs = 4000;
     FakePlatform platform;
