--- a/include/cardamompost/policy/cp_drain_schedule.hpp
+++ b/include/cardamompost/policy/cp_drain_schedule.hpp
@@ -4,6 +4,7 @@
 #include <cardamompost/core/cp_time.hpp>
 
 #include <algorithm>
+#include <optional>
 
 namespace cardamompost
 {
@@ -45,6 +46,53 @@
     }
 };
 
+//! Where a shutdown stands in its schedule. Thread-safety: none.
+class DrainProgress
+{
+public:
+    DrainProgress(TimePoint startedAt, const DrainSchedule &schedule)
+        : startedAt_(startedAt)
+        , schedule_(schedule)
+    {
+    }
+
+    //! Short enough for the last stage.
+    [[nodiscard]] Milliseconds pollInterval() const
+    {
+        return std::min(maxPollInterval, lastStage() / minPolls);
+    }
+    [[nodiscard]] bool hasPassed(Milliseconds stage, TimePoint now) const
+    {
+        return now - startedAt_ >= stage;
+    }
+    //! True once requests in flight have to get their final response.
+    [[nodiscard]] bool mustGiveUp(TimePoint now)
+    {
+        if (!gaveUpAt_ && hasPassed(schedule_.responseTime, now)) {
+            gaveUpAt_ = now;
+        }
+        return gaveUpAt_.has_value();
+    }
+    //! True once the final responses have had their time to be written, also if the process was suspended before.
+    [[nodiscard]] bool isOutOfTime(TimePoint now) const
+    {
+        return gaveUpAt_ && now - *gaveUpAt_ >= lastStage();
+    }
+
+private:
+    static constexpr Milliseconds maxPollInterval {50};
+    static constexpr int minPolls = 4;
+
+    [[nodiscard]] Milliseconds lastStage() const
+    {
+        return schedule_.exitTime - schedule_.responseTime;
+    }
+
+    TimePoint startedAt_;
+    DrainSchedule schedule_;
+    std::optional<TimePoint> gaveUpAt_;
+};
+
 } // namespace cardamompost
 
 #endif // CARDAMOMPOST_CP_DRAIN_SCHEDULE_HPP_INCLUDED
--- a/src/gateway/cp_directory_server.hpp
+++ b/src/gateway/cp_directory_server.hpp
@@ -12,7 +12,7 @@
 namespace cardamompost
 {
 
-//! Serves the list of ready entries to callers over HTTP.
+//! Serves the list of ready entries to callers over HTTP; while there are none, of those that still accept requests.
 class DirectoryServer
 {
 public:
@@ -28,7 +28,10 @@
 
     //! Errors: InvalidConfiguration if the address can't be bound.
     Result<void> listen();
-    void stop();
+    [[nodiscard]] HttpServer &server()
+    {
+        return server_;
+    }
 
 private:
     boost::asio::awaitable<void> onRequest(HttpRequest &request, IHttpResponder &responder);
--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/post.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <array>
 #include <csignal>
 #include <ctime>
 
@@ -21,7 +23,6 @@
 {
 
 constexpr Milliseconds drainPollInterval {50};
-constexpr int minPollsBeforeExit = 4;
 constexpr Milliseconds leadershipTransferTime {300};
 constexpr Milliseconds diskRetryInterval {300};
 constexpr Milliseconds periodicInterval {200};
@@ -345,28 +346,23 @@
 
 asio::awaitable<void> Gateway::drainEntry()
 {
-    const auto startedAt = std::chrono::steady_clock::now();
     const DrainSchedule schedule = DrainSchedule::forGrace(settings_.grace);
-    entry_->drain(startedAt, schedule);
-    const Milliseconds pollInterval
-        = std::min(drainPollInterval, (schedule.exitTime - schedule.responseTime) / minPollsBeforeExit);
-    std::optional<TimePoint> gaveUpAt;
+    TimePoint now = std::chrono::steady_clock::now();
+    DrainProgress progress(now, schedule);
+    entry_->drain(now, schedule);
     bool isDone = false;
     while (!isDone) {
-        co_await sleepFor(pollInterval);
-        const TimePoint now = std::chrono::steady_clock::now();
-        const auto elapsed = now - startedAt;
-        if (elapsed >= schedule.acceptTime) {
+        co_await sleepFor(progress.pollInterval());
+        now = std::chrono::steady_clock::now();
+        if (progress.hasPassed(schedule.acceptTime, now)) {
             // Callers whose directory response is cached for longer retry elsewhere when their connection is refused.
             entry_->stopAccepting();
         }
-        if (elapsed >= schedule.responseTime) {
+        if (progress.mustGiveUp(now)) {
             entry_->giveUp();
-            gaveUpAt = gaveUpAt.value_or(now);
         }
-        // Counted from when the responses were begun, because the process may have been suspended until then.
-        const bool isOutOfTime = gaveUpAt && now - *gaveUpAt >= schedule.exitTime - schedule.responseTime;
-        isDone = (elapsed >= schedule.earliestExitTime && entry_->isIdle()) || isOutOfTime;
+        const bool isIdle = progress.hasPassed(schedule.earliestExitTime, now) && entry_->isIdle();
+        isDone = isIdle || progress.isOutOfTime(now);
     }
     entry_->logStopped();
     io_.stop();
@@ -379,13 +375,32 @@
         io_.stop();
         co_return;
     }
-    ledger_->transferLeadership();
-    co_await sleepFor(leadershipTransferTime);
-    api_->stop();
-    directory_->stop();
+    const DrainSchedule schedule = DrainSchedule::forGrace(settings_.grace);
+    DrainProgress progress(std::chrono::steady_clock::now(), schedule);
+    const std::array servers {&api_->server(), &directory_->server()};
+    std::ranges::for_each(servers, &HttpServer::closeWhenQuiet);
+    bool isHandedOver = ledger_->transferLeadership();
+    co_await sleepFor(std::min(leadershipTransferTime, schedule.earliestExitTime));
+    std::ranges::for_each(servers, &HttpServer::stopAccepting);
+    int connections = 0;
+    bool isDone = false;
+    while (!isDone) {
+        std::ranges::for_each(servers, &HttpServer::closeIdle);
+        co_await sleepFor(progress.pollInterval());
+        const TimePoint now = std::chrono::steady_clock::now();
+        // No successor may have been up to date yet.
+        isHandedOver = isHandedOver || ledger_->transferLeadership();
+        if (progress.mustGiveUp(now)) {
+            // Ends the waits of requests.
+            ledger_->stop();
+            std::ranges::for_each(servers, &HttpServer::giveUp);
+        }
+        connections = api_->server().openConnections() + directory_->server().openConnections();
+        isDone = connections == 0 || progress.isOutOfTime(now);
+    }
     listReader_->stop();
     ledger_->stop();
-    log_.info("process.stopped", {{"idle", true}});
+    log_.info("process.stopped", {{"idle", connections == 0}, {"connections", connections}});
     co_await sleepFor(drainPollInterval);
     io_.stop();
 }
--- a/tests/policy/cp_drain_schedule.tests.cpp
+++ b/tests/policy/cp_drain_schedule.tests.cpp
@@ -31,4 +31,18 @@
     BOOST_TEST((longer.acceptTime <= DrainSchedule::maxAcceptTime));
 }
 
+// Guards against a process that ends in the step in which it gives its requests up, since it was suspended until then.
+BOOST_AUTO_TEST_CASE(the_last_stage_keeps_its_length_after_a_suspension)
+{
+    const DrainSchedule schedule = DrainSchedule::forGrace(Milliseconds(8000));
+    const TimePoint start {std::chrono::hours(1)};
+    DrainProgress progress(start, schedule);
+    BOOST_TEST(!progress.mustGiveUp(start));
+    const TimePoint resumed = start + Milliseconds(20'000);
+    BOOST_TEST(!progress.isOutOfTime(resumed));
+    BOOST_TEST(progress.mustGiveUp(resumed));
+    BOOST_TEST(!progress.isOutOfTime(resumed + progress.pollInterval()));
+    BOOST_TEST(progress.isOutOfTime(resumed + schedule.exitTime - schedule.responseTime));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
