Soak of planned shutdowns: signals in series while clients use their connections to the end

Cause: the soak's stops are single faults of one entry with one grace period, one kind of call on kept connections and no call that lasts into the end of a drain, so it could not show a request that is cut there.

Ruled out: more kinds of clients in gateway_soak.py: it is long, and its kills and wipes excuse what is to be judged here.

Change: shutdown_soak.py starts real processes as gateway_roll.py does, draws grace periods of 1 to 12 s, route timeouts up to 1.4 of them and a series of signals, and judges each request by the rule. Time for which the script itself is held up is measured and given to all bounds. The kinds of events follow from the seed, their times also from the clients.

Not run: tools/check.sh as a whole, more than 43 processes, grace periods below 1 s.

--- a/tools/check.sh
+++ b/tools/check.sh
@@ -53,3 +53,7 @@
 fi
 grep -q "no turn is served" build/soak_plant.log
 echo "the planted loss was noticed"
+
+step "soak of planned shutdowns"
+python3 tests/platform/shutdown_soak.py --seconds 12 --grace 8 1 2
+python3 tests/platform/shutdown_soak.py --seconds 10 --grace 4 3
