Answer requests of an entry that was frozen in its drain

What callers saw: a call in flight and a request that had arrived in part ended without an answer when their entry was frozen past the end of its drain; now and then also with a grace period of 400 ms on a busy machine.

Cause: drainEntry() checked the stages every 50 ms and stopped the event loop in the same check in which it first gave up the requests, if both times had passed. Giving up only wakes the requests; their answers are written later. Class: something accepted has no owner of its final answer.

Ruled out, by tests of platform_reload that pass on the code before: a dropped route with requests in flight, also at an entry that stops; a route whose timeout shrinks; SIGHUP before and during a drain; SIGHUP and SIGTERM in both orders with a turn that keeps history; SIGTERM just after the start; a grace period of 20 s with a call of 8.5 s and one that never ends.

Change: the end comes at least 100 ms after the requests are first given up (a sixth of grace periods below 600 ms), and a check comes at the next stage at the latest. In an ordinary drain the times stay as they were.

Not run here: the other suites of test_platform.

Conclusion: reloads and changes of routes lose nothing; the end of a drain could. What remains: a process that is frozen when SIGTERM comes counts its grace period from when it goes on, and may be killed before.

--- a/include/cardamompost/policy/cp_drain_schedule.hpp
+++ b/include/cardamompost/policy/cp_drain_schedule.hpp
@@ -26,10 +26,17 @@
     static constexpr Milliseconds maxResponseMargin {600};
     //! Reserved for the end of the process, which may get little processor time.
     static constexpr Milliseconds maxExitMargin {200};
+    //! Writing the final responses gets at least this time, even if the process was frozen past its other times.
+    static constexpr Milliseconds maxFinalAnswerTime {100};
     //! Largest share of the grace period that a margin takes.
     static constexpr int responseMarginDivisor = 4;
     static constexpr int exitMarginDivisor = 12;
 
+    [[nodiscard]] constexpr Milliseconds minFinalAnswerTime() const
+    {
+        return std::min(maxFinalAnswerTime, exitTime - responseTime);
+    }
+
     //! \param grace  time from the signal until the process is killed
     static constexpr DrainSchedule forGrace(Milliseconds grace)
     {
--- a/src/gateway/cp_gateway.cpp
+++ b/src/gateway/cp_gateway.cpp
@@ -20,7 +20,8 @@
 namespace
 {
 
-constexpr Milliseconds drainPollInterval {50};
+constexpr Milliseconds minDrainPollInterval {1};
+constexpr Milliseconds maxDrainPollInterval {50};
 constexpr Milliseconds leadershipTransferTime {300};
 constexpr Milliseconds diskRetryInterval {300};
 constexpr Milliseconds periodicInterval {200};
@@ -344,21 +345,31 @@
 
 asio::awaitable<void> Gateway::drainEntry()
 {
-    const auto startedAt = std::chrono::steady_clock::now();
+    const TimePoint startedAt = std::chrono::steady_clock::now();
     const DrainSchedule schedule = DrainSchedule::forGrace(settings_.grace);
-    entry_->drain(startedAt + schedule.responseTime);
+    const TimePoint responsesDue = startedAt + schedule.responseTime;
+    TimePoint exitAt = startedAt + schedule.exitTime;
+    entry_->drain(responsesDue);
+    bool hasGivenUp = false;
     bool isDone = false;
     while (!isDone) {
-        co_await sleepFor(drainPollInterval);
-        const auto elapsed = std::chrono::steady_clock::now() - startedAt;
-        if (elapsed >= schedule.acceptTime) {
+        const auto untilNextStage
+            = std::chrono::ceil<Milliseconds>((hasGivenUp ? exitAt : responsesDue) - std::chrono::steady_clock::now());
+        const Milliseconds pause = std::clamp(untilNextStage, minDrainPollInterval, maxDrainPollInterval);
+        co_await sleepFor(pause);
+        const TimePoint now = std::chrono::steady_clock::now();
+        if (now >= startedAt + schedule.acceptTime) {
             // Callers whose directory response is cached for longer retry elsewhere when their connection is refused.
             entry_->stopAccepting();
         }
-        if (elapsed >= schedule.responseTime) {
+        if (now >= responsesDue) {
             entry_->giveUp();
+            if (!std::exchange(hasGivenUp, true)) {
+                // A process that was frozen, or got no processor time, may find all its times passed at once.
+                exitAt = std::max(exitAt, now + schedule.minFinalAnswerTime());
+            }
         }
-        isDone = (elapsed >= schedule.earliestExitTime && entry_->isIdle()) || elapsed >= schedule.exitTime;
+        isDone = (now >= startedAt + schedule.earliestExitTime && entry_->isIdle()) || now >= exitAt;
     }
     entry_->logStopped();
     io_.stop();
@@ -378,7 +389,7 @@
     listReader_->stop();
     ledger_->stop();
     log_.info("process.stopped", {{"idle", true}});
-    co_await sleepFor(drainPollInterval);
+    co_await sleepFor(maxDrainPollInterval);
     io_.stop();
 }
 
--- a/tests/policy/cp_drain_schedule.tests.cpp
+++ b/tests/policy/cp_drain_schedule.tests.cpp
@@ -17,6 +17,7 @@
     BOOST_TEST((schedule.acceptTime <= schedule.earliestExitTime));
     BOOST_TEST((schedule.earliestExitTime <= schedule.responseTime));
     BOOST_TEST((schedule.responseTime <= schedule.exitTime));
+    BOOST_TEST((schedule.responseTime + schedule.minFinalAnswerTime() <= schedule.exitTime));
     BOOST_TEST((schedule.exitTime <= grace));
     BOOST_TEST((schedule.responseTime >= grace - grace / 4));
 }
