Answer what has arrived before the daemon ends

What callers saw: calls, event streams, partial and pipelined requests without an answer when a VM got a second signal, and after an ordinary drain while a request was still being read.

Cause: the daemon stopped its event loop at the second signal and after ten minutes whatever was under way. Class: something accepted has no owner of its final answer when its process ends at a fixed time.

Ruled out: the gateway's reloads and changes of routes, by platform_reload.

Change: ShutdownNotice ends the waits of requests; each gets not-ready with its outcome (unknown if its owner may have it, not-run otherwise) within 1.5 s. A request that is being read counts as under way. HttpServer tells how many requests are arriving, and lets a client take a refusal before it closes.

--- a/include/cardamompost/net/cp_http_server.hpp
+++ b/include/cardamompost/net/cp_http_server.hpp
@@ -66,6 +66,8 @@
     //! Responds to the requests of which only a part has arrived.
     void giveUp();
     [[nodiscard]] int openConnections() const;
+    //! Number of requests of which only a part has arrived.
+    [[nodiscard]] int arrivingRequests() const;
 
 private:
     class Connection;
--- a/src/cardamompost/net/cp_http_server.cpp
+++ b/src/cardamompost/net/cp_http_server.cpp
@@ -12,6 +12,8 @@
 #include <boost/beast/http.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 
+#include <algorithm>
+#include <array>
 #include <mutex>
 #include <unordered_map>
 
@@ -28,6 +30,10 @@
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 constexpr Milliseconds acceptRetryDelay {20};
 constexpr std::size_t firstReadBytes = 8U << 10U;
+// Time for a client to close its end, and bytes that it may send meanwhile.
+constexpr Milliseconds closeTimeout {250};
+constexpr std::size_t maxDiscardedBytes = 1U << 20U;
+constexpr std::size_t discardBufferBytes = 4U << 10U;
 
 Error readError(const boost::system::error_code &error)
 {
@@ -198,6 +204,27 @@
     {
         isReading_ = isReading;
     }
+    //! True if a part of a request has arrived. Callable from any thread.
+    [[nodiscard]] bool isReading() const
+    {
+        return isReading_;
+    }
+    //! Closes the connection for sending, and waits until the client has closed it. Closing with unread bytes would
+    //! reset the connection, and the client could lose the response.
+    asio::awaitable<void> discardInput()
+    {
+        boost::system::error_code ignored;
+        stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        stream_.expires_after(closeTimeout);
+        std::array<char, discardBufferBytes> space {};
+        std::size_t discarded = 0;
+        bool isOpen = true;
+        while (isOpen && discarded < maxDiscardedBytes) {
+            const auto [error, bytesRead] = co_await stream_.async_read_some(asio::buffer(space), asTuple);
+            discarded += bytesRead;
+            isOpen = !error;
+        }
+    }
     [[nodiscard]] bool hasGivenUp() const
     {
         return hasGivenUp_;
@@ -228,7 +255,7 @@
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
     bool isIdle_ = false;
-    bool isReading_ = false;
+    std::atomic<bool> isReading_ {false};
     bool hasGivenUp_ = false;
 };
 
@@ -251,6 +278,14 @@
         const std::lock_guard lock(mutex_);
         return static_cast<int>(connections_.size());
     }
+    [[nodiscard]] int countReading() const
+    {
+        const std::lock_guard lock(mutex_);
+        return static_cast<int>(std::count_if(connections_.begin(), connections_.end(), [](const auto &item) {
+            const std::shared_ptr<Connection> connection = item.second.lock();
+            return connection && connection->isReading();
+        }));
+    }
     void forEach(void (Connection::*function)())
     {
         std::vector<std::shared_ptr<Connection>> open;
@@ -295,6 +330,11 @@
     return openConnections_->count();
 }
 
+int HttpServer::arrivingRequests() const
+{
+    return openConnections_->countReading();
+}
+
 void HttpServer::closeWhenQuiet()
 {
     closesWhenQuiet_ = true;
@@ -385,6 +425,7 @@
         if (error && connection.hasGivenUp() && error == asio::error::operation_aborted) {
             co_await responder.respond(
                 errorHandler_(makeError(ErrorKind::NotReady, "the process ends before the request has arrived")));
+            co_await connection.discardInput();
             break;
         }
         if (error) {
--- a/src/daemon/cp_api_server.cpp
+++ b/src/daemon/cp_api_server.cpp
@@ -122,13 +122,26 @@
         co_return;
     }
     if (request.path.starts_with("/v1/operator/")) {
-        HttpResponse response = co_await parts_.operators.handle(request);
-        co_await responder.respond(std::move(response));
+        co_await handleOperator(request, responder);
         co_return;
     }
     co_await handleCaller(request, responder);
 }
 
+asio::awaitable<void> ApiServer::handleOperator(HttpRequest &request, IHttpResponder &responder)
+{
+    // The work may outlast the request.
+    auto handleCopy = [](OperatorApi &operators, HttpRequest copy) -> asio::awaitable<HttpResponse> {
+        co_return co_await operators.handle(copy);
+    };
+    asio::awaitable<HttpResponse> work = handleCopy(parts_.operators, request);
+    std::optional<HttpResponse> response = co_await awaitUntilShutdown<HttpResponse>(parts_.shutdown, std::move(work));
+    if (!response) {
+        response = errorResponse(shuttingDownError(request.method == "GET" ? Outcome::NotRun : Outcome::Unknown));
+    }
+    co_await responder.respond(std::move(*response));
+}
+
 std::optional<HttpResponse> ApiServer::publicRoute(const HttpRequest &request) const
 {
     const bool isRead = request.method == "GET";
@@ -237,7 +250,9 @@
     const std::string caller = request.caller;
     const Result<void> admitted = co_await parts_.admission.admit(caller);
     if (!admitted && request.idempotencyKey.empty()) {
-        co_await responder.respond(errorResponse(admitted.error()));
+        const Error refusal = parts_.shutdown.isGiven() ? shuttingDownError(Outcome::NotRun) : admitted.error();
+        HttpResponse response = errorResponse(refusal);
+        co_await responder.respond(std::move(response));
         co_return;
     }
     if (!admitted) {
--- a/src/daemon/cp_api_server.hpp
+++ b/src/daemon/cp_api_server.hpp
@@ -22,6 +22,7 @@
         CallerAdmission &admission;
         PartitionTable &table;
         OperatorApi &operators;
+        ShutdownNotice &shutdown;
         EventLog &log;
         MetricRegistry &metrics;
     };
@@ -31,15 +32,26 @@
     //! Starts listening. Errors: InvalidConfiguration when the address can't be used.
     Result<void> start();
     void stopAccepting();
-    //! Number of requests in progress.
+    //! Closes idle connections, and refuses requests of which only a part has arrived. To be repeated.
+    void endConnections()
+    {
+        server_.closeIdle();
+        server_.giveUp();
+    }
+    [[nodiscard]] int openConnections() const
+    {
+        return server_.openConnections();
+    }
+    //! Number of requests in progress, including those that are being read.
     [[nodiscard]] int active() const
     {
-        return active_;
+        return active_ + server_.arrivingRequests();
     }
 
 private:
     boost::asio::awaitable<void> handle(HttpRequest &request, IHttpResponder &responder);
     boost::asio::awaitable<void> route(HttpRequest &request, IHttpResponder &responder);
+    boost::asio::awaitable<void> handleOperator(HttpRequest &request, IHttpResponder &responder);
     boost::asio::awaitable<void> handleCaller(HttpRequest &request, IHttpResponder &responder);
     boost::asio::awaitable<void> forward(ApiRequest request, IHttpResponder &responder);
     boost::asio::awaitable<void> forwardCall(ApiRequest request, IHttpResponder &responder);
--- a/src/daemon/cp_caller_limits.cpp
+++ b/src/daemon/cp_caller_limits.cpp
@@ -142,7 +142,7 @@
     }
     const double wanted = std::max(1.0, std::ceil(declared->callsPerSecond * requestSeconds));
     Milliseconds retryAfter {1000};
-    while (std::chrono::steady_clock::now() < deadline) {
+    while (!parts_.shutdown.isGiven() && std::chrono::steady_clock::now() < deadline) {
         if (tryTakeToken(caller, std::chrono::steady_clock::now())) {
             co_return boost::outcome_v2::success();
         }
--- a/src/daemon/cp_caller_limits.hpp
+++ b/src/daemon/cp_caller_limits.hpp
@@ -2,6 +2,7 @@
 #define CARDAMOMPOST_CP_CALLER_LIMITS_HPP_INCLUDED
 
 #include "cp_partition_table.hpp"
+#include "cp_shutdown_notice.hpp"
 
 #include <cardamompost/limits/cp_token_bucket.hpp>
 
@@ -44,6 +45,7 @@
         ControlReplica &replica;
         PeerHub &hub;
         LimitGrantor &grantor;
+        const ShutdownNotice &shutdown;
         MetricRegistry &metrics;
     };
 
--- a/src/daemon/cp_daemon.cpp
+++ b/src/daemon/cp_daemon.cpp
@@ -27,6 +27,8 @@
 constexpr Milliseconds shutdownPollInterval {20};
 constexpr Milliseconds maxHandoverTime {10'000};
 constexpr Milliseconds maxDrainTime {600'000};
+// Longer than any wait in a request that the shutdown notice does not end.
+constexpr Milliseconds maxFinalAnswerTime {1500};
 constexpr Milliseconds leaveTimeout {3000};
 constexpr Milliseconds probeTimeout {500};
 constexpr Milliseconds probeInterval {200};
@@ -181,18 +183,18 @@
         CallRunner::Parts {settings_, replica_, *control_, *table_, *dispatcher_, engines_, http_, log_, metrics_});
     callService_ = std::make_unique<CallService>(
         executor, CallService::Parts {replica_, *table_, *callRunner_, *dispatcher_, log_});
-    router_
-        = std::make_unique<Router>(Router::Parts {settings_, replica_, *hub_, *callService_, *table_, log_, metrics_});
+    router_ = std::make_unique<Router>(
+        Router::Parts {settings_, replica_, *hub_, *callService_, *table_, shutdown_, log_, metrics_});
     sweeper_ = std::make_unique<HoldSweeper>(
         executor, HoldSweeper::Parts {settings_, replica_, *router_, engines_, log_, metrics_});
     grantor_ = std::make_unique<LimitGrantor>(replica_, *table_);
-    admission_
-        = std::make_unique<CallerAdmission>(CallerAdmission::Parts {settings_, replica_, *hub_, *grantor_, metrics_});
+    admission_ = std::make_unique<CallerAdmission>(
+        CallerAdmission::Parts {settings_, replica_, *hub_, *grantor_, shutdown_, metrics_});
     operatorApi_ = std::make_unique<OperatorApi>(
         OperatorApi::Parts {settings_, replica_, *control_, *table_, *dispatcher_, log_});
     api_ = std::make_unique<ApiServer>(executor,
                                        ApiServer::Parts {settings_, replica_, *control_, *router_, *admission_, *table_,
-                                                         *operatorApi_, log_, metrics_});
+                                                         *operatorApi_, shutdown_, log_, metrics_});
     peerServer_ = std::make_unique<PeerServer>(
         executor, tls_, traffic_, [this](FrameBody body, Milliseconds, std::shared_ptr<PeerReplier> replier) {
             onPeerRequest(std::move(body), std::move(replier));
@@ -316,8 +318,8 @@
             return;
         }
         if (isShuttingDown_) {
-            log_.warn("daemon.stopped_at_once");
-            io_.stop();
+            log_.warn("daemon.stopped_at_once", {{"requests", api_->active()}});
+            asio::co_spawn(asio::make_strand(io_.get_executor()), endRequests(), asio::detached);
             return;
         }
         isShuttingDown_ = true;
@@ -348,7 +350,25 @@
            || ((api_->active() > 0 || callRunner_->running() > 0) && now() - startedAt < maxDrainTime)) {
         co_await sleepFor(shutdownPollInterval);
     }
+    co_await endRequests();
+}
+
+asio::awaitable<void> Daemon::endRequests()
+{
+    if (isEnding_.exchange(true)) {
+        co_return;
+    }
+    const TimePoint deadline = std::chrono::steady_clock::now() + maxFinalAnswerTime;
     api_->stopAccepting();
+    shutdown_.give();
+    // The connections in the listener's backlog are open after the first pause.
+    do {
+        api_->endConnections();
+        co_await sleepFor(shutdownPollInterval);
+    } while (api_->openConnections() > 0 && std::chrono::steady_clock::now() < deadline);
+    if (api_->openConnections() > 0) {
+        log_.warn("daemon.unfinished", {{"connections", api_->openConnections()}, {"requests", api_->active()}});
+    }
     control_->stop();
     io_.stop();
 }
--- a/src/daemon/cp_daemon.hpp
+++ b/src/daemon/cp_daemon.hpp
@@ -39,6 +39,8 @@
     void answerPull(const PullRequest &request, std::shared_ptr<PeerReplier> replier);
     void awaitSignals();
     boost::asio::awaitable<void> shutDown();
+    //! Gives all requests their final answers and stops, after maxFinalAnswerTime at the latest.
+    boost::asio::awaitable<void> endRequests();
 
     Settings settings_;
     boost::asio::io_context io_;
@@ -66,7 +68,9 @@
     std::unique_ptr<OperatorApi> operatorApi_;
     std::unique_ptr<ApiServer> api_;
     std::unique_ptr<PeerServer> peerServer_;
+    ShutdownNotice shutdown_;
     bool isShuttingDown_ = false;
+    std::atomic<bool> isEnding_ {false};
 };
 
 } // namespace cardamompost
--- a/src/daemon/cp_router.cpp
+++ b/src/daemon/cp_router.cpp
@@ -66,7 +66,7 @@
     ensureRecognizable(request);
     TimePoint deadline = std::chrono::steady_clock::now() + ownerTimeout;
     bool mayHaveReachedOwner = false;
-    while (std::chrono::steady_clock::now() < deadline) {
+    while (!parts_.shutdown.isGiven() && std::chrono::steady_clock::now() < deadline) {
         const TimePoint startedAt = std::chrono::steady_clock::now();
         const TryResult result = co_await tryForward(request, deliver, mayHaveReachedOwner);
         if (result == TryResult::Done) {
@@ -79,10 +79,11 @@
         }
         co_await sleepFor(retryDelay);
     }
+    const Outcome outcome = mayHaveReachedOwner ? Outcome::Unknown : Outcome::NotRun;
     Error error = makeError(ErrorKind::NotReady, "the program currently has no reachable owner");
-    error.outcome = mayHaveReachedOwner ? Outcome::Unknown : Outcome::NotRun;
+    error.outcome = outcome;
     error.retryAfter = Milliseconds(1000);
-    ApiChunk chunk = errorChunk(error);
+    ApiChunk chunk = errorChunk(parts_.shutdown.isGiven() ? shuttingDownError(outcome) : error);
     co_await deliver(std::move(chunk));
 }
 
@@ -92,6 +93,8 @@
     const auto view = parts_.replica.view();
     const VmName owner = view->state.partitions()[parts_.table.partitionOf(request.program)].owner;
     auto answers = std::make_shared<Answers>(co_await asio::this_coro::executor);
+    const auto subscription
+        = parts_.shutdown.subscribe([answers] { answers->push(shuttingDownError(Outcome::Unknown)); });
     std::shared_ptr<PeerClient> client;
     std::uint64_t id = 0;
     if (owner == parts_.settings.vm) {
--- a/src/daemon/cp_router.hpp
+++ b/src/daemon/cp_router.hpp
@@ -2,6 +2,7 @@
 #define CARDAMOMPOST_CP_ROUTER_HPP_INCLUDED
 
 #include "cp_call_service.hpp"
+#include "cp_shutdown_notice.hpp"
 
 namespace cardamompost
 {
@@ -17,6 +18,7 @@
         PeerHub &hub;
         CallService &service;
         PartitionTable &table;
+        ShutdownNotice &shutdown;
         EventLog &log;
         MetricRegistry &metrics;
     };
@@ -26,7 +28,8 @@
 
     explicit Router(Parts parts);
 
-    //! Runs on the caller's strand until the last chunk was delivered or the caller has disconnected.
+    //! Runs on the caller's strand until the last chunk was delivered or the caller has disconnected. Delivers an
+    //! error when the process is about to end.
     boost::asio::awaitable<void> forward(ApiRequest request, Deliver deliver);
 
 private:
--- a/tests/daemon/cp_router.tests.cpp
+++ b/tests/daemon/cp_router.tests.cpp
@@ -40,7 +40,7 @@
         , runner_(io_.get_executor(),
                   {settings_, replica_, control_, table_, dispatcher_, engines_, http_, log_, metrics_})
         , service_(io_.get_executor(), {replica_, table_, runner_, dispatcher_, log_})
-        , router_({settings_, replica_, hub_, service_, table_, log_, metrics_})
+        , router_({settings_, replica_, hub_, service_, table_, shutdown_, log_, metrics_})
     {
         BOOST_REQUIRE(owner_.listen(ownerAddress_).has_value());
         VmRecord vm;
@@ -113,6 +113,7 @@
     EngineClient engines_;
     CallRunner runner_;
     CallService service_;
+    ShutdownNotice shutdown_;
     Router router_;
     std::thread thread_;
 
