Stop the disk thread of the daemon before its parts are destroyed

What operators saw: a daemon that does not end, or ends with an invalid memory access, after its last answer.

Ruled out: the waits of daemon_shutdown's tests; the stack shows ~DiskThread joining.

Change: the destructor stops the disk thread first, as the gateway's does. An idle connection of HttpServer holds 512 bytes instead of 8 KB.

--- a/src/cardamompost/net/cp_http_server.cpp
+++ b/src/cardamompost/net/cp_http_server.cpp
@@ -29,7 +29,8 @@
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 constexpr Milliseconds acceptRetryDelay {20};
-constexpr std::size_t firstReadBytes = 8U << 10U;
+// Small, because each idle connection holds a buffer of this size.
+constexpr std::size_t firstReadBytes = 512;
 // Time for a client to close its end, and bytes that it may send meanwhile.
 constexpr Milliseconds closeTimeout {250};
 constexpr std::size_t maxDiscardedBytes = 1U << 20U;
--- a/src/daemon/cp_daemon.cpp
+++ b/src/daemon/cp_daemon.cpp
@@ -64,7 +64,13 @@
 {
 }
 
-Daemon::~Daemon() = default;
+Daemon::~Daemon()
+{
+    // Jobs in progress call back into the parts, which are destroyed before the disk thread.
+    if (disk_) {
+        disk_->stop();
+    }
+}
 
 Result<void> Daemon::openKeeper()
 {
