--- a/src/cardamompost/observe/cp_log_explainer.cpp
+++ b/src/cardamompost/observe/cp_log_explainer.cpp
@@ -66,6 +66,21 @@
     return text(line, "id") == id || text(line, "turn") == id;
 }
 
+//! Empty if the request did not meet the end of its entry.
+std::string causeOfShutdown(const json::object &end)
+{
+    const std::string cause = text(end, "cause");
+    if (cause == "shutting-down") {
+        return fmt::format(
+            "the entry ended before the backend server '{}' answered; it may have run, and waited for {} ms",
+            text(end, "backend"), number(end, "ms"));
+    }
+    if (cause == "the entry is shutting down") {
+        return "the entry was told to stop and would have ended before the request; it has not run";
+    }
+    return {};
+}
+
 std::string causeOfEnd(const json::object &end)
 {
     const std::string cause = text(end, "cause");
@@ -97,14 +112,6 @@
     if (cause == "timed-out") {
         return fmt::format("its time was over after {} ms at the backend server '{}'", number(end, "ms"), backend);
     }
-    if (cause == "shutting-down") {
-        return fmt::format(
-            "the entry ended before the backend server '{}' answered; it may have run, and waited for {} ms", backend,
-            number(end, "ms"));
-    }
-    if (cause == "the entry is shutting down") {
-        return "the entry was told to stop and would have ended before the request; it has not run";
-    }
     if (cause == "false-promise") {
         return fmt::format("the backend server '{}' refused the request without stating that it has not run{}", backend,
                            detail);
@@ -127,7 +134,8 @@
             "not run",
             number(end, "ms"), number(end, "news_age_ms"));
     }
-    return fmt::format("{} (status {})", cause, status);
+    const std::string shutdown = causeOfShutdown(end);
+    return shutdown.empty() ? fmt::format("{} (status {})", cause, status) : shutdown;
 }
 
 std::string causeOfBudgetRefusal(const json::object &refusal)
