--- a/src/gateway/cp_entry_server.cpp
+++ b/src/gateway/cp_entry_server.cpp
@@ -29,8 +29,6 @@
 constexpr Milliseconds minHeartbeatInterval {100};
 constexpr Milliseconds maxHeartbeatInterval {300};
 constexpr Milliseconds acceptRetryDelay {20};
-// For reports to the ledger after the last responses.
-constexpr Milliseconds reportTime {200};
 constexpr Milliseconds retryElsewhereAfter {20};
 constexpr std::size_t firstReadBytes = 8U << 10U;
 constexpr unsigned statusOk = 200;
@@ -109,12 +107,22 @@
     return !isDraining_ && replica_.isComplete();
 }
 
+bool EntryServer::isAccepting() const
+{
+    return isDraining_ && acceptor_.is_open() && replica_.isComplete();
+}
+
+void EntryServer::announcePresence()
+{
+    ledger_.announcePresence(isReady(), isAccepting(), load_.permille());
+}
+
 void EntryServer::announceReadinessChange()
 {
     if (isReady() != wasReady_) {
         wasReady_ = isReady();
         parts_.log.info("entry.readiness", {{"ready", wasReady_}});
-        ledger_.announcePresence(wasReady_, load_.permille());
+        announcePresence();
     }
 }
 
@@ -128,7 +136,7 @@
 void EntryServer::sendHeartbeats()
 {
     measureLoad();
-    ledger_.announcePresence(isReady(), load_.permille());
+    announcePresence();
     pool_.closeIdle(std::chrono::steady_clock::now());
     const Milliseconds interval = heartbeatIntervalPerVm * static_cast<int>(ledger_.heartbeatTargetCount());
     timer_.expires_after(std::clamp(interval, minHeartbeatInterval, maxHeartbeatInterval));
@@ -139,11 +147,12 @@
     });
 }
 
-void EntryServer::drain(TimePoint responsesDue)
+void EntryServer::drain(TimePoint now, const DrainSchedule &schedule)
 {
     isDraining_ = true;
-    forwarder_.drain().begin(responsesDue);
-    ledger_.setLatestDeadline(responsesDue + reportTime);
+    forwarder_.drain().begin(now, schedule);
+    // The last responses are reported before the process ends.
+    ledger_.setLatestDeadline(now + (schedule.responseTime + schedule.exitTime) / 2);
     for (const auto &caller : connections_) {
         caller->closeWhenQuiet();
     }
@@ -164,6 +173,7 @@
             }
         }
         acceptor_.close(error);
+        announcePresence();
     }
     for (const auto &caller : connections_) {
         if (caller->phase() == ConnectionPhase::Idle && !caller->hasInput()) {
@@ -255,7 +265,9 @@
         if (buffer.size() == 0) {
             stream.expires_after(bounds.idleTimeout);
             const auto [error, bytesRead] = co_await stream.async_read_some(buffer.prepare(firstReadBytes), asTuple);
-            if (error) {
+            // Bytes may have arrived since the wait was cancelled.
+            const bool hasInput = error == asio::error::operation_aborted && caller->hasInput();
+            if (error && !hasInput) {
                 caller->closeIdle();
                 break;
             }
--- a/src/gateway/cp_ledger_client.cpp
+++ b/src/gateway/cp_ledger_client.cpp
@@ -213,7 +213,8 @@
             continue;
         }
         FrameBody body = request;
-        const Result<FrameBody> reply = co_await client->call(std::move(body), attemptTimeout);
+        const auto timeLeft = std::chrono::ceil<Milliseconds>(latestDeadline_ - timeNow());
+        const Result<FrameBody> reply = co_await client->call(std::move(body), std::min(attemptTimeout, timeLeft));
         const Reply *answer = reply ? std::get_if<Reply>(&reply.value()) : nullptr;
         if (answer != nullptr && policy.isFinal(*answer)) {
             co_return *answer;
@@ -366,12 +367,16 @@
     setPeers(ledgerVms_.list());
 }
 
-void LedgerClient::announcePresence(bool isReady, std::uint16_t loadPermille)
+void LedgerClient::announcePresence(bool isReady, bool isAccepting, std::uint16_t loadPermille)
 {
     watchStandby();
-    const Presence presence {
-        parts_.settings.vm, parts_.settings.front.toString(), parts_.settings.failureDomain, isReady, false,
-        loadPermille};
+    const Presence presence {parts_.settings.vm,
+                             parts_.settings.front.toString(),
+                             parts_.settings.failureDomain,
+                             isReady,
+                             false,
+                             loadPermille,
+                             isAccepting};
     for (const VmName &peer : heartbeatTargets_) {
         if (const auto client = parts_.peers.client(peer)) {
             client->notify(presence);
