Give the test of a draining entry another one that is ready

Cause: the test command's platform_faults/a_draining_entry_leaves_the_directory_and_completes_open_streams failed (0 in place of 200). It has one entry; since the directory names draining entries while none is ready, that entry stays named until its listener closes, and the test's late request came after that.

Change: the test has a second, ready entry.

--- a/tests/platform/cp_platform_faults.tests.cpp
+++ b/tests/platform/cp_platform_faults.tests.cpp
@@ -13,6 +13,8 @@
     GatewayCluster cluster;
     cluster.putDocument(3);
     const Address entry = cluster.addEntry(cluster.seeds());
+    // While no other entry is ready, the directory goes on naming one that drains.
+    cluster.addEntry(cluster.seeds());
     const std::string address = entry.toString();
     BOOST_TEST(GatewayCluster::eventually([&] { return cluster.directory().find(address) != std::string::npos; }));
     std::future<HttpResponse> slow = cluster.beginTurn(entry, "s1", {}, 1000, "/plans/slow");
